Add design, typed interfaces and project skeleton

Cause: nothing exists yet; work on separate packages needs shared interfaces. Conclusion: packages can be written in parallel against these interfaces.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+VENV ?= .venv
+PYTHON := $(VENV)/bin/python
+export PYTHONPATH := src:.
+export UV_USE_IO_URING := 0
+
+.PHONY: env check format test run
+
+env: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt pyproject.toml
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install -q -r constraints.txt
+	$(PYTHON) -m pip install -q --no-deps --no-build-isolation -e . || \
+	$(PYTHON) -m pip install -q --no-deps -e .
+	touch $@
+
+format:
+	$(PYTHON) -m ruff format src standins tests
+	$(PYTHON) -m ruff check --fix src standins tests
+
+check:
+	$(PYTHON) -m ruff format --check src standins tests
+	$(PYTHON) -m ruff check src standins tests
+	$(PYTHON) -m mypy
+
+test:
+	$(PYTHON) -m pytest
+
--- /dev/null
+++ b/src/fireflyspread/bundle/_model.py
@@ -0,0 +1,243 @@
+"""The bundle and its checks."""
+
+import enum
+import hashlib
+import json
+from functools import cached_property
+from typing import Any
+
+from attrs import field, frozen, validators
+
+from fireflyspread._structuring import make_converter, structure
+from fireflyspread.exceptions import BundleError
+
+__all__ = [
+    "ActiveBundle",
+    "Bundle",
+    "Key",
+    "Replica",
+    "Route",
+    "Target",
+    "TargetKind",
+    "Team",
+    "hash_key",
+]
+
+_NAME = validators.matches_re(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+_DIGEST = validators.matches_re(r"[0-9a-f]{64}")
+_POSITIVE: Any = validators.gt(0)
+
+
+def hash_key(key: str) -> str:
+    """Return the SHA-256 digest of a caller's key as 64 hex digits."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@frozen(kw_only=True)
+class Team:
+    """A customer that shares the platform.
+
+    Attributes
+    ----------
+    rate : float
+        Requests per second over all VMs together.
+    burst : float
+        Requests that may come at once, at least 1.
+    weight : float
+        Share of target capacity relative to other teams.
+    """
+
+    name: str = field(validator=_NAME)
+    rate: float = field(validator=_POSITIVE)
+    burst: float = field(validator=validators.ge(1))
+    weight: float = field(default=1.0, validator=_POSITIVE)
+
+
+@frozen(kw_only=True)
+class Key:
+    """A caller's key, known only by its digest."""
+
+    digest: str = field(validator=_DIGEST)
+    team: str
+
+
+class TargetKind(enum.StrEnum):
+    """What stands behind a target."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+@frozen(kw_only=True)
+class Replica:
+    """One process of a target."""
+
+    name: str = field(validator=_NAME)
+    url: str = field(validator=validators.matches_re(r"https?://[^/]+"))
+    zone: str
+    vm: str
+
+
+@frozen(kw_only=True)
+class Target:
+    """A back end with its replicas.
+
+    Attributes
+    ----------
+    half : str
+        Half of the organisation that owns the target.
+    checks_fence : bool
+        Whether the target refuses an old fencing number.
+    concurrency : int
+        Requests a replica runs at once.
+    """
+
+    name: str = field(validator=_NAME)
+    kind: TargetKind
+    half: str = field(validator=_NAME)
+    replicas: tuple[Replica, ...]
+    checks_fence: bool = False
+    concurrency: int = field(default=8, validator=_POSITIVE)
+
+
+@frozen(kw_only=True)
+class Route:
+    """A name that callers use for a service or a model.
+
+    Attributes
+    ----------
+    path : str
+        Path at the service; unused for engines.
+    open : bool
+        Whether the route needs no key.
+    idempotent : bool
+        Whether a call may be repeated.
+    interactive : bool
+        Whether a person waits for the answer.
+    timeout : float
+        Seconds for one call.
+    """
+
+    name: str = field(validator=_NAME)
+    target: str
+    path: str = "/"
+    open: bool = False
+    idempotent: bool = True
+    interactive: bool = False
+    timeout: float = field(default=60.0, validator=_POSITIVE)
+
+
+@frozen(kw_only=True)
+class Bundle:
+    """Everything that operators decide."""
+
+    teams: tuple[Team, ...]
+    keys: tuple[Key, ...]
+    targets: tuple[Target, ...]
+    routes: tuple[Route, ...]
+
+    def __attrs_post_init__(self) -> None:
+        _require_unique("team", [team.name for team in self.teams])
+        _require_unique("key", [key.digest for key in self.keys])
+        _require_unique("target", [target.name for target in self.targets])
+        _require_unique("route", [route.name for route in self.routes])
+        _require_unique(
+            "replica", [r.name for target in self.targets for r in target.replicas]
+        )
+        teams = {team.name for team in self.teams}
+        for key in self.keys:
+            if key.team not in teams:
+                raise BundleError(
+                    f"key {key.digest[:12]} names the absent team {key.team!r}; add it"
+                )
+        targets = {target.name for target in self.targets}
+        for route in self.routes:
+            if route.target not in targets:
+                raise BundleError(
+                    f"route {route.name!r} names the absent target {route.target!r}; "
+                    "add it"
+                )
+
+    @classmethod
+    def from_config(cls, data: Any) -> "Bundle":
+        """Structure decoded JSON into a bundle.
+
+        Raises
+        ------
+        BundleError
+            A field is unknown or invalid, or a name refers to nothing.
+        """
+        try:
+            return structure(_CONVERTER, data, cls, "bundle")
+        except BundleError:
+            raise
+        except ValueError as exc:
+            raise BundleError(f"bundle refused: {exc}") from exc
+
+    @classmethod
+    def from_json(cls, data: bytes) -> "Bundle":
+        """Parse a JSON bundle; raises ``BundleError``."""
+        try:
+            return cls.from_config(json.loads(data))
+        except json.JSONDecodeError as exc:
+            raise BundleError(
+                f"the bundle is not JSON: {exc.msg} at line {exc.lineno}"
+            ) from exc
+
+    def to_json(self) -> bytes:
+        """Return the canonical JSON form that the digest covers."""
+        data = _CONVERTER.unstructure(self)
+        return json.dumps(data, sort_keys=True, separators=(",", ":")).encode()
+
+    @cached_property
+    def digest(self) -> str:
+        """SHA-256 of the canonical form, 64 hex digits."""
+        return hashlib.sha256(self.to_json()).hexdigest()
+
+
+@frozen(kw_only=True)
+class ActiveBundle:
+    """A rolled bundle with its version.
+
+    Attributes
+    ----------
+    version : int
+        Rises by one with each roll.
+    fences : dict of str to int
+        Fencing number of each target: the version that last changed its owner.
+    """
+
+    version: int
+    bundle: Bundle
+    fences: dict[str, int] = field(factory=dict)
+
+    @cached_property
+    def teams(self) -> dict[str, Team]:
+        """Teams by name."""
+        return {team.name: team for team in self.bundle.teams}
+
+    @cached_property
+    def keys(self) -> dict[str, str]:
+        """Team names by key digest."""
+        return {key.digest: key.team for key in self.bundle.keys}
+
+    @cached_property
+    def targets(self) -> dict[str, Target]:
+        """Targets by name."""
+        return {target.name: target for target in self.bundle.targets}
+
+    @cached_property
+    def routes(self) -> dict[str, Route]:
+        """Routes by name."""
+        return {route.name: route for route in self.bundle.routes}
+
+
+def _require_unique(kind: str, names: list[str]) -> None:
+    seen: set[str] = set()
+    for name in names:
+        if name in seen:
+            raise BundleError(f"{kind} {name!r} appears twice; remove one")
+        seen.add(name)
+
+
+_CONVERTER = make_converter()
--- /dev/null
+++ b/src/fireflyspread/callers/__init__.py
@@ -0,0 +1,1 @@
+"""See docs/design.md."""
--- /dev/null
+++ b/src/fireflyspread/nodes/__init__.py
@@ -0,0 +1,43 @@
+"""Messages between nodes."""
+
+from fireflyspread.nodes._messages import (
+    MESSAGE_VERSION,
+    AcquireTokens,
+    AuthorityRenewed,
+    BundleFetched,
+    ConfirmFence,
+    Failed,
+    FenceConfirmed,
+    FetchBundle,
+    Hello,
+    HoldRecords,
+    Message,
+    RecordsHeld,
+    RecordsTaken,
+    RenewAuthority,
+    TakeRecords,
+    TokensGranted,
+    decode_message,
+    encode_message,
+)
+
+__all__ = [
+    "MESSAGE_VERSION",
+    "AcquireTokens",
+    "AuthorityRenewed",
+    "BundleFetched",
+    "ConfirmFence",
+    "Failed",
+    "FenceConfirmed",
+    "FetchBundle",
+    "Hello",
+    "HoldRecords",
+    "Message",
+    "RecordsHeld",
+    "RecordsTaken",
+    "RenewAuthority",
+    "TakeRecords",
+    "TokensGranted",
+    "decode_message",
+    "encode_message",
+]
--- /dev/null
+++ b/src/fireflyspread/nodes/_messages.py
@@ -0,0 +1,227 @@
+"""Typed messages between nodes, MessagePack by msgspec."""
+
+import msgspec
+
+from fireflyspread.exceptions import PeerError, UnsupportedVersionError
+
+__all__ = [
+    "MESSAGE_VERSION",
+    "AcquireTokens",
+    "AuthorityRenewed",
+    "BundleFetched",
+    "ConfirmFence",
+    "Failed",
+    "FenceConfirmed",
+    "FetchBundle",
+    "Hello",
+    "HoldRecords",
+    "Message",
+    "RecordsHeld",
+    "RecordsTaken",
+    "RenewAuthority",
+    "TakeRecords",
+    "TokensGranted",
+    "decode_message",
+    "encode_message",
+]
+
+MESSAGE_VERSION = 1
+
+
+class Message(msgspec.Struct, frozen=True, kw_only=True, tag_field="kind", tag=True):
+    """Base of all messages.
+
+    Attributes
+    ----------
+    node, incarnation : str
+        Sender.
+    """
+
+    node: str = ""
+    incarnation: str = ""
+    version: int = MESSAGE_VERSION
+
+
+class Hello(Message, frozen=True, kw_only=True):
+    """What the sender knows; answered by the same of the other node.
+
+    Attributes
+    ----------
+    epoch : int
+        Epoch of the members document.
+    bundle_version : int
+        Bundle in force.
+    leaving : tuple of str
+        VMs that are leaving.
+    quarantined : tuple of str
+        Fingerprints of requests that crash targets.
+    suspects : tuple of str
+        Fingerprints of requests in flight at one crash.
+    in_force_since : float
+        Seconds the bundle has been in force on the sender.
+    """
+
+    epoch: int
+    bundle_version: int
+    leaving: tuple[str, ...] = ()
+    quarantined: tuple[str, ...] = ()
+    suspects: tuple[str, ...] = ()
+
+
+class RenewAuthority(Message, frozen=True, kw_only=True):
+    """The sender asks its monitor not to remove it."""
+
+    epoch: int
+    bundle_version: int
+
+
+class AuthorityRenewed(Message, frozen=True, kw_only=True):
+    """Answer to ``RenewAuthority``.
+
+    Attributes
+    ----------
+    granted : bool
+        Whether the monitor will not remove the node for ``seconds``.
+    """
+
+    granted: bool
+    seconds: float
+    epoch: int
+    bundle_version: int
+
+
+class AcquireTokens(Message, frozen=True, kw_only=True):
+    """The sender is short of a team's rate tokens."""
+
+    team: str
+    amount: float
+    epoch: int
+
+
+class TokensGranted(Message, frozen=True, kw_only=True):
+    """The amount was taken from the answerer's share before this was sent."""
+
+    amount: float
+    retry_after: float = 0.0
+
+
+class FetchBundle(Message, frozen=True, kw_only=True):
+    """The sender wants a bundle newer than ``bundle_version``."""
+
+    bundle_version: int
+
+
+class BundleFetched(Message, frozen=True, kw_only=True):
+    """The bundle in force on the answerer; ``bundle`` is its canonical JSON."""
+
+    bundle_version: int
+    bundle: bytes
+    fences: dict[str, int]
+
+
+class HoldRecords(Message, frozen=True, kw_only=True):
+    """Keep journal records of the sender while the store does not answer.
+
+    Attributes
+    ----------
+    journal : str
+        Key prefix of the sender's journal.
+    records : bytes
+        Encoded records.
+    position : int
+        Number of the first record among the sender's pending records.
+    """
+
+    journal: str
+    position: int
+    records: bytes
+
+
+class RecordsHeld(Message, frozen=True, kw_only=True):
+    """The records are held."""
+
+    position: int
+
+
+class TakeRecords(Message, frozen=True, kw_only=True):
+    """The sender has sealed ``journal`` and wants the records held for it."""
+
+    journal: str
+
+
+class RecordsTaken(Message, frozen=True, kw_only=True):
+    """Records that were held, in the order of writing."""
+
+    records: tuple[bytes, ...]
+
+
+class ConfirmFence(Message, frozen=True, kw_only=True):
+    """Ask whether the node still acts on a target under an older bundle."""
+
+    target: str
+    bundle_version: int
+
+
+class FenceConfirmed(Message, frozen=True, kw_only=True):
+    """Answer to ``ConfirmFence``; ``in_flight`` counts actions under older ones."""
+
+    bundle_version: int
+    in_flight: int
+
+
+class Failed(Message, frozen=True, kw_only=True):
+    """The answerer could not do what was asked."""
+
+    code: str
+    reason: str
+
+
+AnyMessage = (
+    Hello
+    | RenewAuthority
+    | AuthorityRenewed
+    | AcquireTokens
+    | TokensGranted
+    | FetchBundle
+    | BundleFetched
+    | HoldRecords
+    | RecordsHeld
+    | TakeRecords
+    | RecordsTaken
+    | ConfirmFence
+    | FenceConfirmed
+    | Failed
+)
+
+_DECODER = msgspec.msgpack.Decoder(AnyMessage)
+
+
+class _Envelope(msgspec.Struct):
+    version: int = 0
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the wire form of ``message``."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode_message(data: bytes) -> Message:
+    """Return the message in ``data``.
+
+    Raises
+    ------
+    UnsupportedVersionError
+        The message has another version than ``MESSAGE_VERSION``.
+    PeerError
+        The bytes are not a message.
+    """
+    try:
+        version = msgspec.msgpack.decode(data, type=_Envelope).version
+        if version != MESSAGE_VERSION:
+            raise UnsupportedVersionError(
+                f"message version {version} is not {MESSAGE_VERSION}; "
+                "run the same release on all nodes"
+            )
+        return _DECODER.decode(data)
+    except msgspec.DecodeError as exc:
+        raise PeerError("the bytes are not a message of this system") from exc
--- /dev/null
+++ b/src/fireflyspread/recovery/__init__.py
@@ -0,0 +1,48 @@
+"""What must last: store, journal, membership, authority, takeover."""
+
+from fireflyspread.recovery._journal import Durability, Journal
+from fireflyspread.recovery._members import Member, MembersDocument, SlotRow
+from fireflyspread.recovery._records import (
+    BudgetReserved,
+    IntentAbandoned,
+    IntentDeclared,
+    OutcomeRecorded,
+    ProgramEnded,
+    ProgramOpened,
+    ProgramSnapshot,
+    Record,
+    SessionHeld,
+    SessionReleased,
+    TurnRecorded,
+    decode_records,
+    encode_records,
+)
+from fireflyspread.recovery._slots import SLOT_COUNT, SlotState, find_slot
+from fireflyspread.recovery._store import Change, Entry, Store
+
+__all__ = [
+    "SLOT_COUNT",
+    "BudgetReserved",
+    "Change",
+    "Durability",
+    "Entry",
+    "IntentAbandoned",
+    "IntentDeclared",
+    "Journal",
+    "Member",
+    "MembersDocument",
+    "OutcomeRecorded",
+    "ProgramEnded",
+    "ProgramOpened",
+    "ProgramSnapshot",
+    "Record",
+    "SessionHeld",
+    "SessionReleased",
+    "SlotRow",
+    "SlotState",
+    "Store",
+    "TurnRecorded",
+    "decode_records",
+    "encode_records",
+    "find_slot",
+]
--- /dev/null
+++ b/src/fireflyspread/recovery/_members.py
@@ -0,0 +1,63 @@
+"""The members document: who takes part and who owns which slot."""
+
+import msgspec
+
+__all__ = ["Member", "MembersDocument", "SlotRow"]
+
+
+class Member(msgspec.Struct, frozen=True, kw_only=True):
+    """One node incarnation.
+
+    Attributes
+    ----------
+    incarnation : str
+        Unique to one run of the daemon on the node.
+    monitor : str
+        Name of the member that alone may remove this one.
+    internal, peers : str
+        Addresses as ``ip:port``.
+    """
+
+    name: str
+    incarnation: str
+    zone: str
+    vm: str
+    internal: str
+    peers: str
+    monitor: str = ""
+    lease: int = 0
+
+    @property
+    def journal(self) -> str:
+        """Key prefix of the member's journal."""
+        return f"journal/{self.name}/{self.incarnation}/"
+
+
+class SlotRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Owner of one slot and the journals that it must still replay."""
+
+    owner: str = ""
+    sources: tuple[str, ...] = ()
+
+
+class MembersDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """Value of the store key ``members``.
+
+    Attributes
+    ----------
+    epoch : int
+        Rises by one with each change.
+    write_id : str
+        Unique to one write, so that a lost answer can be resolved.
+    slots : tuple of SlotRow
+        One row for each slot.
+    """
+
+    epoch: int
+    write_id: str
+    members: tuple[Member, ...]
+    slots: tuple[SlotRow, ...]
+
+    def find_member(self, name: str) -> Member | None:
+        """Return the member called ``name`` or None."""
+        return next((m for m in self.members if m.name == name), None)
--- /dev/null
+++ b/src/fireflyspread/recovery/_records.py
@@ -0,0 +1,180 @@
+"""Records of the journal; MessagePack by msgspec.
+
+msgspec structs stand in for attrs classes here, because a tagged union of record
+kinds cannot be decoded into attrs classes.
+"""
+
+import msgspec
+
+__all__ = [
+    "BudgetReserved",
+    "IntentAbandoned",
+    "IntentDeclared",
+    "OutcomeRecorded",
+    "ProgramEnded",
+    "ProgramOpened",
+    "ProgramSnapshot",
+    "Record",
+    "SessionHeld",
+    "SessionReleased",
+    "TurnRecorded",
+    "decode_records",
+    "encode_records",
+]
+
+
+class Record(msgspec.Struct, frozen=True, kw_only=True, tag_field="kind", tag=True):
+    """Base of all records.
+
+    Attributes
+    ----------
+    slot : int
+        Slot of the program or intent.
+    subject : str
+        Program id, or ``team/idempotency key`` of an intent.
+    """
+
+    slot: int
+    subject: str
+
+
+class ProgramOpened(Record, frozen=True, kw_only=True):
+    """A program was opened.
+
+    Attributes
+    ----------
+    budget : int
+        Tokens the program may use.
+    reserved : int
+        Tokens reserved for the first turn.
+    opened_at : float
+        Seconds since the Unix epoch.
+    """
+
+    team: str
+    budget: int
+    reserved: int
+    opened_at: float
+    parent: str | None = None
+
+
+class TurnRecorded(Record, frozen=True, kw_only=True):
+    """A turn was completed.
+
+    Attributes
+    ----------
+    request_digest : str
+        SHA-256 of the caller's body.
+    added : bytes
+        JSON array of the messages that the turn added to the history, the
+        answer being the last.
+    answer : bytes
+        The answer as the caller received it, without streaming frames.
+    spent : int
+        Tokens the turn used.
+    reserved : int
+        Tokens reserved for the next turn.
+    chain : str
+        SHA-256 over the previous chain value and ``added``.
+    context_tokens : int
+        Tokens of the whole history after the turn, as the engine counted them.
+    """
+
+    turn: int
+    request_digest: str
+    added: bytes
+    answer: bytes
+    spent: int
+    reserved: int
+    chain: str
+    context_tokens: int = 0
+    status: int = 200
+
+
+class BudgetReserved(Record, frozen=True, kw_only=True):
+    """Tokens were reserved for the next turn beyond what the last record reserved."""
+
+    reserved: int
+
+
+class SessionHeld(Record, frozen=True, kw_only=True):
+    """A replica holds engine memory for the program."""
+
+    replica: str
+
+
+class SessionReleased(Record, frozen=True, kw_only=True):
+    """A replica confirmed that it holds no engine memory for the program."""
+
+    replica: str
+
+
+class ProgramEnded(Record, frozen=True, kw_only=True):
+    """The program takes no more calls.
+
+    Attributes
+    ----------
+    spent : int
+        Tokens used in all; a parent settles its draw with it.
+    """
+
+    reason: str
+    spent: int
+
+
+class ProgramSnapshot(Record, frozen=True, kw_only=True):
+    """The whole state of a program, for compaction and change of owner."""
+
+    opened: ProgramOpened
+    turns: tuple[TurnRecorded, ...]
+    spent: int
+    reserved: int
+    sessions: tuple[str, ...] = ()
+    ended: ProgramEnded | None = None
+
+
+class IntentDeclared(Record, frozen=True, kw_only=True):
+    """A non-idempotent request is about to be dispatched."""
+
+    body_digest: str
+    route: str
+    declared_at: float
+
+
+class IntentAbandoned(Record, frozen=True, kw_only=True):
+    """A declared request was not dispatched and will not be."""
+
+
+class OutcomeRecorded(Record, frozen=True, kw_only=True):
+    """A non-idempotent request was answered by its target."""
+
+    status: int
+    content_type: str
+    body: bytes
+    recorded_at: float
+
+
+AnyRecord = (
+    ProgramOpened
+    | TurnRecorded
+    | BudgetReserved
+    | SessionHeld
+    | SessionReleased
+    | ProgramEnded
+    | ProgramSnapshot
+    | IntentDeclared
+    | IntentAbandoned
+    | OutcomeRecorded
+)
+
+_DECODER = msgspec.msgpack.Decoder(tuple[AnyRecord, ...])
+
+
+def encode_records(records: tuple[Record, ...]) -> bytes:
+    """Return the MessagePack form of ``records``."""
+    return msgspec.msgpack.encode(records)
+
+
+def decode_records(data: bytes) -> tuple[Record, ...]:
+    """Return the records in ``data``; raises ``msgspec.DecodeError``."""
+    return _DECODER.decode(data)
--- /dev/null
+++ b/src/fireflyspread/recovery/_store.py
@@ -0,0 +1,112 @@
+"""What the system needs of the platform's key-value store."""
+
+import abc
+from collections.abc import AsyncIterator
+
+from attrs import frozen
+
+from fireflyspread.exceptions import StoreError, StoreUncertainError
+
+__all__ = ["Change", "Entry", "Store"]
+
+
+@frozen
+class Entry:
+    """One key of the store.
+
+    Attributes
+    ----------
+    value : bytes
+        At most 1 MB.
+    revision : int
+        Store revision of the last change of the key.
+    """
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@frozen
+class Change:
+    """One event of a watch; ``entry`` is None when the key was deleted."""
+
+    key: str
+    entry: Entry | None
+
+
+class Store(abc.ABC):
+    """Compare-and-swap, leases and watches.
+
+    Every method raises ``StoreError`` when the store does not answer in time and
+    ``StoreUncertainError`` when a write may have taken effect all the same.
+    """
+
+    @abc.abstractmethod
+    async def read(self, key: str) -> Entry | None:
+        """Return the entry of ``key`` or None."""
+
+    @abc.abstractmethod
+    async def read_prefix(self, prefix: str, *, limit: int = 0) -> tuple[Entry, ...]:
+        """Return the entries under ``prefix`` in key order; 0 is no limit."""
+
+    @abc.abstractmethod
+    async def replace(
+        self, key: str, value: bytes, *, revision: int, lease: int = 0
+    ) -> int | None:
+        """Write ``value`` if the key is still at ``revision`` (0: absent).
+
+        Returns
+        -------
+        int or None
+            The new revision, or None when the key has changed meanwhile.
+        """
+
+    @abc.abstractmethod
+    async def delete(self, *keys: str) -> None:
+        """Delete keys in one call."""
+
+    @abc.abstractmethod
+    async def grant_lease(self, ttl: int) -> int:
+        """Return the id of a new lease of ``ttl`` seconds."""
+
+    @abc.abstractmethod
+    async def keep_lease(self, lease: int) -> bool:
+        """Renew a lease; False when it has lapsed."""
+
+    @abc.abstractmethod
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete its keys."""
+
+    @abc.abstractmethod
+    def watch(self, prefix: str, *, start_revision: int = 0) -> AsyncIterator[Change]:
+        """Yield the changes under ``prefix`` until the connection breaks."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
+    async def create_once(self, key: str, value: bytes, *, lease: int = 0) -> bool:
+        """Create ``key`` unless it exists, also when the answer is lost.
+
+        ``value`` must be unique to this call (it carries a write id), so that reading
+        it back tells whether the write took effect.
+
+        Returns
+        -------
+        bool
+            False when the key exists with another value.
+        """
+        try:
+            revision = await self.replace(key, value, revision=0, lease=lease)
+        except StoreUncertainError:
+            entry = await self.read(key)
+            if entry is None:
+                raise StoreError(
+                    f"the write of {key} was lost; repeat it", retry_after=1.0
+                ) from None
+            return entry.value == value
+        if revision is not None:
+            return True
+        entry = await self.read(key)
+        return entry is not None and entry.value == value
--- /dev/null
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -0,0 +1,120 @@
+"""The scheduler as its users see it."""
+
+import abc
+import enum
+
+from attrs import define, field, frozen
+
+from fireflyspread.bundle import Replica, Target
+
+__all__ = ["LoadReport", "Result", "Scheduler", "Ticket", "Work"]
+
+
+@frozen(kw_only=True)
+class Work:
+    """One request that waits for a replica.
+
+    Attributes
+    ----------
+    fingerprint : str
+        Equal for requests that would crash a target in the same way.
+    cost : float
+        Expected tokens, prompt and answer.
+    attained : float
+        Tokens that the program has used so far.
+    deadline : float
+        Monotonic seconds.
+    holder : str or None
+        Replica that holds the program's prefix.
+    prefix_tokens : int
+        Tokens that the holder need not compute again.
+    excluded : frozenset of str
+        Replicas that have failed this request already.
+    """
+
+    request: str
+    team: str
+    weight: float
+    program: str
+    fingerprint: str
+    cost: float
+    deadline: float
+    is_interactive: bool = False
+    attained: float = 0.0
+    holder: str | None = None
+    prefix_tokens: int = 0
+    excluded: frozenset[str] = frozenset()
+
+
+@define(kw_only=True)
+class Ticket:
+    """Permission to run one request on one replica."""
+
+    work: Work
+    target: str
+    replica: Replica
+    started_at: float = field()
+
+
+@frozen(kw_only=True)
+class LoadReport:
+    """What a replica reported of itself, with a lag.
+
+    Attributes
+    ----------
+    running, waiting : int
+        Requests.
+    cache_used, cache_capacity : int
+        Tokens of KV cache.
+    received_at : float
+        Monotonic seconds.
+    """
+
+    running: int
+    waiting: int
+    cache_used: int
+    cache_capacity: int
+    received_at: float
+
+
+class Result(enum.StrEnum):
+    """How a request on a replica ended."""
+
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    CRASHED = "crashed"
+    UNREACHABLE = "unreachable"
+    TIMED_OUT = "timed_out"
+    CANCELLED = "cancelled"
+
+
+class Scheduler(abc.ABC):
+    """Orders waiting requests and places them on replicas."""
+
+    @abc.abstractmethod
+    async def acquire(self, work: Work, target: Target) -> Ticket:
+        """Wait for a replica.
+
+        Raises
+        ------
+        OverloadedError
+            The request cannot start before its deadline, or the queue is full.
+        QuarantinedError
+            The request is known to crash targets.
+        """
+
+    @abc.abstractmethod
+    def release(self, ticket: Ticket, result: Result, *, tokens: int = 0) -> None:
+        """Give the replica back; ``tokens`` is what the request used."""
+
+    @abc.abstractmethod
+    def may_retry(self, work: Work) -> bool:
+        """Take one retry from the retry budget; False when it is used up."""
+
+    @abc.abstractmethod
+    def report_load(self, replica: str, report: LoadReport) -> None:
+        """Take note of a load report."""
+
+    @abc.abstractmethod
+    def set_leaving(self, vms: frozenset[str]) -> None:
+        """Give no new work to replicas on these VMs."""
--- /dev/null
+++ b/src/fireflyspread/tools/__init__.py
@@ -0,0 +1,5 @@
+"""Clients of plain services and tool services."""
+
+from fireflyspread.tools._service import Service, ServiceAnswer, ServiceRequest
+
+__all__ = ["Service", "ServiceAnswer", "ServiceRequest"]
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems outside: store, VM list, engines, services."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests mirror the package."""
