--- a/src/fireflyspread/recovery/_records.py
+++ b/src/fireflyspread/recovery/_records.py
@@ -17,6 +17,7 @@
     "Record",
     "SessionHeld",
     "SessionReleased",
+    "TurnFailed",
     "TurnRecorded",
     "decode_records",
     "encode_records",
@@ -91,6 +92,13 @@
     status: int = 200
 
 
+class TurnFailed(Record, frozen=True, kw_only=True):
+    """A turn ended without an answer; ``spent`` tokens are charged for it."""
+
+    turn: int
+    spent: int
+
+
 class BudgetReserved(Record, frozen=True, kw_only=True):
     """Tokens were reserved for the next turn beyond what the last record reserved."""
 
@@ -157,6 +165,7 @@
 AnyRecord = (
     ProgramOpened
     | TurnRecorded
+    | TurnFailed
     | BudgetReserved
     | SessionHeld
     | SessionReleased
--- a/src/fireflyspread/recovery/_slots.py
+++ b/src/fireflyspread/recovery/_slots.py
@@ -32,6 +32,14 @@
     def snapshot(self, slots: frozenset[int]) -> tuple[Record, ...]:
         """Return records from which ``restore`` rebuilds the present state."""
 
+    @abc.abstractmethod
+    def settle(self, slots: frozenset[int]) -> tuple[Record, ...]:
+        """Return records to append before idle ``slots`` are released.
+
+        They give back what is reserved but not in use, so that a planned change of
+        owner charges nothing.
+        """
+
     @abc.abstractmethod
     def drop(self, slots: frozenset[int]) -> None:
         """Forget the state of slots that another node owns now."""
