Add the caller API

Cause: callers had no way in. Change: programs with ordered turns, streamed answers that a caller can come back to, service calls with durable intents, keys watched on running requests, relay to the owner node. Not wired to a daemon yet.

--- /dev/null
+++ b/src/fireflyspread/callers/_bodies.py
@@ -0,0 +1,120 @@
+"""Bodies of caller requests."""
+
+from typing import Literal, TypeVar
+
+import msgspec
+from aiohttp import web
+
+from fireflyspread.exceptions import PayloadTooLargeError, RequestError
+
+__all__ = [
+    "ChatBody",
+    "ChatMessage",
+    "EndBody",
+    "OpenBody",
+    "TurnBody",
+    "decode_body",
+    "decode_messages",
+    "read_body",
+    "read_turn_header",
+]
+
+T = TypeVar("T")
+
+DEFAULT_MAX_TOKENS = 1024
+EMPTY_MESSAGES = msgspec.Raw(b"[]")
+
+
+class OpenBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/programs``; ``model`` is a route to an engine target."""
+
+    budget: int
+    model: str | None = None
+
+
+class EndBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of an end request."""
+
+    reason: str = "ended by caller"
+
+
+class TurnBody(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of ``POST /v1/programs/{id}/turns``."""
+
+    turn: int
+    messages: msgspec.Raw
+    model: str
+    max_tokens: int = DEFAULT_MAX_TOKENS
+    stream: bool = False
+
+
+class ChatBody(msgspec.Struct, frozen=True):
+    """Body of ``POST /v1/chat/completions``; unknown options are ignored."""
+
+    model: str
+    messages: msgspec.Raw
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+
+    @property
+    def wanted(self) -> int:
+        """Tokens of the answer at most."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+
+
+class ChatMessage(msgspec.Struct, frozen=True):
+    """One message of a history."""
+
+    role: Literal["system", "developer", "user", "assistant", "tool"]
+    content: str | list[dict[str, object]] | None = None
+
+
+async def read_body(request: web.Request, limit: int) -> bytes:
+    """Return the whole body.
+
+    Raises
+    ------
+    PayloadTooLargeError
+        The body has more than ``limit`` bytes.
+    """
+    if request.content_length is not None and request.content_length > limit:
+        raise _make_too_large(limit)
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge:
+        raise _make_too_large(limit) from None
+
+
+def _make_too_large(limit: int) -> PayloadTooLargeError:
+    return PayloadTooLargeError(f"the body exceeds {limit} bytes; send less")
+
+
+def decode_body(data: bytes, kind: type[T]) -> T:
+    """Decode a JSON body.
+
+    Raises
+    ------
+    RequestError
+        The body is not JSON or a field is missing, unknown or invalid.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        raise RequestError(f"the body is refused: {exc}; correct that field") from exc
+
+
+def decode_messages(raw: msgspec.Raw) -> list[ChatMessage]:
+    """Decode and check an array of messages; raises ``RequestError``."""
+    messages = decode_body(bytes(raw), list[ChatMessage])
+    if not messages:
+        raise RequestError("messages is empty; send at least one message")
+    return messages
+
+
+def read_turn_header(request: web.Request) -> int:
+    """Return the number in the ``X-Turn`` header; raises ``RequestError``."""
+    text = request.headers.get("X-Turn", "")
+    if not text.isdigit() or int(text) < 1:
+        raise RequestError("send the header X-Turn with the number of the turn")
+    return int(text)
--- /dev/null
+++ b/src/fireflyspread/callers/_calls.py
@@ -0,0 +1,285 @@
+"""Calls of plain services and tools, at most once where a route demands it."""
+
+import asyncio
+import logging
+import secrets
+
+from attrs import frozen
+
+from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
+from fireflyspread.callers._completion import complete
+from fireflyspread.callers._context import Context
+from fireflyspread.callers._identity import Identity
+from fireflyspread.exceptions import (
+    DeadlineError,
+    FireflyError,
+    MayHaveRunError,
+    MissingIdempotencyKeyError,
+    NotFoundError,
+    Outcome,
+    RequestError,
+    StaleFenceError,
+    TargetError,
+    TargetUnreachableError,
+)
+from fireflyspread.programs import compute_digest
+from fireflyspread.recovery import IntentDeclared, OutcomeRecorded
+from fireflyspread.routing import Result, Ticket, Work
+from fireflyspread.tools import ServiceAnswer, ServiceRequest
+
+__all__ = ["Call", "ServiceCaller", "find_service"]
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@frozen(kw_only=True)
+class Call:
+    """One call of a service route.
+
+    Attributes
+    ----------
+    deadline : float
+        Monotonic seconds.
+    program : str
+        Program that makes the call, or empty.
+    attained : float
+        Tokens the program has used so far.
+    """
+
+    route: Route
+    target: Target
+    identity: Identity
+    content_type: str
+    body: bytes
+    deadline: float
+    idempotency_key: str | None = None
+    program: str = ""
+    attained: float = 0.0
+
+    @property
+    def digest(self) -> str:
+        """SHA-256 of what the target would receive."""
+        return compute_digest(self.content_type.encode(), self.body)
+
+
+def find_service(active: ActiveBundle, name: str) -> tuple[Route, Target]:
+    """Return a service route and its target.
+
+    Raises
+    ------
+    NotFoundError
+        No such route.
+    RequestError
+        The route leads to an engine.
+    """
+    route = active.routes.get(name)
+    if route is None:
+        raise NotFoundError(f"no route {name!r}; use one of the bundle's routes")
+    target = active.targets[route.target]
+    if target.kind is not TargetKind.SERVICE:
+        raise RequestError(f"route {name!r} is a model; send a turn to it")
+    return route, target
+
+
+class ServiceCaller:
+    """Makes calls; one method call for each, in the task of its connection."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    async def call(self, call: Call) -> ServiceAnswer:
+        """Make a call and return the target's answer.
+
+        Raises
+        ------
+        MissingIdempotencyKeyError
+            The route is not idempotent and the call has no key.
+        FireflyError
+            The call got no answer; the outcome tells whether it ran.
+        """
+        if call.route.idempotent:
+            await self._admit(call)
+            return await self._call_repeatable(call)
+        if not call.idempotency_key:
+            raise MissingIdempotencyKeyError(
+                f"route {call.route.name!r} is not idempotent; send the header "
+                "Idempotency-Key"
+            )
+        return await self._call_once(call)
+
+    async def _admit(self, call: Call) -> None:
+        context = self._context
+        context.ownership.check_authority()
+        team = context.bundles.get_active().teams.get(call.identity.team)
+        if team is not None:
+            await context.limiter.acquire(team)
+
+    async def _call_repeatable(self, call: Call) -> ServiceAnswer:
+        excluded: set[str] = set()
+        while True:
+            work = self._make_work(call, frozenset(excluded))
+            ticket = await self._context.scheduler.acquire(work, call.target)
+            try:
+                return await self._dispatch(call, ticket)
+            except TargetError as exc:
+                excluded.add(ticket.replica.name)
+                if not self._context.scheduler.may_retry(work):
+                    raise
+                _LOGGER.info("call retried after %s", exc.code, extra=_fields(call))
+
+    async def _call_once(self, call: Call) -> ServiceAnswer:
+        intents = self._context.intents
+        subject = intents.make_subject(call.identity.team, call.idempotency_key or "")
+        begun = intents.begin(subject, call.digest, call.route.name)
+        if isinstance(begun, OutcomeRecorded):
+            return ServiceAnswer(
+                status=begun.status, content_type=begun.content_type, body=begun.body
+            )
+        progress = _Progress()
+        try:
+            answer = await self._run_intent(call, begun, progress)
+        except BaseException as exc:
+            await complete(self._settle_failure(begun, progress, exc))
+            raise
+        return await complete(self._record_outcome(begun, answer))
+
+    async def _run_intent(
+        self, call: Call, declared: IntentDeclared, progress: "_Progress"
+    ) -> ServiceAnswer:
+        """Declare, place and dispatch a non-idempotent call, at most once."""
+        context = self._context
+        await self._admit(call)
+        # The replica is taken before the intent is written, so that a call that waits
+        # in the queue or is refused there leaves nothing behind.
+        work = self._make_work(call, frozenset())
+        ticket = await context.scheduler.acquire(work, call.target)
+        result = Result.CANCELLED
+        try:
+            progress.is_written = True
+            await context.ownership.commit(declared)
+            context.ownership.check_authority()
+            version = context.bundles.version
+            await context.fences.wait_clear(
+                call.target, version, timeout=self._measure_left(call)
+            )
+            with context.fences.act(call.target.name, version):
+                progress.is_dispatched = True
+                answer = await self._send(call, ticket)
+            result = Result.ANSWERED
+            return answer
+        except StaleFenceError:
+            result = Result.REFUSED
+            progress.is_dispatched = False
+            raise
+        except TargetError as exc:
+            result = _classify(exc)
+            if exc.outcome is Outcome.NOT_RUN:
+                progress.is_dispatched = False
+                raise
+            raise MayHaveRunError(
+                f"{exc.message}; the request may have run and will not be run again"
+            ) from exc
+        finally:
+            context.scheduler.release(ticket, result)
+
+    async def _settle_failure(
+        self, declared: IntentDeclared, progress: "_Progress", error: BaseException
+    ) -> None:
+        intents, ownership = self._context.intents, self._context.ownership
+        if progress.is_dispatched:
+            intents.mark_unknown(declared)
+            return
+        abandoned = intents.abandon(declared)
+        if progress.is_written:
+            ownership.enqueue(abandoned)
+        if not isinstance(error, FireflyError | asyncio.CancelledError):
+            _LOGGER.error("non-idempotent call failed before dispatch: %r", error)
+
+    async def _record_outcome(
+        self, declared: IntentDeclared, answer: ServiceAnswer
+    ) -> ServiceAnswer:
+        context = self._context
+        record = OutcomeRecorded(
+            slot=declared.slot,
+            subject=declared.subject,
+            status=answer.status,
+            content_type=answer.content_type,
+            body=answer.body,
+            recorded_at=context.clock.read_wall(),
+        )
+        context.intents.apply(record)
+        try:
+            await context.ownership.commit(record, may_pend=True)
+        except FireflyError as exc:
+            # The target has acted and the answer is true; should this node fail now, a
+            # repeated request is told that it may have run.
+            _LOGGER.warning("outcome of a call is not durable: %s", exc.message)
+        return answer
+
+    async def _dispatch(self, call: Call, ticket: Ticket) -> ServiceAnswer:
+        result = Result.CANCELLED
+        try:
+            answer = await self._send(call, ticket)
+            result = Result.ANSWERED
+            return answer
+        except TargetError as exc:
+            result = _classify(exc)
+            raise
+        finally:
+            self._context.scheduler.release(ticket, result)
+
+    async def _send(self, call: Call, ticket: Ticket) -> ServiceAnswer:
+        active = self._context.bundles.get_active()
+        request = ServiceRequest(
+            request=ticket.work.request,
+            path=call.route.path,
+            content_type=call.content_type,
+            body=call.body,
+            timeout=self._measure_left(call),
+            idempotency_key=call.idempotency_key,
+            fence=active.fences.get(call.target.name, 0),
+        )
+        return await self._context.services.get(ticket.replica.url).call(request)
+
+    def _measure_left(self, call: Call) -> float:
+        left = call.deadline - self._context.clock.read_monotonic()
+        if left <= 0:
+            raise DeadlineError("the deadline has passed; send the request again")
+        return left
+
+    def _make_work(self, call: Call, excluded: frozenset[str]) -> Work:
+        self._measure_left(call)
+        active = self._context.bundles.get_active()
+        team = active.teams.get(call.identity.team)
+        return Work(
+            request=f"r-{secrets.token_hex(8)}",
+            team=call.identity.team,
+            weight=1.0 if team is None else team.weight,
+            program=call.program,
+            fingerprint=compute_digest(
+                call.identity.team.encode(), call.route.name.encode(), call.body
+            ),
+            cost=1.0,
+            deadline=call.deadline,
+            is_interactive=call.route.interactive,
+            attained=call.attained,
+            excluded=excluded,
+        )
+
+
+class _Progress:
+    """How far a non-idempotent call has come."""
+
+    def __init__(self) -> None:
+        self.is_written = False
+        self.is_dispatched = False
+
+
+def _classify(error: TargetError) -> Result:
+    if isinstance(error, TargetUnreachableError):
+        return Result.UNREACHABLE
+    return Result.CRASHED if error.code == "replica_crashed" else Result.TIMED_OUT
+
+
+def _fields(call: Call) -> dict[str, str]:
+    return {"team": call.identity.team, "target": call.target.name}
--- /dev/null
+++ b/src/fireflyspread/callers/_owners.py
@@ -0,0 +1,39 @@
+"""Finds the node that must handle a request."""
+
+from aiohttp import web
+
+from fireflyspread.callers._context import Context
+from fireflyspread.callers._identity import Identity
+from fireflyspread.exceptions import NoAuthorityError
+
+__all__ = ["relay_unless_owned"]
+
+
+async def relay_unless_owned(
+    context: Context,
+    request: web.Request,
+    slot: int,
+    identity: Identity,
+    body: bytes,
+) -> web.StreamResponse | None:
+    """Relay a request to the owner of ``slot``.
+
+    Returns
+    -------
+    web.StreamResponse or None
+        None when this node is the owner and handles the request itself.
+
+    Raises
+    ------
+    NoAuthorityError
+        The owner is not known or still takes over; nothing was run.
+    """
+    if context.ownership.owns(slot):
+        return None
+    owner = context.ownership.find_owner(slot)
+    if owner is None or owner.name == context.settings.node.name:
+        raise NoAuthorityError(
+            "the program is changing its node; send the request again",
+            retry_after=0.5,
+        )
+    return await context.relay.forward(request, body, owner, identity)
--- /dev/null
+++ b/src/fireflyspread/callers/_turns.py
@@ -0,0 +1,340 @@
+"""Runs one model turn of a program from reservation to record."""
+
+import logging
+import secrets
+
+import msgspec
+from attrs import frozen
+
+from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
+from fireflyspread.callers._completion import complete
+from fireflyspread.callers._context import Context
+from fireflyspread.callers._responses import EventWriter
+from fireflyspread.engines import EngineRequest, Usage, extract_answer
+from fireflyspread.exceptions import (
+    CrossedAnswerError,
+    DeadlineError,
+    FireflyError,
+    NotFoundError,
+    ReplicaCrashedError,
+    RequestError,
+    TargetError,
+    TargetUnreachableError,
+)
+from fireflyspread.programs import Program, RunningTurn, compute_digest
+from fireflyspread.recovery import (
+    BudgetReserved,
+    Durability,
+    SessionHeld,
+    TurnFailed,
+    TurnRecorded,
+)
+from fireflyspread.routing import Result, Work
+
+__all__ = ["TurnResult", "TurnRunner", "TurnSpec"]
+
+_LOGGER = logging.getLogger(__name__)
+
+_DONE = b"data: [DONE]\n\n"
+# Interactive turns run before others at the engine.
+_PRIORITY_INTERACTIVE = 0
+_PRIORITY_NORMAL = 10
+
+
+@frozen(kw_only=True)
+class TurnSpec:
+    """What a caller asked for.
+
+    Attributes
+    ----------
+    messages : bytes
+        JSON array of the new messages.
+    deadline : float
+        Monotonic seconds.
+    """
+
+    number: int
+    model: str
+    messages: bytes
+    max_tokens: int
+    deadline: float
+    request_digest: str
+
+
+@frozen(kw_only=True)
+class TurnResult:
+    """What a turn led to."""
+
+    record: TurnRecorded
+    text: str
+    usage: Usage
+    durability: Durability
+
+
+class TurnRunner:
+    """Runs turns; one call of ``run`` for each, in the task of its connection."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    async def run(
+        self, program: Program, running: RunningTurn, spec: TurnSpec, writer: EventWriter
+    ) -> TurnResult:
+        """Run a turn, stream it to ``writer`` and record it.
+
+        Raises
+        ------
+        FireflyError
+            The turn did not complete; its outcome tells whether it ran.
+        """
+        attempt = _Attempt(self._context, program, running, spec, writer)
+        try:
+            await attempt.reserve()
+            text, usage = await attempt.stream()
+            return await complete(attempt.record(text, usage))
+        except BaseException as exc:
+            attempt.give_up(exc)
+            raise
+
+
+class _Attempt:
+    """One turn on its way through reservation, placement, stream and record."""
+
+    def __init__(
+        self,
+        context: Context,
+        program: Program,
+        running: RunningTurn,
+        spec: TurnSpec,
+        writer: EventWriter,
+    ) -> None:
+        self._context = context
+        self._program = program
+        self._running = running
+        self._spec = spec
+        self._writer = writer
+        self._active = context.bundles.get_active()
+        self._route, self._target = _find_model(self._active, spec.model)
+        self._max_tokens = 0
+        self._events: list[bytes] = []
+        self._text = ""
+        self._is_dispatched = False
+
+    async def reserve(self) -> None:
+        """Take the worst case from the budget and one request from the rate."""
+        context, budget = self._context, self._program.budget
+        context.ownership.check_authority()
+        # A token has at least one byte, so the bytes bound the prompt's tokens.
+        prompt = len(self._spec.messages)
+        self._max_tokens = budget.fit_answer(prompt, self._spec.max_tokens)
+        worst = prompt + self._max_tokens
+        is_covered = budget.start(worst)
+        await context.limiter.acquire(self._active.teams[self._program.team])
+        if not is_covered:
+            record = BudgetReserved(
+                slot=self._program.slot, subject=self._program.id, reserved=worst
+            )
+            await context.ownership.commit(record, may_pend=True)
+            self._program.apply(record)
+
+    async def stream(self) -> tuple[str, Usage]:
+        """Run the turn on replicas until one completes it."""
+        excluded: set[str] = set()
+        while True:
+            work = self._make_work(frozenset(excluded))
+            ticket = await self._context.scheduler.acquire(work, self._target)
+            result = Result.CANCELLED
+            usage = None
+            try:
+                usage = await self._run_on(ticket.replica.name, ticket.replica.url)
+                result = Result.ANSWERED
+                return self._text, usage
+            except TargetError as exc:
+                result = _classify(exc)
+                excluded.add(ticket.replica.name)
+                if not self._context.scheduler.may_retry(work):
+                    raise
+                _LOGGER.info(
+                    "turn retried after %s", exc.code, extra=self._log_fields()
+                )
+            finally:
+                used = 0 if usage is None else usage.completion
+                self._context.scheduler.release(ticket, result, tokens=used)
+
+    async def record(self, text: str, usage: Usage) -> TurnResult:
+        """Make the turn durable and settle its budget."""
+        program, context = self._program, self._context
+        answer = msgspec.json.encode({"role": "assistant", "content": text})
+        added = _append(self._spec.messages, answer)
+        spent = max(0, usage.prompt - program.context_tokens) + usage.completion
+        wanted = len(self._spec.messages) + self._spec.max_tokens
+        left = program.budget.remaining + program.budget.running - spent
+        record = TurnRecorded(
+            slot=program.slot,
+            subject=program.id,
+            turn=self._spec.number,
+            request_digest=self._spec.request_digest,
+            added=added,
+            answer=msgspec.json.encode(_make_usage(usage)),
+            spent=spent,
+            reserved=max(0, min(wanted, left)),
+            chain=program.history.preview(added),
+            context_tokens=usage.prompt + usage.completion,
+        )
+        try:
+            durability = await context.ownership.commit(record, may_pend=True)
+        finally:
+            # Also after an error the record stays queued in its order, so the state
+            # in memory must follow; a repeated turn waits for it to be kept.
+            context.programs.apply(record)
+            self._running.answer.close()
+            program.running = None
+        if durability is Durability.PENDING:
+            context.ownership.check_authority()
+        context.metrics.count("turns.recorded")
+        return TurnResult(
+            record=record, text=text, usage=usage, durability=durability
+        )
+
+    def give_up(self, error: BaseException) -> None:
+        """Charge what was used and let the caller send the turn again."""
+        program = self._program
+        if program.running is not self._running:
+            return
+        if self._is_dispatched:
+            bound = len(self._spec.messages) + len(self._text.encode())
+            record = TurnFailed(
+                slot=program.slot,
+                subject=program.id,
+                turn=self._spec.number,
+                spent=min(program.budget.running, bound),
+            )
+            self._context.ownership.enqueue(record)
+            program.apply(record)
+        else:
+            program.budget.settle(0)
+        program.stop_running(error if isinstance(error, Exception) else None)
+
+    async def _run_on(self, replica: str, url: str) -> Usage:
+        """Run the rest of the turn on one replica."""
+        request = self._make_request()
+        events: list[bytes] = []
+        await self._hold_session(replica)
+        self._is_dispatched = True
+        try:
+            async for chunk in self._context.engines.get(url).stream(request):
+                events.append(chunk)
+                await self._pass_on(chunk)
+        except TargetError as exc:
+            self._text += extract_answer(b"".join(events))[0]
+            if isinstance(exc, CrossedAnswerError | ReplicaCrashedError):
+                self._program.holder = None
+            raise
+        text, usage = extract_answer(b"".join(events))
+        if usage is None:
+            self._text += text
+            raise ReplicaCrashedError("the engine ended its answer without a usage")
+        self._text += text
+        self._program.holder = replica
+        return usage
+
+    async def _pass_on(self, chunk: bytes) -> None:
+        framed = []
+        for event in chunk.split(b"\n\n")[:-1]:
+            if event == b"data: [DONE]":
+                continue
+            number = len(self._events)
+            framed.append(b"id: %d\n%b\n\n" % (number, event))
+            self._events.append(event)
+            self._running.answer.append(framed[-1])
+        if framed:
+            await self._writer.write(b"".join(framed))
+
+    async def _hold_session(self, replica: str) -> None:
+        program = self._program
+        if replica in program.sessions:
+            return
+        record = SessionHeld(slot=program.slot, subject=program.id, replica=replica)
+        # Not awaited: a session whose record is lost is found by the periodic
+        # comparison of the engine's sessions with the open programs.
+        self._context.ownership.enqueue(record)
+        program.apply(record)
+
+    def _make_work(self, excluded: frozenset[str]) -> Work:
+        program, spec = self._program, self._spec
+        if self._context.clock.read_monotonic() >= spec.deadline:
+            raise DeadlineError("the deadline has passed; send the turn again")
+        return Work(
+            request=f"{program.id}-{spec.number}",
+            team=program.team,
+            weight=self._active.teams[program.team].weight,
+            program=program.id,
+            fingerprint=compute_digest(program.team.encode(), spec.messages),
+            cost=float(len(spec.messages) // 4 + self._max_tokens),
+            deadline=spec.deadline,
+            is_interactive=self._route.interactive,
+            attained=float(program.budget.spent),
+            holder=program.holder,
+            prefix_tokens=program.context_tokens,
+            excluded=excluded,
+        )
+
+    def _make_request(self) -> EngineRequest:
+        spec, text = self._spec, self._text
+        messages = spec.messages
+        if text:
+            partial = msgspec.json.encode({"role": "assistant", "content": text})
+            messages = _append(messages, partial)
+        now = self._context.clock.read_monotonic()
+        return EngineRequest(
+            request=f"{self._program.id}-{spec.number}-{secrets.token_hex(4)}",
+            model=spec.model,
+            session=self._program.id,
+            messages=msgspec.Raw(self._program.history.render(messages)),
+            max_tokens=max(1, self._max_tokens - len(self._events)),
+            priority=(
+                _PRIORITY_INTERACTIVE if self._route.interactive else _PRIORITY_NORMAL
+            ),
+            timeout=max(0.001, spec.deadline - now),
+            fence=self._active.fences.get(self._target.name, 0),
+            is_continuation=bool(text),
+        )
+
+    def _log_fields(self) -> dict[str, str]:
+        return {"program": self._program.id, "team": self._program.team}
+
+
+def _find_model(active: ActiveBundle, model: str) -> tuple[Route, Target]:
+    route = active.routes.get(model)
+    if route is None:
+        raise NotFoundError(f"no model {model!r}; use one of the bundle's routes")
+    target = active.targets[route.target]
+    if target.kind is not TargetKind.ENGINE:
+        raise RequestError(f"route {model!r} is a service; call it under /calls")
+    return route, target
+
+
+def _classify(error: FireflyError) -> Result:
+    match error:
+        case TargetUnreachableError():
+            return Result.UNREACHABLE
+        case ReplicaCrashedError():
+            return Result.CRASHED
+        case CrossedAnswerError():
+            return Result.REFUSED
+        case _:
+            return Result.TIMED_OUT
+
+
+def _append(array: bytes, item: bytes) -> bytes:
+    inner = array.strip()[1:-1].strip()
+    return b"[" + inner + (b"," if inner else b"") + item + b"]"
+
+
+def _make_usage(usage: Usage) -> dict[str, object]:
+    return {
+        "prompt_tokens": usage.prompt,
+        "completion_tokens": usage.completion,
+        "total_tokens": usage.prompt + usage.completion,
+        "prompt_tokens_details": {"cached_tokens": usage.cached},
+    }
--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflyspread.recovery._journal import Durability, Journal
 from fireflyspread.recovery._members import Member, MembersDocument, SlotRow
+from fireflyspread.recovery._ownership import Ownership
 from fireflyspread.recovery._records import (
     BudgetReserved,
     IntentAbandoned,
@@ -33,6 +34,7 @@
     "Member",
     "MembersDocument",
     "OutcomeRecorded",
+    "Ownership",
     "ProgramEnded",
     "ProgramOpened",
     "ProgramSnapshot",
