Add request and reply between nodes over pynng

PeerServer answers typed messages on several contexts; an unknown kind, an unknown version and an error in a handler are answered with Failed. PeerClient keeps one connection for each address, reconnects and never resends: the library's own resend is off, because a repeated question could act twice. TLS requires a certificate of the authority on both sides.

--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -20,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from fireflyspread.nodes._peers import PeerClient, PeerServer
 
 __all__ = [
     "MESSAGE_VERSION",
@@ -33,6 +34,8 @@
     "Hello",
     "HoldRecords",
     "Message",
+    "PeerClient",
+    "PeerServer",
     "RecordsHeld",
     "RecordsTaken",
     "RenewAuthority",
--- /dev/null
+++ b/src/fireflyspread/nodes/_peers.py
@@ -0,0 +1,293 @@
+"""Request and reply between nodes over pynng."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import pynng
+
+from fireflyspread.exceptions import FireflyError, PeerError, UnsupportedVersionError
+from fireflyspread.nodes._messages import (
+    Failed,
+    Message,
+    decode_message,
+    encode_message,
+)
+from fireflyspread.settings import Address, Tls
+
+__all__ = ["PeerClient", "PeerServer"]
+
+_LOG = logging.getLogger(__name__)
+
+# One journal value (1 MB) and its envelope fit; anything larger is not a message.
+_LARGEST_MESSAGE = 4 << 20
+
+# The library would otherwise send a request again when its connection breaks or after
+# a minute; the sender decides about repeats.
+_NO_RESEND = -1
+
+_RECONNECT_MILLISECONDS = 50
+_RECONNECT_LONGEST_MILLISECONDS = 500
+
+MessageT = TypeVar("MessageT", bound=Message)
+Handler = Callable[[Any], Awaitable[Message]]
+
+
+class PeerServer:
+    """Answers the messages of other nodes.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen; port 0 takes any free port.
+    node, incarnation : str
+        Sender of the answers.
+    contexts : int
+        Number of messages that are handled at the same time.
+    tls : Tls or None
+        Encrypts the connections and requires a certificate of the authority from
+        the other node.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        *,
+        node: str = "",
+        incarnation: str = "",
+        contexts: int = 16,
+        tls: Tls | None = None,
+    ) -> None:
+        self._address = address
+        self._node = node
+        self._incarnation = incarnation
+        self._contexts = contexts
+        self._tls = tls
+        self._handlers: dict[type[Message], Handler] = {}
+        self._socket: pynng.Rep0 | None = None
+        self._open: list[pynng.Context] = []
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._closing = False
+
+    def register(
+        self,
+        kind: type[MessageT],
+        handler: Callable[[MessageT], Awaitable[Message]],
+    ) -> None:
+        """Answer messages of ``kind`` with what ``handler`` returns.
+
+        A ``FireflyError`` raised by the handler is answered with ``Failed`` and the
+        code of the error.
+        """
+        self._handlers[kind] = handler
+
+    async def start(self) -> Address:
+        """Listen and return the address with the actual port.
+
+        Raises
+        ------
+        PeerError
+            The address cannot be listened on.
+        """
+        config = _make_tls_config(self._tls, pynng.TLSConfig.MODE_SERVER)
+        try:
+            self._socket = pynng.Rep0(
+                recv_max_size=_LARGEST_MESSAGE,
+                tls_config=config,
+                async_backend="asyncio",
+            )
+            listener = self._socket.listen(_make_url(str(self._address), self._tls))
+        except pynng.NNGException as exc:
+            await self.stop()
+            raise PeerError(
+                f"cannot listen for nodes on {self._address}: {exc}; free the port or "
+                "change listen.peers"
+            ) from exc
+        for _ in range(self._contexts):
+            self._open.append(self._socket.new_context())
+        self._tasks = {asyncio.create_task(self._serve(c)) for c in self._open}
+        # The port is in network byte order.
+        port = int.from_bytes(listener.local_address.port.to_bytes(2, "little"), "big")
+        return Address(host=self._address.host, port=port)
+
+    async def stop(self) -> None:
+        """Stop answering and close all connections."""
+        self._closing = True
+        pending = set(self._tasks)
+        while pending:
+            # A receive that completes at the moment of its cancellation swallows
+            # the cancellation, so it is repeated.
+            for task in pending:
+                task.cancel()
+            _, pending = await asyncio.wait(pending, timeout=1.0)
+        self._tasks.clear()
+        for context in self._open:
+            _close_quietly(context)
+        self._open.clear()
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    async def _serve(self, context: pynng.Context) -> None:
+        try:
+            while not self._closing:
+                data = await context.arecv()
+                answer = await self._answer(data)
+                try:
+                    await context.asend(encode_message(answer))
+                except pynng.Closed:
+                    raise
+                except pynng.NNGException as exc:
+                    _LOG.warning("an answer to a node was lost: %s", exc)
+        except pynng.Closed:
+            return
+
+    async def _answer(self, data: bytes) -> Message:
+        try:
+            message = decode_message(data)
+            handler = self._handlers.get(type(message))
+            if handler is None:
+                name = type(message).__name__
+                return self._fail("message_unknown", f"{name} is not handled here")
+            return await handler(message)
+        except FireflyError as exc:
+            return self._fail(exc.code, exc.message)
+        except Exception as exc:
+            _LOG.exception("handling a message of a node failed")
+            return self._fail(FireflyError.code, f"{type(exc).__name__}: see the logs")
+
+    def _fail(self, code: str, reason: str) -> Failed:
+        return Failed(
+            node=self._node, incarnation=self._incarnation, code=code, reason=reason
+        )
+
+
+class PeerClient:
+    """Asks other nodes, with one connection for each address.
+
+    Parameters
+    ----------
+    tls : Tls or None
+        Encrypts the connections and presents the certificate.
+    """
+
+    def __init__(self, *, tls: Tls | None = None) -> None:
+        self._tls = tls
+        self._sockets: dict[str, pynng.Req0] = {}
+
+    async def ask(self, address: str, message: Message, *, timeout: float) -> Message:
+        """Send ``message`` to the node at ``address`` and return its answer.
+
+        A lost connection is made again in the background. The message is never sent
+        twice; the other node may have handled it although this method raises.
+
+        Parameters
+        ----------
+        address : str
+            ``ip:port`` of the other node.
+        timeout : float
+            Seconds for connecting, sending and receiving together.
+
+        Raises
+        ------
+        UnsupportedVersionError
+            One of the two nodes does not know the version of the other.
+        PeerError
+            The node did not answer in time, or could not do what was asked.
+        """
+        try:
+            async with asyncio.timeout(timeout):
+                data = await self._exchange(address, encode_message(message))
+        except TimeoutError as exc:
+            raise PeerError(
+                f"{address} did not answer {type(message).__name__} within "
+                f"{timeout:g} s; check the node and the network"
+            ) from exc
+        except pynng.NNGException as exc:
+            raise PeerError(
+                f"the connection to {address} failed during "
+                f"{type(message).__name__}: {exc}"
+            ) from exc
+        answer = decode_message(data)
+        if isinstance(answer, Failed):
+            raise _make_error(address, answer)
+        return answer
+
+    def forget(self, address: str) -> None:
+        """Close the connection to a node that is no longer a member."""
+        socket = self._sockets.pop(address, None)
+        if socket is not None:
+            socket.close()
+
+    async def close(self) -> None:
+        """Close all connections; running requests fail."""
+        for address in tuple(self._sockets):
+            self.forget(address)
+
+    async def _exchange(self, address: str, data: bytes) -> bytes:
+        context = self._connect(address).new_context()
+        try:
+            await context.asend(data)
+            return await context.arecv()
+        finally:
+            _close_quietly(context)
+
+    def _connect(self, address: str) -> pynng.Req0:
+        socket = self._sockets.get(address)
+        if socket is None:
+            # Without an explicit name the library rejects certificates for IP numbers.
+            host = Address.from_text(address).host
+            config = _make_tls_config(self._tls, pynng.TLSConfig.MODE_CLIENT, host)
+            socket = pynng.Req0(
+                resend_time=_NO_RESEND,
+                recv_max_size=_LARGEST_MESSAGE,
+                reconnect_time_min=_RECONNECT_MILLISECONDS,
+                reconnect_time_max=_RECONNECT_LONGEST_MILLISECONDS,
+                tls_config=config,
+                async_backend="asyncio",
+            )
+            socket.dial(_make_url(address, self._tls), block=False)
+            self._sockets[address] = socket
+        return socket
+
+
+def _make_error(address: str, answer: Failed) -> PeerError:
+    text = f"{address} answered {answer.code}: {answer.reason}"
+    if answer.code == UnsupportedVersionError.code:
+        return UnsupportedVersionError(text)
+    return PeerError(text)
+
+
+def _make_url(address: str, tls: Tls | None) -> str:
+    return f"{'tcp' if tls is None else 'tls+tcp'}://{address}"
+
+
+def _make_tls_config(
+    tls: Tls | None, mode: int, server_name: str | None = None
+) -> pynng.TLSConfig | None:
+    if tls is None:
+        return None
+    try:
+        certificate = Path(tls.certificate).read_text(encoding="ascii")
+        private_key = Path(tls.private_key).read_text(encoding="ascii")
+        authority = Path(tls.authority).read_text(encoding="ascii")
+    except OSError as exc:
+        raise PeerError(f"cannot read {exc.filename}: {exc.strerror}; see tls") from exc
+    return pynng.TLSConfig(
+        mode,
+        server_name=server_name,
+        own_cert_string=certificate,
+        own_key_string=private_key,
+        ca_string=authority,
+        auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
+    )
+
+
+def _close_quietly(context: pynng.Context) -> None:
+    # Closing the socket closes its contexts.
+    try:
+        context.close()
+    except pynng.Closed:
+        return
--- /dev/null
+++ b/tests/nodes/test_peers.py
@@ -0,0 +1,221 @@
+"""Messages between nodes arrive, fail with a code, and survive restarts."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import msgspec
+import pytest
+import pytest_asyncio
+import trustme
+
+from fireflyspread.exceptions import (
+    NoAuthorityError,
+    PeerError,
+    UnsupportedVersionError,
+)
+from fireflyspread.nodes import (
+    AcquireTokens,
+    FetchBundle,
+    Message,
+    PeerClient,
+    PeerServer,
+    TokensGranted,
+)
+from fireflyspread.settings import Address, Tls
+
+ANY_PORT = Address(host="127.0.0.1", port=0)
+ASK = AcquireTokens(team="scans", amount=2.0, epoch=1)
+
+
+async def grant(message: AcquireTokens) -> Message:
+    return TokensGranted(amount=message.amount)
+
+
+async def refuse(message: AcquireTokens) -> Message:
+    raise NoAuthorityError("no authority since 3 s")
+
+
+@pytest_asyncio.fixture
+async def server() -> AsyncIterator[PeerServer]:
+    server = PeerServer(ANY_PORT, node="entry-1")
+    yield server
+    await server.stop()
+
+
+@pytest_asyncio.fixture
+async def client() -> AsyncIterator[PeerClient]:
+    client = PeerClient()
+    yield client
+    await client.close()
+
+
+class TestPeers:
+    """PeerServer and PeerClient."""
+
+    async def test_answers_many_at_once(
+        self, server: PeerServer, client: PeerClient
+    ) -> None:
+        """Concurrent questions on one connection must not get crossed answers."""
+        server.register(AcquireTokens, grant)
+        address = str(await server.start())
+        asks = [
+            client.ask(
+                address, AcquireTokens(team="scans", amount=n, epoch=1), timeout=30
+            )
+            for n in range(100)
+        ]
+        answers = await asyncio.gather(*asks)
+        assert answers == [TokensGranted(amount=n) for n in range(100)]
+
+    async def test_slow_handler_blocks_no_other(
+        self, server: PeerServer, client: PeerClient
+    ) -> None:
+        """A handler that waits must not delay the next question."""
+        release = asyncio.Event()
+
+        async def wait(message: FetchBundle) -> Message:
+            await release.wait()
+            return TokensGranted(amount=0)
+
+        server.register(FetchBundle, wait)
+        server.register(AcquireTokens, grant)
+        address = str(await server.start())
+        slow = asyncio.create_task(
+            client.ask(address, FetchBundle(bundle_version=1), timeout=30)
+        )
+        assert await client.ask(address, ASK, timeout=30) == TokensGranted(amount=2)
+        assert not slow.done()
+        release.set()
+        assert await slow == TokensGranted(amount=0)
+
+    async def test_handler_error_keeps_its_code(
+        self, server: PeerServer, client: PeerClient
+    ) -> None:
+        """The asking node must learn why it was refused."""
+        server.register(AcquireTokens, refuse)
+        address = str(await server.start())
+        with pytest.raises(PeerError, match="no_authority"):
+            await client.ask(address, ASK, timeout=30)
+
+    async def test_defect_in_handler_is_answered(
+        self, server: PeerServer, client: PeerClient
+    ) -> None:
+        """A defect in a handler must not end the task that serves messages."""
+
+        async def fail(message: FetchBundle) -> Message:
+            raise ZeroDivisionError
+
+        server.register(FetchBundle, fail)
+        server.register(AcquireTokens, grant)
+        address = str(await server.start())
+        for _ in range(20):
+            with pytest.raises(PeerError, match="internal"):
+                await client.ask(address, FetchBundle(bundle_version=1), timeout=30)
+        assert await client.ask(address, ASK, timeout=30) == TokensGranted(amount=2)
+
+    async def test_unknown_kind(self, server: PeerServer, client: PeerClient) -> None:
+        """A message without a handler is refused at once instead of timing out."""
+        address = str(await server.start())
+        with pytest.raises(PeerError, match="message_unknown"):
+            await client.ask(address, ASK, timeout=30)
+
+    async def test_unknown_version(
+        self, server: PeerServer, client: PeerClient
+    ) -> None:
+        """Nodes of two releases must notice instead of misreading each other."""
+        address = str(await server.start())
+        newer = msgspec.structs.replace(ASK, version=99)
+        with pytest.raises(UnsupportedVersionError):
+            await client.ask(address, newer, timeout=30)
+
+    async def test_no_answer_is_a_peer_error(
+        self, server: PeerServer, client: PeerClient
+    ) -> None:
+        """A node that is gone must not hold the asking node."""
+        address = str(await server.start())
+        await server.stop()
+        with pytest.raises(PeerError, match="did not answer"):
+            await client.ask(address, ASK, timeout=0.1)
+
+    async def test_connects_again(self, client: PeerClient) -> None:
+        """A restarted node is reached without a new client."""
+        first = PeerServer(ANY_PORT)
+        first.register(AcquireTokens, grant)
+        address = await first.start()
+        await client.ask(str(address), ASK, timeout=30)
+        await first.stop()
+        second = PeerServer(address)
+        second.register(AcquireTokens, grant)
+        await second.start()
+        try:
+            answer = await client.ask(str(address), ASK, timeout=30)
+        finally:
+            await second.stop()
+        assert answer == TokensGranted(amount=2)
+
+    async def test_broken_connection_is_not_asked_twice(
+        self, server: PeerServer, client: PeerClient
+    ) -> None:
+        """A message that was sent must fail with its connection, not be repeated."""
+        arrived = asyncio.Event()
+
+        async def hang(message: AcquireTokens) -> Message:
+            arrived.set()
+            await asyncio.Event().wait()
+            raise AssertionError
+
+        server.register(AcquireTokens, hang)
+        address = str(await server.start())
+        ask = asyncio.create_task(client.ask(address, ASK, timeout=30))
+        await arrived.wait()
+        await server.stop()
+        with pytest.raises(PeerError, match="connection"):
+            await ask
+
+
+class TestTls:
+    """Encrypted connections between nodes."""
+
+    @pytest.fixture
+    def tls(self, tmp_path: Path) -> Tls:
+        return make_tls(tmp_path, trustme.CA())
+
+    async def test_encrypted(self, tls: Tls) -> None:
+        """Both nodes of one authority can talk."""
+        server = PeerServer(ANY_PORT, tls=tls)
+        server.register(AcquireTokens, grant)
+        client = PeerClient(tls=tls)
+        try:
+            address = str(await server.start())
+            assert await client.ask(address, ASK, timeout=30) == TokensGranted(amount=2)
+        finally:
+            await client.close()
+            await server.stop()
+
+    async def test_refuses_other_authority(self, tls: Tls, tmp_path: Path) -> None:
+        """A process without a certificate of the authority must not get tokens."""
+        (tmp_path / "other").mkdir()
+        server = PeerServer(ANY_PORT, tls=tls)
+        server.register(AcquireTokens, grant)
+        client = PeerClient(tls=make_tls(tmp_path / "other", trustme.CA()))
+        try:
+            address = str(await server.start())
+            with pytest.raises(PeerError):
+                await client.ask(address, ASK, timeout=0.5)
+        finally:
+            await client.close()
+            await server.stop()
+
+
+def make_tls(folder: Path, authority: trustme.CA) -> Tls:
+    """Write a certificate for 127.0.0.1 and return its paths."""
+    issued = authority.issue_cert("127.0.0.1")
+    issued.cert_chain_pems[0].write_to_path(folder / "certificate.pem")
+    issued.private_key_pem.write_to_path(folder / "key.pem")
+    authority.cert_pem.write_to_path(folder / "authority.pem")
+    return Tls(
+        certificate=str(folder / "certificate.pem"),
+        private_key=str(folder / "key.pem"),
+        authority=str(folder / "authority.pem"),
+    )
