Roll bundles by compare-and-swap and feed them to nodes

Rollout drafts, approves and rolls bundles and withdraws keys. BundleFeed follows bundle/current and asks a peer while the store does not respond.

--- a/src/fireflyspread/bundle/__init__.py
+++ b/src/fireflyspread/bundle/__init__.py
@@ -1,5 +1,13 @@
 """Bundles: what operators describe, approve and roll."""
 
+from fireflyspread.bundle._difference import (
+    Action,
+    Difference,
+    FieldChange,
+    compare,
+)
+from fireflyspread.bundle._documents import CURRENT_KEY, CurrentDocument, Roll
+from fireflyspread.bundle._feed import BundleFeed, PeerFetcher
 from fireflyspread.bundle._holder import BundleHolder
 from fireflyspread.bundle._model import (
     ActiveBundle,
@@ -12,16 +20,29 @@
     Team,
     hash_key,
 )
+from fireflyspread.bundle._rollout import MAX_BUNDLE_BYTES, Rollout, compute_fences
 
 __all__ = [
+    "CURRENT_KEY",
+    "MAX_BUNDLE_BYTES",
+    "Action",
     "ActiveBundle",
     "Bundle",
+    "BundleFeed",
     "BundleHolder",
+    "CurrentDocument",
+    "Difference",
+    "FieldChange",
     "Key",
+    "PeerFetcher",
     "Replica",
+    "Roll",
+    "Rollout",
     "Route",
     "Target",
     "TargetKind",
     "Team",
+    "compare",
+    "compute_fences",
     "hash_key",
 ]
--- /dev/null
+++ b/src/fireflyspread/bundle/_documents.py
@@ -0,0 +1,177 @@
+"""What the store holds about bundles, and how it is read."""
+
+import hashlib
+import re
+
+import msgspec
+
+from fireflyspread.bundle._model import ActiveBundle, Bundle
+from fireflyspread.exceptions import BundleError, NotFoundError, RequestError
+from fireflyspread.recovery import Entry, Store
+
+__all__ = [
+    "CURRENT_KEY",
+    "CurrentDocument",
+    "Roll",
+    "decode_current",
+    "make_approval_prefix",
+    "make_contents_key",
+    "read_active",
+    "read_contents",
+    "read_current",
+    "require_digest",
+    "require_operator",
+]
+
+CURRENT_KEY = "bundle/current"
+WITHDRAWN_PREFIX = "bundle/withdrawn/"
+
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_OPERATOR = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+
+
+class Roll(msgspec.Struct, frozen=True, kw_only=True):
+    """One version and who put it in force.
+
+    Attributes
+    ----------
+    write_id : str
+        Unique to one roll, so that a lost response can be resolved.
+    """
+
+    version: int
+    digest: str
+    rolled_by: str
+    write_id: str
+
+
+class CurrentDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """Value of the store key ``bundle/current``.
+
+    Attributes
+    ----------
+    fences : dict of str to int
+        Version that last changed the owner half of each target.
+    recent : tuple of Roll
+        The versions before this one, newest first. They let an operator whose
+        response was lost learn that the roll took effect although another version
+        has followed.
+    """
+
+    version: int
+    digest: str
+    fences: dict[str, int]
+    rolled_by: str
+    write_id: str
+    recent: tuple[Roll, ...] = ()
+
+    @property
+    def roll(self) -> Roll:
+        """The roll that put this version in force."""
+        return Roll(
+            version=self.version,
+            digest=self.digest,
+            rolled_by=self.rolled_by,
+            write_id=self.write_id,
+        )
+
+    @property
+    def rolls(self) -> tuple[Roll, ...]:
+        """This roll and the recent ones, newest first."""
+        return (self.roll, *self.recent)
+
+
+def make_contents_key(digest: str) -> str:
+    """Return the store key of a bundle's contents."""
+    return f"bundle/contents/{require_digest(digest)}"
+
+
+def make_approval_prefix(digest: str) -> str:
+    """Return the prefix of the store keys of a bundle's approvals."""
+    return f"bundle/approvals/{require_digest(digest)}/"
+
+
+def require_digest(digest: str) -> str:
+    """Return ``digest`` if it is one.
+
+    Raises
+    ------
+    RequestError
+        It is not 64 hex digits; the message does not repeat it, because it may be
+        a key given by mistake.
+    """
+    if not _DIGEST.fullmatch(digest):
+        raise RequestError(
+            f"a digest is 64 lower-case hex digits, got {len(digest)} characters; "
+            "'fireflyspread bundle check' and 'fireflyspread key hash' print it"
+        )
+    return digest
+
+
+def require_operator(operator: str) -> str:
+    """Return ``operator`` if it can be part of a store key.
+
+    Raises
+    ------
+    RequestError
+        The name has other characters than letters, digits, ``.``, ``_`` and ``-``.
+    """
+    if not _OPERATOR.fullmatch(operator):
+        raise RequestError(
+            f"operator name {operator!r} is invalid; use letters, digits, '.', '_', '-'"
+        )
+    return operator
+
+
+def decode_current(entry: Entry) -> CurrentDocument:
+    """Decode the value of ``bundle/current``; raises ``BundleError``."""
+    try:
+        return msgspec.json.decode(entry.value, type=CurrentDocument)
+    except msgspec.DecodeError as exc:
+        raise BundleError(
+            f"{CURRENT_KEY} at revision {entry.revision} is unreadable: {exc}; "
+            "restore the key from a backup of the store"
+        ) from exc
+
+
+async def read_current(store: Store) -> tuple[CurrentDocument | None, int]:
+    """Return the current document and its store revision (None and 0: absent)."""
+    entry = await store.read(CURRENT_KEY)
+    if entry is None:
+        return None, 0
+    return decode_current(entry), entry.revision
+
+
+async def read_contents(store: Store, digest: str) -> Bundle:
+    """Return the bundle with ``digest``.
+
+    Raises
+    ------
+    NotFoundError
+        No such bundle was drafted.
+    BundleError
+        The stored bytes are not the bundle of this digest.
+    """
+    entry = await store.read(make_contents_key(digest))
+    if entry is None:
+        raise NotFoundError(f"no bundle {digest[:12]} is drafted; draft it first")
+    # The stored bytes are checked instead of the parsed bundle, because a release
+    # with another optional field has another canonical form of the same bundle.
+    if hashlib.sha256(entry.value).hexdigest() != digest:
+        raise BundleError(
+            f"the stored contents of bundle {digest[:12]} do not have this digest; "
+            "delete the store key and draft the bundle again"
+        )
+    return Bundle.from_json(entry.value)
+
+
+async def read_active(store: Store) -> ActiveBundle | None:
+    """Return the bundle that ``bundle/current`` names, or None before the first."""
+    current, _ = await read_current(store)
+    if current is None:
+        return None
+    return ActiveBundle(
+        version=current.version,
+        bundle=await read_contents(store, current.digest),
+        fences=current.fences,
+    )
--- a/src/fireflyspread/bundle/_holder.py
+++ b/src/fireflyspread/bundle/_holder.py
@@ -1,6 +1,7 @@
 """The bundle in force on this node."""
 
 import asyncio
+import logging
 from collections.abc import Callable
 
 from fireflyspread.bundle._model import ActiveBundle
@@ -8,6 +9,8 @@
 
 __all__ = ["BundleHolder"]
 
+_LOG = logging.getLogger(__name__)
+
 
 class BundleHolder:
     """Holds the newest bundle version this node has seen and never steps back."""
@@ -41,7 +44,14 @@
         self._active = bundle
         self._arrived.set()
         for listener in self._listeners:
-            listener(bundle)
+            try:
+                listener(bundle)
+            except Exception:
+                # One failing listener must not keep a withdrawn key working in the
+                # others.
+                _LOG.exception(
+                    "a bundle listener failed", extra={"version": bundle.version}
+                )
         return True
 
     def add_listener(self, listener: Callable[[ActiveBundle], None]) -> None:
--- /dev/null
+++ b/tests/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of bundles."""
--- /dev/null
+++ b/tests/bundle/test_feed.py
@@ -0,0 +1,140 @@
+"""The feed brings each roll to the holder and never an older one."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fireflyspread.bundle import (
+    CURRENT_KEY,
+    ActiveBundle,
+    BundleFeed,
+    BundleHolder,
+    PeerFetcher,
+    Rollout,
+)
+from tests.bundle.examples import make_bundle
+from tests.bundle.memory_store import MemoryStore
+from tests.bundle.test_rollout import roll
+
+
+@asynccontextmanager
+async def run_feed(
+    store: MemoryStore, holder: BundleHolder, fetch: PeerFetcher | None = None
+) -> AsyncIterator[BundleFeed]:
+    """Run a feed for the duration of a test."""
+    feed = BundleFeed(
+        store,
+        holder,
+        rng=random.Random(1),
+        fetch_from_peer=fetch,
+        grace=0.0,
+        patience=0.05,
+    )
+    task = asyncio.create_task(feed.run())
+    try:
+        yield feed
+    finally:
+        task.cancel()
+
+
+async def wait_version(holder: BundleHolder, version: int) -> None:
+    """Return once ``holder`` has ``version``; fail after 10 s."""
+    changed = asyncio.Event()
+    holder.add_listener(lambda _: changed.set())
+    async with asyncio.timeout(10.0):
+        while holder.version < version:
+            await changed.wait()
+            changed.clear()
+
+
+class TestBundleFeed:
+    """BundleFeed.run."""
+
+    async def test_follows_rolls(self) -> None:
+        """A bundle rolled before or after the start comes into force."""
+        store, holder = MemoryStore(), BundleHolder()
+        rollout = Rollout(store)
+        await roll(rollout, make_bundle(), 0)
+        async with run_feed(store, holder):
+            await wait_version(holder, 1)
+            await roll(rollout, make_bundle(half="south"), 1)
+            await wait_version(holder, 2)
+        assert holder.get_active() == await rollout.read_active()
+
+    async def test_survives_broken_watch(self) -> None:
+        """A roll made while the watch is broken is found by the next read."""
+        store, holder = MemoryStore(), BundleHolder()
+        rollout = Rollout(store)
+        await roll(rollout, make_bundle(), 0)
+        async with run_feed(store, holder):
+            await wait_version(holder, 1)
+            store.break_watches()
+            await roll(rollout, make_bundle(rate=2.0), 1)
+            await wait_version(holder, 2)
+
+    async def test_keeps_bundle_when_key_is_lost(self) -> None:
+        """A deleted or restored older document does not take a bundle back."""
+        store, holder = MemoryStore(), BundleHolder()
+        rollout = Rollout(store)
+        await roll(rollout, make_bundle(), 0)
+        old = store.entries[CURRENT_KEY].value
+        await roll(rollout, make_bundle(rate=2.0), 1)
+        async with run_feed(store, holder):
+            await wait_version(holder, 2)
+            await store.delete(CURRENT_KEY)
+            store.put(CURRENT_KEY, old)
+            store.put(CURRENT_KEY, b"not JSON")
+            await asyncio.sleep(0.05)
+            assert holder.version == 2
+
+    async def test_asks_peer_while_store_is_down(self) -> None:
+        """A node that the store does not answer gets the bundle from a peer."""
+        store, holder = MemoryStore(), BundleHolder()
+        store.is_down = True
+
+        async def fetch(peer: str) -> ActiveBundle:
+            assert peer == "entry-2"
+            return ActiveBundle(version=7, bundle=make_bundle())
+
+        async with run_feed(store, holder, fetch) as feed:
+            feed.announce("entry-2", 7)
+            await wait_version(holder, 7)
+
+
+class TestBundleHolder:
+    """BundleHolder.offer."""
+
+    @given(st.lists(st.one_of(st.none(), st.integers(1, 20))))
+    def test_never_steps_back(self, offers: list[int | None]) -> None:
+        """In any order of offers, the version of one run never decreases.
+
+        None stands for a restart, after which the holder is empty.
+        """
+        bundle = make_bundle()
+        holder, seen, heard = BundleHolder(), 0, list[int]()
+        for version in offers:
+            if version is None:
+                holder, seen, heard = BundleHolder(), 0, []
+                holder.add_listener(lambda new, heard=heard: heard.append(new.version))
+                continue
+            accepted = holder.offer(ActiveBundle(version=version, bundle=bundle))
+            assert accepted == (version > seen)
+            seen = max(seen, version)
+            assert holder.version == seen
+            assert heard == sorted(set(heard))
+
+    def test_calls_all_listeners(self) -> None:
+        """A failing listener does not keep the others from seeing a withdrawal."""
+        holder, heard = BundleHolder(), list[int]()
+
+        def fail(_: ActiveBundle) -> None:
+            raise ValueError
+
+        holder.add_listener(fail)
+        holder.add_listener(lambda new: heard.append(new.version))
+        holder.offer(ActiveBundle(version=1, bundle=make_bundle()))
+        assert heard == [1]
--- /dev/null
+++ b/tests/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the operators' API and command line."""
