--- /dev/null
+++ b/src/fireflyspread/_http_client.py
@@ -0,0 +1,151 @@
+"""The HTTP client that the packages for engines and services share."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from urllib.parse import quote
+
+import aiohttp
+import msgspec
+from yarl import URL
+
+from fireflyspread.exceptions import (
+    Outcome,
+    ReplicaCrashedError,
+    StaleFenceError,
+    TargetError,
+    TargetUnreachableError,
+)
+
+__all__ = [
+    "check_status",
+    "join_url",
+    "open_client_session",
+    "read_retry_after",
+    "translate_errors",
+]
+
+# Common servers close idle connections after 5 s. A request sent on a connection
+# that the server is closing looks like a crash, so the client closes first.
+_KEEPALIVE_SECONDS = 4.0
+_ERROR_BYTES = 64 * 1024
+
+
+def open_client_session(*, connect_timeout: float = 1.0) -> aiohttp.ClientSession:
+    """Return the session that all clients of one process share.
+
+    It has no limit of connections, keeps no cookies (they would mix teams) and takes
+    no proxy from the environment. Must be called on a running event loop.
+
+    Parameters
+    ----------
+    connect_timeout : float
+        Seconds to make a TCP connection.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0, limit_per_host=0, keepalive_timeout=_KEEPALIVE_SECONDS
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout),
+        headers={"User-Agent": "fireflyspread"},
+    )
+
+
+def join_url(base: str, *parts: str) -> URL:
+    """Return ``base`` with ``parts`` quoted as single path segments."""
+    path = "".join("/" + quote(part, safe="") for part in parts)
+    return URL(base + path, encoded=True)
+
+
+def read_retry_after(response: aiohttp.ClientResponse) -> float | None:
+    """Return the seconds of a ``Retry-After`` header, or None."""
+    try:
+        return max(0.0, float(response.headers["Retry-After"]))
+    except (KeyError, ValueError):
+        return None
+
+
+@contextmanager
+def translate_errors(replica: str) -> Iterator[None]:
+    """Raise the project's errors for those of the HTTP client.
+
+    Raises
+    ------
+    TargetUnreachableError
+        No connection was made, so nothing was dispatched.
+    ReplicaCrashedError
+        The connection broke before the whole answer arrived.
+    TargetError
+        The time was up, or the answer is not HTTP.
+    """
+    try:
+        yield
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+        raise TargetUnreachableError(
+            f"no connection to replica {replica}; try another replica"
+        ) from exc
+    except TimeoutError as exc:
+        raise TargetError(
+            f"replica {replica} did not answer in time; allow more time or retry"
+        ) from exc
+    except (
+        aiohttp.ServerDisconnectedError,
+        aiohttp.ClientPayloadError,
+        OSError,
+    ) as exc:
+        raise ReplicaCrashedError(
+            f"replica {replica} closed the connection during a request; "
+            "try another replica"
+        ) from exc
+    except aiohttp.ClientError as exc:
+        raise TargetError(f"replica {replica} did not answer in HTTP: {exc}") from exc
+
+
+async def check_status(response: aiohttp.ClientResponse, replica: str) -> None:
+    """Return if the status is below 400.
+
+    Raises
+    ------
+    StaleFenceError
+        The replica refused the fencing number.
+    TargetError
+        Any other refusal; ``not_run`` if the replica says so by ``X-Not-Run: true``.
+    """
+    if response.status < 400:
+        return
+    body = await response.content.read(_ERROR_BYTES)
+    if response.status == 409 and read_code(body) == StaleFenceError.code:
+        raise StaleFenceError(
+            f"replica {replica} has seen a newer bundle; retry under the newest one"
+        )
+    raise_if_not_run(response, replica)
+    raise TargetError(
+        f"replica {replica} answered with status {response.status}; retry later",
+        retry_after=read_retry_after(response),
+    )
+
+
+def raise_if_not_run(response: aiohttp.ClientResponse, replica: str) -> None:
+    """Raise ``TargetError`` with ``not_run`` for a 503 that says it did not run."""
+    if response.status == 503 and response.headers.get("X-Not-Run") == "true":
+        raise TargetError(
+            f"replica {replica} refused the request without running it; retry later",
+            retry_after=read_retry_after(response),
+            outcome=Outcome.NOT_RUN,
+        )
+
+
+def read_code(body: bytes) -> str | None:
+    """Return the error code of a JSON body, at the top level or under ``error``."""
+    try:
+        data = msgspec.json.decode(body, type=_CodeBody)
+    except msgspec.DecodeError:
+        return None
+    if isinstance(data.error, dict) and data.code is None:
+        return str(data.error.get("code"))
+    return data.code
+
+
+class _CodeBody(msgspec.Struct):
+    code: str | None = None
+    error: object = None
--- a/src/fireflyspread/engines/__init__.py
+++ b/src/fireflyspread/engines/__init__.py
@@ -7,5 +7,16 @@
     Order,
     Usage,
 )
+from fireflyspread.engines._http import HttpEngine
+from fireflyspread.engines._sse import DONE_EVENT, extract_answer
 
-__all__ = ["Engine", "EngineLoad", "EngineRequest", "Order", "Usage"]
+__all__ = [
+    "DONE_EVENT",
+    "Engine",
+    "EngineLoad",
+    "EngineRequest",
+    "HttpEngine",
+    "Order",
+    "Usage",
+    "extract_answer",
+]
--- /dev/null
+++ b/src/fireflyspread/engines/_http.py
@@ -0,0 +1,264 @@
+"""Model engines over HTTP."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from typing import Any, TypeVar
+
+import aiohttp
+import msgspec
+from attrs import asdict
+from yarl import URL
+
+from fireflyspread._http_client import check_status, join_url, translate_errors
+from fireflyspread.bundle import Replica
+from fireflyspread.engines._engine import Engine, EngineLoad, EngineRequest, Order
+from fireflyspread.engines._sse import DONE_EVENT, EventSplitter
+from fireflyspread.exceptions import (
+    FireflyError,
+    ReplicaCrashedError,
+    StaleFenceError,
+    TargetError,
+    TargetUnreachableError,
+)
+
+__all__ = ["HttpEngine"]
+
+T = TypeVar("T")
+_LOGGER = logging.getLogger(__name__)
+# Time for the end of the HTTP body after the last event; a connection that is not
+# at its end cannot be used again.
+_BODY_END_SECONDS = 0.05
+
+
+class _Load(msgspec.Struct):
+    running: int
+    waiting: int
+    cache_used: int
+    cache_capacity: int
+
+
+class _Events(msgspec.Struct):
+    last: int
+    evicted: tuple[str, ...] = ()
+
+
+class _Sessions(msgspec.Struct):
+    sessions: tuple[str, ...]
+
+
+class HttpEngine(Engine):
+    """One replica of a model engine over HTTP.
+
+    Parameters
+    ----------
+    url : str
+        Base URL of the replica.
+    session : aiohttp.ClientSession
+        Shared by all clients of the process and not closed by this one.
+    name : str
+        Name of the replica for errors and logs.
+    control_timeout : float
+        Seconds for each call that is not an answer or a cache transfer.
+    transfer_timeout : float
+        Seconds for the export or import of a KV cache.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        session: aiohttp.ClientSession,
+        name: str = "",
+        control_timeout: float = 2.0,
+        transfer_timeout: float = 30.0,
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._session = session
+        self._name = name or url
+        self._control_timeout = control_timeout
+        self._transfer_timeout = transfer_timeout
+        self._answers = join_url(self._url, "v1", "chat", "completions")
+        self._cancels: set[asyncio.Task[None]] = set()
+
+    @classmethod
+    def from_config(
+        cls, replica: Replica, session: aiohttp.ClientSession
+    ) -> "HttpEngine":
+        """Return the client of a replica of the bundle."""
+        return cls(replica.url, session=session, name=replica.name)
+
+    async def stream(self, request: EngineRequest) -> AsyncIterator[bytes]:
+        may_run = True
+        splitter = EventSplitter(request.request, self._name)
+        try:
+            with translate_errors(self._name):
+                async with self._open_answer(request) as response:
+                    may_run = response.status < 400
+                    await check_status(response, self._name)
+                    content = response.content
+                    while not splitter.is_done:
+                        data = await content.readany()
+                        if not data:
+                            raise ReplicaCrashedError(
+                                f"replica {self._name} ended its answer early; "
+                                "try another replica"
+                            )
+                        events = splitter.feed(data)
+                        if events:
+                            yield events
+                    may_run = False
+                    await _read_body_end(content)
+            yield DONE_EVENT
+        except TargetUnreachableError:
+            may_run = False
+            raise
+        finally:
+            if may_run:
+                self._start_cancel(request.request)
+
+    def _open_answer(self, request: EngineRequest) -> Any:
+        body = msgspec.json.encode(
+            {
+                "model": request.model,
+                "messages": request.messages,
+                "max_tokens": request.max_tokens,
+                "stream": True,
+                "stream_options": {"include_usage": True},
+                "priority": request.priority,
+                "request_id": request.request,
+                "session_id": request.session,
+            }
+        )
+        headers = {
+            "Content-Type": "application/json",
+            "Accept": "text/event-stream",
+            "Accept-Encoding": "identity",
+            "X-Fencing-Token": str(request.fence),
+        }
+        return self._session.post(
+            self._answers,
+            data=body,
+            headers=headers,
+            timeout=self._make_timeout(request.timeout),
+            allow_redirects=False,
+        )
+
+    def _make_timeout(self, seconds: float) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(
+            total=seconds, sock_connect=self._session.timeout.sock_connect
+        )
+
+    def _start_cancel(self, request: str) -> None:
+        # The answer's task may be ending by cancellation, so another task tells the
+        # engine.
+        task = asyncio.create_task(self._cancel_quietly(request))
+        self._cancels.add(task)
+        task.add_done_callback(self._cancels.discard)
+
+    async def _cancel_quietly(self, request: str) -> None:
+        try:
+            await self.cancel(request)
+        except FireflyError as exc:
+            _LOGGER.debug(
+                "cancel failed: %s",
+                exc,
+                extra={"request": request, "replica": self._name},
+            )
+
+    async def cancel(self, request: str) -> None:
+        url = join_url(self._url, "v1", "requests", request, "cancel")
+        await self._call("POST", url, accept=(404,))
+
+    async def read_load(self) -> EngineLoad:
+        data = await self._call("GET", join_url(self._url, "v1", "load"))
+        load = self._decode(data, _Load)
+        return EngineLoad(
+            running=load.running,
+            waiting=load.waiting,
+            cache_used=load.cache_used,
+            cache_capacity=load.cache_capacity,
+        )
+
+    async def read_cache_events(self, after: int) -> tuple[int, tuple[str, ...]]:
+        url = join_url(self._url, "v1", "events").with_query(after=after)
+        events = self._decode(await self._call("GET", url), _Events)
+        return events.last, events.evicted
+
+    async def list_sessions(self) -> tuple[str, ...]:
+        data = await self._call("GET", join_url(self._url, "v1", "sessions"))
+        return self._decode(data, _Sessions).sessions
+
+    async def release_session(self, session: str) -> None:
+        url = join_url(self._url, "v1", "sessions", session)
+        await self._call("DELETE", url, accept=(404,))
+
+    async def export_session(self, session: str) -> bytes:
+        url = join_url(self._url, "v1", "sessions", session, "export")
+        return await self._call("POST", url, timeout=self._transfer_timeout)
+
+    async def import_session(self, session: str, cache: bytes) -> None:
+        url = join_url(self._url, "v1", "sessions", session, "cache")
+        await self._call("PUT", url, data=cache, timeout=self._transfer_timeout)
+
+    async def order(self, order: Order) -> None:
+        body = msgspec.json.encode(asdict(order))
+        url = join_url(self._url, "v1", "orders")
+        headers = {
+            "Content-Type": "application/json",
+            "X-Fencing-Token": str(order.fence),
+        }
+        await self._call("POST", url, data=body, headers=headers, is_order=True)
+
+    async def close(self) -> None:
+        for task in tuple(self._cancels):
+            task.cancel()
+        await asyncio.gather(*self._cancels, return_exceptions=True)
+
+    async def _call(
+        self,
+        method: str,
+        url: URL,
+        *,
+        data: bytes | None = None,
+        headers: dict[str, str] | None = None,
+        timeout: float | None = None,
+        accept: tuple[int, ...] = (),
+        is_order: bool = False,
+    ) -> bytes:
+        with translate_errors(self._name):
+            async with self._session.request(
+                method,
+                url,
+                data=data,
+                headers=headers,
+                timeout=self._make_timeout(timeout or self._control_timeout),
+                allow_redirects=False,
+            ) as response:
+                if is_order and response.status == 409:
+                    raise StaleFenceError(
+                        f"replica {self._name} has seen a newer order; "
+                        "retry under the newest bundle"
+                    )
+                if response.status not in accept:
+                    await check_status(response, self._name)
+                return await response.read()
+
+    def _decode(self, data: bytes, kind: type[T]) -> T:
+        try:
+            return msgspec.json.decode(data, type=kind)
+        except msgspec.DecodeError as exc:
+            raise TargetError(
+                f"replica {self._name} sent a malformed answer: {exc}; "
+                "check its version"
+            ) from exc
+
+
+async def _read_body_end(content: aiohttp.StreamReader) -> None:
+    if content.at_eof():
+        return
+    try:
+        async with asyncio.timeout(_BODY_END_SECONDS):
+            await content.read()
+    except TimeoutError:
+        return
--- /dev/null
+++ b/src/fireflyspread/engines/_sse.py
@@ -0,0 +1,135 @@
+"""Server-sent events of chat completions."""
+
+import msgspec
+
+from fireflyspread.engines._engine import Usage
+from fireflyspread.exceptions import CrossedAnswerError, TargetError
+
+__all__ = ["DONE_EVENT", "EventSplitter", "extract_answer"]
+
+DONE_EVENT = b"data: [DONE]\n\n"
+_END = b"\n\n"
+
+
+class EventSplitter:
+    """Cuts received bytes after whole events and checks whose answer they are.
+
+    The check searches the bytes of each event for ``"id":"<request>"``. Quotation
+    marks inside a JSON string are escaped, so generated text cannot match it.
+
+    Parameters
+    ----------
+    request : str
+        Id that every event must carry.
+    replica : str
+        Named in errors.
+    """
+
+    def __init__(self, request: str, replica: str) -> None:
+        quoted = msgspec.json.encode(request)
+        self._first = b'data: {"id":' + quoted
+        self._needles = (b'"id":' + quoted, b'"id": ' + quoted)
+        self._replica = replica
+        self._rest = b""
+        self.is_done = False
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that have arrived, without the ``[DONE]`` event.
+
+        Raises
+        ------
+        CrossedAnswerError
+            An event belongs to another request.
+        TargetError
+            The engine reported an error inside the stream.
+        """
+        if self._rest:
+            data = self._rest + data
+        end = data.rfind(_END)
+        if end < 0:
+            self._rest = data
+            return b""
+        end += 2
+        self._rest = data[end:]
+        if self._rest:
+            data = data[:end]
+        done = data.find(DONE_EVENT)
+        # Generated text cannot contain a raw line break, so a match is an event.
+        if done >= 0:
+            self.is_done = True
+            data = data[:done]
+        self._check(data)
+        return data
+
+    def _check(self, data: bytes) -> None:
+        first, (needle, spaced) = self._first, self._needles
+        for event in data.split(_END):
+            if event.startswith(first) or needle in event or spaced in event:
+                continue
+            if not event or event.startswith(b":"):
+                continue
+            if event.startswith(b'data: {"error"'):
+                raise TargetError(
+                    f"replica {self._replica} failed during the answer: "
+                    f"{event[6:200].decode(errors='replace')}; retry"
+                )
+            raise CrossedAnswerError(
+                f"replica {self._replica} sent an event of another request; "
+                "the answer was discarded, retry on another replica"
+            )
+
+
+class _PromptDetails(msgspec.Struct):
+    cached_tokens: int = 0
+
+
+class _Usage(msgspec.Struct):
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    prompt_tokens_details: _PromptDetails | None = None
+
+
+class _Delta(msgspec.Struct, frozen=True):
+    content: str | None = None
+
+
+class _Choice(msgspec.Struct):
+    delta: _Delta = _Delta()
+
+
+class _Chunk(msgspec.Struct):
+    choices: list[_Choice] = []
+    usage: _Usage | None = None
+
+
+_DECODER = msgspec.json.Decoder(_Chunk)
+
+
+def extract_answer(events: bytes) -> tuple[str, Usage]:
+    """Return the text and the usage of a whole answer.
+
+    Raises
+    ------
+    TargetError
+        The events are not chat completion chunks or carry no usage.
+    """
+    parts: list[str] = []
+    usage: _Usage | None = None
+    try:
+        for event in events.split(_END):
+            if not event.startswith(b"data: {"):
+                continue
+            chunk = _DECODER.decode(memoryview(event)[6:])
+            if chunk.choices and chunk.choices[0].delta.content:
+                parts.append(chunk.choices[0].delta.content)
+            usage = chunk.usage or usage
+    except msgspec.DecodeError as exc:
+        raise TargetError(f"the engine sent a malformed event: {exc}; retry") from exc
+    if usage is None:
+        raise TargetError("the engine sent no usage; ask it for stream_options")
+    details = usage.prompt_tokens_details or _PromptDetails()
+    return "".join(parts), Usage(
+        prompt=usage.prompt_tokens,
+        cached=details.cached_tokens,
+        completion=usage.completion_tokens,
+    )
