--- /dev/null
+++ b/standins/_base.py
@@ -0,0 +1,374 @@
+"""Common parts of all stand-ins: listening, faults, the log of received requests."""
+
+import argparse
+import asyncio
+import contextlib
+import socket
+import time
+from base64 import b64encode
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any, ClassVar, Self
+
+import attrs
+import msgspec
+import uvloop
+from aiohttp import web
+from attrs import define, field, frozen
+
+__all__ = [
+    "Faults",
+    "Received",
+    "StandIn",
+    "answer_json",
+    "find_free_port",
+    "main",
+    "notify",
+]
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+@frozen(kw_only=True)
+class Received:
+    """One request as it arrived.
+
+    Attributes
+    ----------
+    time : float
+        Seconds since the epoch.
+    """
+
+    time: float
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def to_json(self) -> dict[str, Any]:
+        """Return a form for ``GET /received``; binary bodies are in base64."""
+        data = attrs.asdict(self)
+        try:
+            data["body"] = self.body.decode()
+        except UnicodeDecodeError:
+            data["body"] = {"base64": b64encode(self.body).decode()}
+        return data
+
+
+def notify(instance: "Faults", attribute: Any, value: Any) -> Any:
+    """Tell the stand-in that a switch changed; attrs hook for ``on_setattr``.
+
+    Subclasses of ``Faults`` must name it again, because attrs does not inherit it.
+    """
+    # The value is stored after this hook, so the listener runs in the next step.
+    if instance.listener is not None:
+        asyncio.get_running_loop().call_soon(instance.listener)
+    return value
+
+
+@define(kw_only=True, on_setattr=notify, slots=False)
+class Faults:
+    """Switches common to all stand-ins.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds before each request is handled.
+    down : str
+        Empty, ``"refuse"`` (connections are closed and refused) or ``"hang"``
+        (requests are accepted and get no answer).
+    lose_answers : int
+        Number of next requests whose connection is closed after they took effect.
+    """
+
+    delay: float = 0.0
+    down: str = ""
+    lose_answers: int = 0
+    listener: Callable[[], None] | None = field(
+        default=None, repr=False, eq=False, on_setattr=attrs.setters.NO_OP
+    )
+
+    def update(self, values: dict[str, Any]) -> None:
+        """Set several switches.
+
+        Raises
+        ------
+        ValueError
+            A switch does not exist.
+        """
+        names = {entry.name for entry in attrs.fields(type(self))} - {"listener"}
+        unknown = sorted(set(values) - names)
+        if unknown:
+            raise ValueError(f"unknown faults {unknown}; known are {sorted(names)}")
+        for name, value in values.items():
+            setattr(self, name, value)
+
+    def to_json(self) -> dict[str, Any]:
+        """Return the switches by name."""
+        return attrs.asdict(self, filter=lambda entry, _: entry.name != "listener")
+
+
+def answer_json(data: Any, status: int = 200) -> web.Response:
+    """Return a JSON answer."""
+    return web.Response(
+        body=msgspec.json.encode(data), status=status, content_type="application/json"
+    )
+
+
+class StandIn:
+    """Base of all stand-ins.
+
+    The control paths (``/faults``, ``/received``) are served on the main port and on
+    a control port of their own, which stays reachable while the stand-in is down.
+
+    Parameters
+    ----------
+    listen, control : str
+        Address and port; port 0 takes a free one.
+    faults : Faults or None
+        First values of the switches.
+    log_limit : int
+        Number of newest requests kept in the log.
+    """
+
+    faults_class: ClassVar[type[Faults]] = Faults
+
+    def __init__(
+        self,
+        *,
+        listen: str = "127.0.0.1:0",
+        control: str = "127.0.0.1:0",
+        faults: Faults | None = None,
+        log_limit: int = 50_000,
+    ) -> None:
+        self.faults: Any = self.faults_class() if faults is None else faults
+        self.received: deque[Received] = deque(maxlen=log_limit)
+        self._listen = listen
+        self._control = control
+        self._log_limit = log_limit
+        self._runner: web.AppRunner | None = None
+        self._control_runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
+        self._running: set[asyncio.Task[Any]] = set()
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._recovered = asyncio.Event()
+
+    @property
+    def url(self) -> str:
+        """Base URL, valid after ``start``."""
+        return f"http://{self._listen}"
+
+    @property
+    def control_url(self) -> str:
+        """Base URL of the control port, valid after ``start``."""
+        return f"http://{self._control}"
+
+    def add_routes(self, app: web.Application) -> None:
+        """Add the paths of the stand-in."""
+        raise NotImplementedError
+
+    def add_control_routes(self, app: web.Application) -> None:
+        """Add further control paths."""
+
+    def has_effect(self, request: web.Request) -> bool:
+        """Return whether the answer to ``request`` counts for ``lose_answers``."""
+        return True
+
+    async def start(self) -> None:
+        """Listen on both ports."""
+        app = web.Application(client_max_size=64 << 20, middlewares=[self._handle])
+        self._add_control(app)
+        self.add_routes(app)
+        self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
+        await self._runner.setup()
+        control = web.Application(client_max_size=64 << 20)
+        self._add_control(control)
+        self._control_runner = web.AppRunner(control, access_log=None)
+        await self._control_runner.setup()
+        self._control = await _open_site(self._control_runner, self._control)
+        await self._open()
+        self.faults.listener = self._apply_faults
+        self._apply_faults()
+
+    async def stop(self) -> None:
+        """Close all connections and stop listening."""
+        self.faults.listener = None
+        for task in self._tasks:
+            task.cancel()
+        self.close_connections()
+        if self._listener is not None:
+            self._listener.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+        if self._control_runner is not None:
+            await self._control_runner.cleanup()
+
+    async def __aenter__(self) -> Self:
+        await self.start()
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.stop()
+
+    def keep(self, task: asyncio.Task[Any]) -> None:
+        """Hold a reference to a background task and cancel it at the stop."""
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def close_connections(self) -> None:
+        """Reset all connections and stop all running requests, as a crash does."""
+        for task in tuple(self._running):
+            task.cancel()
+        server = None if self._runner is None else self._runner.server
+        for connection in () if server is None else server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    def crash(self, seconds: float) -> None:
+        """Go down as a crashed process does and come back after ``seconds``."""
+        self.faults.down = "refuse"
+        self._apply_faults()
+
+        async def recover() -> None:
+            await asyncio.sleep(seconds)
+            self.faults.down = ""
+
+        self.keep(asyncio.get_running_loop().create_task(recover()))
+
+    async def wait_recovered(self) -> None:
+        """Return once the stand-in does not hang."""
+        await self._recovered.wait()
+
+    async def _open(self) -> None:
+        assert self._runner is not None and self._runner.server is not None
+        host, _, port = self._listen.rpartition(":")
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._runner.server, host, int(port), backlog=1024, reuse_address=True
+        )
+        name = self._listener.sockets[0].getsockname()
+        self._listen = f"{name[0]}:{name[1]}"
+
+    def _apply_faults(self) -> None:
+        if self.faults.down == "hang":
+            self._recovered.clear()
+        else:
+            self._recovered.set()
+        if self.faults.down == "refuse":
+            if self._listener is not None:
+                self._listener.close()
+                self._listener = None
+                self.close_connections()
+        elif self._listener is None:
+            self.keep(asyncio.get_running_loop().create_task(self._reopen()))
+
+    async def _reopen(self) -> None:
+        # The old socket is closed in a later step of the loop.
+        for _ in range(100):
+            if self._listener is not None or self.faults.down == "refuse":
+                return
+            with contextlib.suppress(OSError):
+                await self._open()
+                return
+            await asyncio.sleep(0.02)
+        raise OSError(f"cannot listen on {self._listen} again; free the port")
+
+    @web.middleware
+    async def _handle(self, request: web.Request, handler: Handler) -> Any:
+        if request.path in ("/faults", "/received") or request.path in self._controls:
+            return await handler(request)
+        task = asyncio.current_task()
+        assert task is not None
+        self._running.add(task)
+        try:
+            return await self._handle_counted(request, handler)
+        finally:
+            self._running.discard(task)
+
+    async def _handle_counted(self, request: web.Request, handler: Handler) -> Any:
+        body = await request.read()
+        if self._log_limit:
+            self.received.append(
+                Received(
+                    time=time.time(),
+                    method=request.method,
+                    path=request.path,
+                    query=dict(request.query),
+                    headers=dict(request.headers),
+                    body=body,
+                )
+            )
+        if self.faults.delay:
+            await asyncio.sleep(self.faults.delay)
+        await self.wait_recovered()
+        response = await handler(request)
+        if self.faults.lose_answers > 0 and self.has_effect(request):
+            self.faults.lose_answers -= 1
+            if request.transport is not None:
+                request.transport.abort()
+        return response
+
+    def _add_control(self, app: web.Application) -> None:
+        app.router.add_get("/faults", self._get_faults)
+        app.router.add_put("/faults", self._put_faults)
+        app.router.add_get("/received", self._get_received)
+        before = len(app.router.routes())
+        self.add_control_routes(app)
+        added = list(app.router.routes())[before:]
+        self._controls = {r.resource.canonical for r in added if r.resource is not None}
+
+    async def _get_faults(self, request: web.Request) -> web.Response:
+        return answer_json(self.faults.to_json())
+
+    async def _put_faults(self, request: web.Request) -> web.Response:
+        try:
+            self.faults.update(msgspec.json.decode(await request.read()))
+        except (ValueError, msgspec.DecodeError) as exc:
+            return answer_json({"error": str(exc)}, status=400)
+        return answer_json(self.faults.to_json())
+
+    async def _get_received(self, request: web.Request) -> web.Response:
+        return answer_json([entry.to_json() for entry in self.received])
+
+
+async def _open_site(runner: web.AppRunner, listen: str) -> str:
+    host, _, port = listen.rpartition(":")
+    await web.TCPSite(runner, host, int(port)).start()
+    name: Any = runner.addresses[0]
+    return f"{name[0]}:{name[1]}"
+
+
+def main(cls: Callable[..., StandIn], **options: tuple[type, Any, str]) -> None:
+    """Run one stand-in as a program until it is interrupted.
+
+    Parameters
+    ----------
+    cls : type
+        Class of the stand-in.
+    **options : tuple of (type, default, help)
+        Further command-line options, passed to the class by name.
+    """
+    parser = argparse.ArgumentParser(description=cls.__doc__)
+    parser.add_argument("--listen", required=True, help="address and port")
+    parser.add_argument("--control", default="127.0.0.1:0", help="control address")
+    parser.add_argument("--log-limit", type=int, default=50_000)
+    for name, (kind, default, text) in options.items():
+        flag = "--" + name.replace("_", "-")
+        parser.add_argument(flag, type=kind, default=default, help=text)
+    arguments = vars(parser.parse_args())
+
+    async def run() -> None:
+        stand_in = cls(**arguments)
+        await stand_in.start()
+        print(f"listening {stand_in.url} control {stand_in.control_url}", flush=True)
+        await asyncio.Event().wait()
+
+    with contextlib.suppress(KeyboardInterrupt):
+        uvloop.run(run())
+
+
+def find_free_port() -> int:
+    """Return a TCP port of the loopback address that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
