Let an engine continue an unfinished answer

Cause: a turn that loses its replica midway must not repeat what the caller has seen. Change: EngineRequest.is_continuation, sent as continue_final_message.

--- a/src/fireflyspread/callers/_programs.py
+++ b/src/fireflyspread/callers/_programs.py
@@ -389,9 +389,8 @@
         return await writer.finish()
 
     def _find(self, request: web.Request, identity: Identity) -> Program:
-        program_id = request.match_info.get("id") or request.headers.get(
-            "X-Program-Id", ""
-        )
+        program_id = request.match_info.get("id", "")
+        program_id = program_id or request.headers.get("X-Program-Id", "")
         return self._context.programs.find(identity.team, program_id)
 
     def _make_spec(
--- a/src/fireflyspread/engines/_engine.py
+++ b/src/fireflyspread/engines/_engine.py
@@ -25,6 +25,8 @@
         Lower runs first.
     timeout : float
         Seconds for the whole answer.
+    is_continuation : bool
+        Whether the last message is an unfinished answer that the engine continues.
     """
 
     request: str
@@ -35,6 +37,7 @@
     priority: int
     timeout: float
     fence: int = 0
+    is_continuation: bool = False
 
 
 @frozen(kw_only=True)
--- a/src/fireflyspread/engines/_http.py
+++ b/src/fireflyspread/engines/_http.py
@@ -128,6 +128,8 @@
                 "priority": request.priority,
                 "request_id": request.request,
                 "session_id": request.session,
+                "continue_final_message": request.is_continuation,
+                "add_generation_prompt": not request.is_continuation,
             }
         )
         headers = {
