Split the handlers of programs, turns and calls

Cause: one module of 449 lines had three jobs. Change: opening and ending, turns, and calls are modules of their own; tests of bodies unchanged.

--- a/src/fireflyspread/callers/_api.py
+++ b/src/fireflyspread/callers/_api.py
@@ -7,13 +7,14 @@
 from aiohttp import web
 
 from fireflyspread.callers._bodies import ChatBody, decode_body, read_body
+from fireflyspread.callers._call_handlers import CallHandlers
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._identity import Identity
 from fireflyspread.callers._owners import relay_unless_owned
 from fireflyspread.callers._programs import ProgramHandlers
 from fireflyspread.callers._remote import find_intent_slot
 from fireflyspread.callers._responses import handle_errors, make_json_response
-from fireflyspread.callers._services import ServiceHandlers
+from fireflyspread.callers._turn_handlers import TurnHandlers
 from fireflyspread.exceptions import AuthenticationError, NoAuthorityError
 from fireflyspread.recovery import find_slot
 
@@ -33,8 +34,9 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        self._programs = ProgramHandlers(context)
-        self._services = ServiceHandlers(context)
+        self._turns = TurnHandlers(context)
+        self._programs = ProgramHandlers(context, self._turns)
+        self._calls = CallHandlers(context)
         self._running = 0
         self._is_idle = asyncio.Event()
         self._is_idle.set()
@@ -71,27 +73,27 @@
     def _make_app(self, identify: Identify) -> web.Application:
         limit = self._context.settings.limits.body_bytes
         app = web.Application(middlewares=[handle_errors], client_max_size=limit)
-        programs, services = self._programs, self._services
+        programs, turns, calls = self._programs, self._turns, self._calls
         routes: list[tuple[str, str, Handle, FindSlot]] = [
             ("POST", "/v1/programs", programs.open, _find_none),
             ("GET", "/v1/programs/{id}", programs.show, _find_program),
             ("DELETE", "/v1/programs/{id}", programs.end, _find_program),
             ("GET", "/v1/programs/{id}/history", programs.read_history, _find_program),
             ("POST", "/v1/programs/{id}/children", programs.open_child, _find_program),
-            ("POST", "/v1/programs/{id}/turns", programs.run_turn, _find_program),
+            ("POST", "/v1/programs/{id}/turns", turns.run_turn, _find_program),
             (
                 "GET",
                 "/v1/programs/{id}/turns/{turn:[0-9]{1,9}}",
-                programs.read_turn,
+                turns.read_turn,
                 _find_program,
             ),
             (
                 "POST",
                 "/v1/programs/{id}/calls/{route}",
-                programs.run_call,
+                calls.run_call,
                 _find_program,
             ),
-            ("POST", "/v1/services/{route}", services.call, self._find_intent),
+            ("POST", "/v1/services/{route}", calls.call, self._find_intent),
             ("POST", "/v1/chat/completions", self._run_chat, _find_program),
         ]
         for method, path, handle, find in routes:
@@ -163,7 +165,7 @@
         self, request: web.Request, body: bytes, identity: Identity
     ) -> web.StreamResponse:
         if request.headers.get("X-Program-Id"):
-            return await self._programs.run_chat(request, body, identity)
+            return await self._turns.run_chat(request, body, identity)
         chat = decode_body(body, ChatBody)
         return await self._programs.run_single(request, chat, identity)
 
--- /dev/null
+++ b/src/fireflyspread/callers/_turn_handlers.py
@@ -0,0 +1,198 @@
+"""Handlers that run, join, replay and resume turns."""
+
+import msgspec
+from aiohttp import web
+
+from fireflyspread.callers._bodies import (
+    ChatBody,
+    TurnBody,
+    decode_body,
+    decode_messages,
+    read_turn_header,
+)
+from fireflyspread.callers._chat import (
+    make_completion,
+    make_end_events,
+    make_replay_events,
+    take_new_messages,
+)
+from fireflyspread.callers._context import Context
+from fireflyspread.callers._deadlines import read_deadline
+from fireflyspread.callers._identity import Identity
+from fireflyspread.callers._responses import EventWriter, make_json_response
+from fireflyspread.callers._turns import TurnRunner, TurnSpec
+from fireflyspread.exceptions import FireflyError, NotFoundError, RequestError
+from fireflyspread.programs import Program, RunningTurn, StepKind, compute_digest
+from fireflyspread.recovery import TurnRecorded
+
+__all__ = ["TurnHandlers", "find_program"]
+
+_DEFAULT_TIMEOUT = 60.0
+
+
+def find_program(context: Context, request: web.Request, identity: Identity) -> Program:
+    """Return the program that a request names; raises ``NotFoundError``."""
+    program_id = request.match_info.get("id", "")
+    program_id = program_id or request.headers.get("X-Program-Id", "")
+    return context.programs.find(identity.team, program_id)
+
+
+class TurnHandlers:
+    """Handlers that run at the owner node of a program."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        self._turns = TurnRunner(context)
+
+    async def run_turn(
+        self, request: web.Request, body: bytes, identity: Identity
+    ) -> web.StreamResponse:
+        """Run, join or replay a turn; ``POST /v1/programs/{id}/turns``."""
+        program = find_program(self._context, request, identity)
+        turn = decode_body(body, TurnBody)
+        decode_messages(turn.messages)
+        spec = self._make_spec(
+            request, turn.turn, turn.model, bytes(turn.messages), turn.max_tokens
+        )
+        return await self._take_step(request, program, spec, is_stream=turn.stream)
+
+    async def run_chat(
+        self, request: web.Request, body: bytes, identity: Identity
+    ) -> web.StreamResponse:
+        """Run a turn sent in the chat completions form."""
+        program = find_program(self._context, request, identity)
+        chat = decode_body(body, ChatBody)
+        number = read_turn_header(request)
+        new = take_new_messages(program, number, chat.messages)
+        decode_messages(msgspec.Raw(new))
+        spec = self._make_spec(request, number, chat.model, new, chat.wanted)
+        return await self._take_step(request, program, spec, is_stream=chat.stream)
+
+    async def run_first(
+        self, request: web.Request, program: Program, chat: ChatBody
+    ) -> web.StreamResponse:
+        """Run the first turn of a program that was opened for it."""
+        messages = bytes(chat.messages)
+        spec = self._make_spec(request, 1, chat.model, messages, chat.wanted)
+        return await self._take_step(request, program, spec, is_stream=chat.stream)
+
+    async def read_turn(
+        self, request: web.Request, body: bytes, identity: Identity
+    ) -> web.StreamResponse:
+        """Return the rest of an answer; ``Last-Event-ID`` names the last event seen."""
+        program = find_program(self._context, request, identity)
+        number = int(request.match_info["turn"])
+        running = program.running
+        if running is not None and running.number == number:
+            return await self._attach(request, program, running)
+        if not 1 <= number <= len(program.turns):
+            raise NotFoundError(f"turn {number} has not been sent")
+        return await self._replay(
+            request, program, program.turns[number - 1], is_stream=True
+        )
+
+    async def _take_step(
+        self, request: web.Request, program: Program, spec: TurnSpec, *, is_stream: bool
+    ) -> web.StreamResponse:
+        step = program.find_step(spec.number, spec.request_digest)
+        if step.kind is StepKind.REPLAY and step.record is not None:
+            return await self._replay(
+                request, program, step.record, is_stream=is_stream
+            )
+        assert step.running is not None
+        if step.kind is StepKind.START:
+            return await self._start(
+                request, program, step.running, spec, is_stream=is_stream
+            )
+        if is_stream:
+            return await self._attach(request, program, step.running)
+        await step.running.answer.wait_end()
+        record = program.turns[spec.number - 1]
+        return await self._replay(request, program, record, is_stream=False)
+
+    async def _start(
+        self,
+        request: web.Request,
+        program: Program,
+        running: RunningTurn,
+        spec: TurnSpec,
+        *,
+        is_stream: bool,
+    ) -> web.StreamResponse:
+        if not is_stream:
+            result = await self._turns.run(program, running, spec, None)
+            return make_json_response(
+                make_completion(
+                    program.id, spec.model, result.record, result.durability
+                )
+            )
+        writer = self._make_writer(request)
+        try:
+            result = await self._turns.run(program, running, spec, writer)
+            end = make_end_events(program.id, result.record, result.durability)
+            await writer.write(end)
+        except FireflyError as exc:
+            return await writer.fail(exc)
+        return await writer.finish()
+
+    async def _attach(
+        self, request: web.Request, program: Program, running: RunningTurn
+    ) -> web.StreamResponse:
+        writer = self._make_writer(request)
+        try:
+            async for event in running.answer.read(_read_position(request)):
+                await writer.write(event)
+            record = program.turns[running.number - 1]
+            durability = await self._context.ownership.commit(may_pend=True)
+            await writer.write(make_end_events(program.id, record, durability))
+        except FireflyError as exc:
+            return await writer.fail(exc)
+        return await writer.finish()
+
+    async def _replay(
+        self,
+        request: web.Request,
+        program: Program,
+        record: TurnRecorded,
+        *,
+        is_stream: bool,
+    ) -> web.StreamResponse:
+        # The record may still wait for the store: it is kept before it is repeated.
+        durability = await self._context.ownership.commit(may_pend=True)
+        if not is_stream:
+            return make_json_response(
+                make_completion(program.id, "", record, durability)
+            )
+        writer = self._make_writer(request)
+        await writer.write(make_replay_events(program.id, record, durability))
+        return await writer.finish()
+
+    def _make_spec(
+        self,
+        request: web.Request,
+        number: int,
+        model: str,
+        messages: bytes,
+        max_tokens: int,
+    ) -> TurnSpec:
+        if max_tokens < 1:
+            raise RequestError(f"max_tokens is {max_tokens}; give at least 1")
+        route = self._context.bundles.get_active().routes.get(model)
+        default = _DEFAULT_TIMEOUT if route is None else route.timeout
+        return TurnSpec(
+            number=number,
+            model=model,
+            messages=messages,
+            max_tokens=max_tokens,
+            deadline=read_deadline(request, self._context.clock, default),
+            request_digest=compute_digest(model.encode(), messages),
+        )
+
+    def _make_writer(self, request: web.Request) -> EventWriter:
+        timeout = self._context.settings.timing.write_timeout
+        return EventWriter(request, timeout=timeout)
+
+
+def _read_position(request: web.Request) -> int:
+    text = request.headers.get("Last-Event-ID", "")
+    return int(text) + 1 if text.isdigit() else 0
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -78,9 +78,13 @@
         self._context = context
 
     async def run(
-        self, program: Program, running: RunningTurn, spec: TurnSpec, writer: EventWriter
+        self,
+        program: Program,
+        running: RunningTurn,
+        spec: TurnSpec,
+        writer: EventWriter | None,
     ) -> TurnResult:
-        """Run a turn, stream it to ``writer`` and record it.
+        """Run a turn, stream it to ``writer`` if there is one, and record it.
 
         Raises
         ------
@@ -106,7 +110,7 @@
         program: Program,
         running: RunningTurn,
         spec: TurnSpec,
-        writer: EventWriter,
+        writer: EventWriter | None,
     ) -> None:
         self._context = context
         self._program = program
@@ -192,9 +196,7 @@
         if durability is Durability.PENDING:
             context.ownership.check_authority()
         context.metrics.count("turns.recorded")
-        return TurnResult(
-            record=record, text=text, usage=usage, durability=durability
-        )
+        return TurnResult(record=record, text=text, usage=usage, durability=durability)
 
     def give_up(self, error: BaseException) -> None:
         """Charge what was used and let the caller send the turn again."""
@@ -247,7 +249,7 @@
             framed.append(b"id: %d\n%b\n\n" % (number, event))
             self._events.append(event)
             self._running.answer.append(framed[-1])
-        if framed:
+        if framed and self._writer is not None:
             await self._writer.write(b"".join(framed))
 
     async def _hold_session(self, replica: str) -> None:
--- a/src/fireflyspread/programs/_answers.py
+++ b/src/fireflyspread/programs/_answers.py
@@ -46,6 +46,13 @@
         if self._error is not None:
             raise self._error
 
+    async def wait_end(self) -> None:
+        """Return when the answer has ended; raises its error."""
+        while not self._is_closed:
+            await self._changed.wait()
+        if self._error is not None:
+            raise self._error
+
     def _wake(self) -> None:
         # A fresh event for each change wakes every present reader exactly once.
         changed, self._changed = self._changed, asyncio.Event()
