Add signatures and relay of caller requests between nodes

A relayed request carries the team and the digest of the caller's key under an HMAC of the shared secret. Relay.abandon breaks relays to a removed member: a paused process keeps its connections open and would hold its callers.

--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -21,6 +21,8 @@
     encode_message,
 )
 from fireflyspread.nodes._peers import PeerClient, PeerServer
+from fireflyspread.nodes._relay import Relay, make_ssl_context
+from fireflyspread.nodes._signature import HOPS_HEADER, Identity, RequestSigner
 
 __all__ = [
     "MESSAGE_VERSION",
@@ -32,15 +34,20 @@
     "FenceConfirmed",
     "FetchBundle",
     "Hello",
+    "HOPS_HEADER",
     "HoldRecords",
+    "Identity",
     "Message",
     "PeerClient",
     "PeerServer",
     "RecordsHeld",
     "RecordsTaken",
+    "Relay",
     "RenewAuthority",
+    "RequestSigner",
     "TakeRecords",
     "TokensGranted",
     "decode_message",
     "encode_message",
+    "make_ssl_context",
 ]
--- /dev/null
+++ b/src/fireflyspread/nodes/_relay.py
@@ -0,0 +1,297 @@
+"""Relay of caller requests to the node that owns their program."""
+
+import asyncio
+import contextlib
+import logging
+import socket
+import ssl
+from collections.abc import AsyncIterator, Mapping
+
+import aiohttp
+from aiohttp import hdrs, web
+from multidict import CIMultiDict
+from yarl import URL
+
+from fireflyspread.clock import Clock
+from fireflyspread.exceptions import Outcome, PeerError
+from fireflyspread.nodes._signature import HOPS_HEADER, Identity, RequestSigner
+from fireflyspread.recovery import Member
+from fireflyspread.settings import Settings, Tls
+
+__all__ = ["Relay", "make_ssl_context"]
+
+_LOG = logging.getLogger(__name__)
+
+# Nodes whose members documents differ by one epoch relay a request at most twice.
+_MOST_HOPS = 2
+
+# Seconds. Nodes are about 1 ms apart; a SYN that is lost twice still fits.
+_CONNECT_TIMEOUT = 3.5
+
+# Seconds without an acknowledgement after which a connection counts as broken, so
+# that a request does not wait for a VM that has vanished.
+_SILENCE_TIMEOUT = 5
+
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+# Set anew for the connection to the owner; the caller's key stays on this node.
+_NOT_RELAYED = _HOP_BY_HOP | {"authorization", "host", "content-length", "expect"}
+
+_READING_METHODS = frozenset({hdrs.METH_GET, hdrs.METH_HEAD})
+
+
+class Relay:
+    """Passes caller requests to the owner's internal address.
+
+    Must be built inside a running event loop.
+
+    Parameters
+    ----------
+    signer : RequestSigner
+        Signs what is relayed.
+    tls : Tls or None
+        Uses HTTPS between nodes.
+    write_timeout : float
+        Seconds after which a caller that reads nothing is disconnected.
+    """
+
+    def __init__(
+        self,
+        signer: RequestSigner,
+        *,
+        tls: Tls | None = None,
+        write_timeout: float = 30.0,
+    ) -> None:
+        self._signer = signer
+        self._scheme = "http" if tls is None else "https"
+        self._write_timeout = write_timeout
+        self._running: dict[str, set[asyncio.Timeout]] = {}
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(
+                limit=0,
+                ssl=True if tls is None else make_ssl_context(tls, server=False),
+                socket_factory=_make_socket,
+            ),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
+            auto_decompress=False,
+            cookie_jar=aiohttp.DummyCookieJar(),
+            skip_auto_headers=("Accept", "Accept-Encoding", "Content-Type"),
+        )
+
+    @classmethod
+    def from_config(cls, settings: Settings, clock: Clock) -> "Relay":
+        """Build the relay of the node that ``settings`` describe."""
+        signer = RequestSigner(
+            settings.node_secret, node=settings.node.name, clock=clock
+        )
+        write_timeout = settings.timing.write_timeout
+        return cls(signer, tls=settings.tls, write_timeout=write_timeout)
+
+    async def forward(
+        self, request: web.Request, body: bytes, member: Member, identity: Identity
+    ) -> web.StreamResponse:
+        """Pass ``request`` to ``member`` and its answer back to the caller.
+
+        When the owner's connection breaks after the answer has begun, the connection
+        of the caller is closed, so that a partial answer never looks complete.
+
+        Raises
+        ------
+        PeerError
+            No answer began. The outcome is ``may_have_run`` when a request that can
+            change something had been sent.
+        """
+        hops = _count_hops(request) + 1
+        if hops > _MOST_HOPS:
+            raise PeerError(
+                f"the request was relayed {_MOST_HOPS} times without reaching the "
+                "owner of its program; repeat it when the nodes agree on the owner"
+            )
+        response: web.StreamResponse | None = None
+        try:
+            async with self._track(member):
+                answer = await self._send(request, body, member, identity, hops)
+                async with answer:
+                    response = _make_response(answer)
+                    await self._stream(request, answer, response)
+        except TimeoutError as exc:
+            # The member was abandoned.
+            if response is None or not response.prepared:
+                raise _make_broken_error(request, member) from exc
+            _end_connection(request)
+        return response
+
+    def abandon(self, member: Member) -> None:
+        """Break what is being relayed to a member that has been removed.
+
+        A paused process keeps its connections open, so its callers would wait for
+        ever although another node owns their programs now.
+        """
+        now = asyncio.get_running_loop().time()
+        for scope in self._running.get(member.incarnation, ()):
+            if not scope.expired():
+                scope.reschedule(now)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._session.close()
+
+    @contextlib.asynccontextmanager
+    async def _track(self, member: Member) -> AsyncIterator[None]:
+        scope = asyncio.timeout(None)
+        scopes = self._running.setdefault(member.incarnation, set())
+        scopes.add(scope)
+        try:
+            async with scope:
+                yield
+        finally:
+            scopes.discard(scope)
+            if not scopes:
+                self._running.pop(member.incarnation, None)
+
+    async def _send(
+        self,
+        request: web.Request,
+        body: bytes,
+        member: Member,
+        identity: Identity,
+        hops: int,
+    ) -> aiohttp.ClientResponse:
+        path = request.rel_url.raw_path_qs
+        headers = _select_headers(request.headers, _NOT_RELAYED)
+        headers.update(
+            self._signer.sign(request.method, path, headers, body, identity, hops=hops)
+        )
+        url = URL(f"{self._scheme}://{member.internal}{path}", encoded=True)
+        try:
+            return await self._session.request(
+                request.method,
+                url,
+                headers=headers,
+                data=body or None,
+                allow_redirects=False,
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise PeerError(
+                f"no connection to node {member.name} at {member.internal}: {exc}; "
+                "repeat the request"
+            ) from exc
+        except aiohttp.ClientError as exc:
+            raise _make_broken_error(request, member) from exc
+
+    async def _stream(
+        self,
+        request: web.Request,
+        answer: aiohttp.ClientResponse,
+        response: web.StreamResponse,
+    ) -> None:
+        await response.prepare(request)
+        while True:
+            try:
+                # Joins the chunks that have arrived together into one write.
+                chunk = await answer.content.readany()
+            except aiohttp.ClientError as exc:
+                _LOG.warning("the answer of %s broke off: %s", answer.url.host, exc)
+                _end_connection(request)
+                return
+            if not chunk:
+                return
+            try:
+                async with asyncio.timeout(self._write_timeout) as scope:
+                    await response.write(chunk)
+            except ConnectionResetError:
+                # The caller has gone; the owner completes the request.
+                return
+            except TimeoutError:
+                if not scope.expired():
+                    raise
+                _abort_connection(request)
+                return
+
+
+def make_ssl_context(tls: Tls, *, server: bool) -> ssl.SSLContext:
+    """Return a context that requires certificates of the authority on both sides.
+
+    Raises
+    ------
+    PeerError
+        A file of ``tls`` cannot be read or used.
+    """
+    purpose = ssl.Purpose.CLIENT_AUTH if server else ssl.Purpose.SERVER_AUTH
+    try:
+        context = ssl.create_default_context(purpose, cafile=tls.authority)
+        context.load_cert_chain(tls.certificate, tls.private_key)
+    except (OSError, ssl.SSLError) as exc:
+        raise PeerError(f"the files of tls cannot be used: {exc}") from exc
+    context.verify_mode = ssl.CERT_REQUIRED
+    return context
+
+
+def _make_socket(info: aiohttp.AddrInfoType) -> socket.socket:
+    family, kind, protocol, _, _ = info
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _SILENCE_TIMEOUT)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _SILENCE_TIMEOUT * 1000
+    )
+    return sock
+
+
+def _count_hops(request: web.Request) -> int:
+    # A caller may send anything; only a number of a node can stop a request.
+    text = request.headers.get(HOPS_HEADER, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _select_headers(
+    headers: Mapping[str, str], dropped: frozenset[str]
+) -> CIMultiDict[str]:
+    named = headers.get(hdrs.CONNECTION, "").lower().split(",")
+    dropped = dropped.union(name.strip() for name in named)
+    return CIMultiDict(
+        (name, value)
+        for name, value in headers.items()
+        if name.lower() not in dropped and not name.lower().startswith("x-firefly-")
+    )
+
+
+def _make_response(answer: aiohttp.ClientResponse) -> web.StreamResponse:
+    headers = _select_headers(answer.headers, _HOP_BY_HOP)
+    return web.StreamResponse(
+        status=answer.status, reason=answer.reason, headers=headers
+    )
+
+
+def _make_broken_error(request: web.Request, member: Member) -> PeerError:
+    if request.method in _READING_METHODS:
+        outcome, remedy = Outcome.NOT_RUN, "repeat the request"
+    else:
+        outcome, remedy = Outcome.MAY_HAVE_RUN, "look up its outcome before repeating"
+    return PeerError(
+        f"the connection to node {member.name} broke before the answer; {remedy}",
+        outcome=outcome,
+    )
+
+
+def _end_connection(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.close()
+
+
+def _abort_connection(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- /dev/null
+++ b/tests/nodes/test_relay.py
@@ -0,0 +1,272 @@
+"""A relayed request behaves as if the caller had asked the owner."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+import aiohttp
+import pytest
+import pytest_asyncio
+from aiohttp import web
+from aiohttp.test_utils import TestServer
+
+from fireflyspread.clock import ManualClock
+from fireflyspread.exceptions import Outcome, PeerError
+from fireflyspread.nodes import Identity, Relay, RequestSigner
+from fireflyspread.recovery import Member
+
+CALLER = Identity(team="scans", key_digest="ab" * 32)
+GONE = "127.0.0.1:1"
+
+Handle = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Pair:
+    """An entry node that relays everything to an owner, and a caller.
+
+    Attributes
+    ----------
+    handle : callable
+        Behaviour of the owner.
+    errors : list of PeerError
+        What ``Relay.forward`` raised.
+    """
+
+    def __init__(self) -> None:
+        self.signer = RequestSigner(
+            "0123456789abcdef", node="entry-1", clock=ManualClock()
+        )
+        self.relay = Relay(self.signer, write_timeout=30.0)
+        self.handle: Handle | None = None
+        self.errors: list[PeerError] = []
+        self.internal: str | None = None
+        self.session = aiohttp.ClientSession()
+
+    async def start(self) -> None:
+        self.owner = TestServer(make_app(self._own), skip_url_asserts=True)
+        self.entry = TestServer(make_app(self._relay), skip_url_asserts=True)
+        await self.owner.start_server()
+        await self.entry.start_server()
+        self.url = f"http://127.0.0.1:{self.entry.port}"
+
+    async def stop(self) -> None:
+        await self.session.close()
+        await self.relay.close()
+        await self.entry.close()
+        await self.owner.close()
+
+    @property
+    def member(self) -> Member:
+        return Member(
+            name="entry-2",
+            incarnation="entry-2.1",
+            zone="a",
+            vm="vm-2",
+            internal=self.internal or f"127.0.0.1:{self.owner.port}",
+            peers="",
+        )
+
+    async def _own(self, request: web.Request) -> web.StreamResponse:
+        assert self.handle is not None
+        return await self.handle(request)
+
+    async def _relay(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        try:
+            return await self.relay.forward(request, body, self.member, CALLER)
+        except PeerError as exc:
+            self.errors.append(exc)
+            return web.json_response({"outcome": exc.outcome}, status=exc.status)
+
+
+def make_app(handle: Handle) -> web.Application:
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", handle)
+    return app
+
+
+@pytest_asyncio.fixture
+async def pair() -> AsyncIterator[Pair]:
+    pair = Pair()
+    await pair.start()
+    yield pair
+    await pair.stop()
+
+
+async def break_connection(request: web.Request) -> web.StreamResponse:
+    assert request.transport is not None
+    request.transport.abort()
+    return web.Response()
+
+
+class TestForward:
+    """Relay.forward."""
+
+    async def test_passes_request_and_answer(self, pair: Pair) -> None:
+        """The owner must see the caller's request, but not the caller's key."""
+        seen: list[web.Request] = []
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            body = await request.read()
+            pair.signer.check(
+                request.method, request.rel_url.raw_path_qs, request.headers, body
+            )
+            seen.append(request)
+            return web.Response(status=402, body=body, headers={"X-Turn": "3"})
+
+        pair.handle = handle
+        headers = {"Authorization": "Bearer secret", "X-Firefly-Team": "other"}
+        async with pair.session.post(
+            f"{pair.url}/v1/a%2Fb?q=%20x", data=b"scan", headers=headers
+        ) as answer:
+            assert (answer.status, answer.headers["X-Turn"]) == (402, "3")
+            assert await answer.read() == b"scan"
+        assert seen[0].headers.getall("X-Firefly-Team") == ["scans"]
+        assert "Authorization" not in seen[0].headers
+        assert seen[0].raw_path == "/v1/a%2Fb?q=%20x"
+
+    async def test_streams(self, pair: Pair) -> None:
+        """A chunk must reach the caller before the answer is complete."""
+        received = asyncio.Event()
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse()
+            await response.prepare(request)
+            await response.write(b"first")
+            await received.wait()
+            await response.write(b"second")
+            return response
+
+        pair.handle = handle
+        async with pair.session.post(pair.url) as answer:
+            assert await answer.content.readexactly(5) == b"first"
+            received.set()
+            assert await answer.read() == b"second"
+
+    async def test_slow_caller_slows_the_owner(self, pair: Pair) -> None:
+        """A caller that does not read must not fill the memory of the entry node."""
+        sent = 0
+        stalled = asyncio.Event()
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            nonlocal sent
+            response = web.StreamResponse()
+            await response.prepare(request)
+            for _ in range(1000):
+                try:
+                    async with asyncio.timeout(2.0):
+                        await response.write(bytes(1 << 16))
+                except TimeoutError:
+                    break
+                sent += 1
+            stalled.set()
+            return response
+
+        pair.handle = handle
+        async with pair.session.post(pair.url):
+            await stalled.wait()
+        assert sent < 1000
+
+    async def test_stalled_caller_is_disconnected(self, pair: Pair) -> None:
+        """A caller that never reads must not hold buffers and connections."""
+        ended = asyncio.Event()
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse()
+            await response.prepare(request)
+            try:
+                while True:
+                    await response.write(bytes(1 << 16))
+            finally:
+                ended.set()
+
+        pair.handle = handle
+        await pair.relay.close()
+        pair.relay = Relay(pair.signer, write_timeout=0.1)
+        async with pair.session.post(pair.url) as answer:
+            await ended.wait()
+            with pytest.raises(aiohttp.ClientError):
+                await answer.read()
+
+    async def test_no_connection(self, pair: Pair) -> None:
+        """A refused connection ran nothing, so the caller may repeat at once."""
+        pair.internal = GONE
+        async with pair.session.post(pair.url) as answer:
+            assert answer.status == 503
+        assert pair.errors[0].outcome is Outcome.NOT_RUN
+
+    @pytest.mark.parametrize(
+        ("method", "outcome"),
+        [("GET", Outcome.NOT_RUN), ("POST", Outcome.MAY_HAVE_RUN)],
+    )
+    async def test_broken_before_answer(
+        self, pair: Pair, method: str, outcome: Outcome
+    ) -> None:
+        """A request that was sent must not be reported as not run."""
+        pair.handle = break_connection
+        async with pair.session.request(method, pair.url) as answer:
+            assert answer.status == 503
+        assert pair.errors[0].outcome is outcome
+
+    async def test_broken_mid_stream(self, pair: Pair) -> None:
+        """A partial answer must not look like a whole one."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse()
+            await response.prepare(request)
+            await response.write(b"first")
+            return await break_connection(request)
+
+        pair.handle = handle
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with pair.session.post(pair.url) as answer:
+                await answer.read()
+
+    async def test_hop_limit(self, pair: Pair) -> None:
+        """Nodes that disagree on the owner must not pass a request in a circle."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            body = await request.read()
+            try:
+                return await pair.relay.forward(request, body, pair.member, CALLER)
+            except PeerError as exc:
+                pair.errors.append(exc)
+                return web.Response(status=exc.status)
+
+        pair.handle = handle
+        async with pair.session.post(pair.url) as answer:
+            assert answer.status == 503
+        assert [error.outcome for error in pair.errors] == [Outcome.NOT_RUN]
+
+    @pytest.mark.parametrize("started", [False, True])
+    async def test_abandon(self, pair: Pair, started: bool) -> None:
+        """Callers must not wait for a paused node that has been removed."""
+        arrived = asyncio.Event()
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse()
+            if started:
+                await response.prepare(request)
+                await response.write(b"first")
+            arrived.set()
+            await asyncio.Event().wait()
+            return response
+
+        async def call() -> int:
+            async with pair.session.post(pair.url) as answer:
+                if started:
+                    await answer.content.readexactly(5)
+                    first.set()
+                await answer.read()
+                return answer.status
+
+        pair.handle = handle
+        first = asyncio.Event()
+        task = asyncio.create_task(call())
+        await (first.wait() if started else arrived.wait())
+        pair.relay.abandon(pair.member)
+        if started:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await task
+        else:
+            assert await task == 503
+            assert pair.errors[0].outcome is Outcome.MAY_HAVE_RUN
