Use one identity type between nodes and callers, and relay calls of programs

Cause: two identity classes; a program's non-idempotent call had no way to the owner of its intent. Change: Relay.call; callers use nodes.Identity; relayed requests are checked by RequestSigner and their key again by the bundle in force. Conclusion: the request path is complete once the daemon is wired.

--- a/src/fireflyspread/callers/_api.py
+++ b/src/fireflyspread/callers/_api.py
@@ -9,13 +9,13 @@
 from fireflyspread.callers._bodies import ChatBody, decode_body, read_body
 from fireflyspread.callers._call_handlers import CallHandlers
 from fireflyspread.callers._context import Context
-from fireflyspread.callers._identity import Identity
 from fireflyspread.callers._owners import relay_unless_owned
 from fireflyspread.callers._programs import ProgramHandlers
 from fireflyspread.callers._remote import find_intent_slot
 from fireflyspread.callers._responses import handle_errors, make_json_response
 from fireflyspread.callers._turn_handlers import TurnHandlers
 from fireflyspread.exceptions import AuthenticationError, NoAuthorityError
+from fireflyspread.nodes import Identity
 from fireflyspread.recovery import find_slot
 
 __all__ = ["CallerApi"]
@@ -144,13 +144,16 @@
             raise
 
     def _identify_relayed(self, request: web.Request, body: bytes) -> Identity:
-        team, key_digest = self._context.relay.verify(request, body)
-        if not key_digest:
-            return Identity(team="", key_digest="")
-        identity = self._context.authenticator.confirm(key_digest)
-        if identity.team != team:
+        relayed = self._context.signer.check(
+            request.method, request.rel_url.raw_path_qs, request.headers, body
+        )
+        if not relayed.key_digest:
+            return relayed
+        # The key is checked again: it may have been withdrawn in a newer bundle.
+        confirmed = self._context.authenticator.confirm(relayed.key_digest)
+        if confirmed.team != relayed.team:
             raise AuthenticationError("the key belongs to another team now")
-        return identity
+        return relayed
 
     def _find_intent(self, request: web.Request, identity: Identity) -> int | None:
         route = self._context.bundles.get_active().routes.get(
--- a/src/fireflyspread/callers/_call_handlers.py
+++ b/src/fireflyspread/callers/_call_handlers.py
@@ -8,9 +8,9 @@
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._deadlines import read_deadline
-from fireflyspread.callers._identity import Identity
 from fireflyspread.callers._remote import call_through_owner
 from fireflyspread.callers._turn_handlers import find_program
+from fireflyspread.nodes import Identity
 from fireflyspread.programs import Program, RunningTurn, StepKind, compute_digest
 from fireflyspread.recovery import TurnRecorded
 from fireflyspread.tools import ServiceAnswer
--- a/src/fireflyspread/callers/_calls.py
+++ b/src/fireflyspread/callers/_calls.py
@@ -9,7 +9,6 @@
 from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
-from fireflyspread.callers._identity import Identity
 from fireflyspread.exceptions import (
     DeadlineError,
     FireflyError,
@@ -22,6 +21,7 @@
     TargetError,
     TargetUnreachableError,
 )
+from fireflyspread.nodes import Identity
 from fireflyspread.programs import compute_digest
 from fireflyspread.recovery import IntentDeclared, OutcomeRecorded
 from fireflyspread.routing import Result, Ticket, Work
--- a/src/fireflyspread/callers/_context.py
+++ b/src/fireflyspread/callers/_context.py
@@ -7,10 +7,10 @@
 from fireflyspread.callers._identity import Authenticator
 from fireflyspread.callers._keys import KeyGuard
 from fireflyspread.clock import Clock
-from fireflyspread.engines import Engine
+from fireflyspread.engines import Engine, SessionReleaser
 from fireflyspread.limits import RateLimiter
 from fireflyspread.metrics import Metrics
-from fireflyspread.nodes import FenceGuard, Relay
+from fireflyspread.nodes import FenceGuard, Relay, RequestSigner
 from fireflyspread.programs import IntentTable, ProgramTable
 from fireflyspread.recovery import Ownership
 from fireflyspread.routing import Scheduler
@@ -38,4 +38,6 @@
     services: ReplicaPool[Service]
     fences: FenceGuard
     relay: Relay
+    signer: RequestSigner
+    sessions: SessionReleaser
     metrics: Metrics = field(factory=Metrics)
--- a/src/fireflyspread/callers/_identity.py
+++ b/src/fireflyspread/callers/_identity.py
@@ -1,32 +1,16 @@
-"""Who sent a request."""
+"""Finds out who sent a request."""
 
-from attrs import frozen
 from multidict import CIMultiDictProxy
 
 from fireflyspread.bundle import BundleHolder, hash_key
 from fireflyspread.exceptions import AuthenticationError
+from fireflyspread.nodes import Identity
 
-__all__ = ["Authenticator", "Identity"]
+__all__ = ["Authenticator"]
 
 _SCHEME = "bearer "
 
 
-@frozen
-class Identity:
-    """Team of a caller and the digest of the key it presented.
-
-    Both are empty on a route open to all that was called without a key.
-    """
-
-    team: str
-    key_digest: str
-
-    @property
-    def is_anonymous(self) -> bool:
-        """Whether no key was presented."""
-        return not self.key_digest
-
-
 class Authenticator:
     """Finds the team of a key in the bundle in force."""
 
--- a/src/fireflyspread/callers/_keys.py
+++ b/src/fireflyspread/callers/_keys.py
@@ -5,8 +5,8 @@
 from contextlib import contextmanager
 
 from fireflyspread.bundle import ActiveBundle
-from fireflyspread.callers._identity import Identity
 from fireflyspread.exceptions import FireflyError, KeyWithdrawnError, NoAuthorityError
+from fireflyspread.nodes import Identity
 
 __all__ = ["KeyGuard"]
 
@@ -50,7 +50,7 @@
     def apply(self, bundle: ActiveBundle) -> None:
         """End the requests whose key is not in ``bundle``."""
         for task, identity in list(self._running.items()):
-            if identity.is_anonymous:
+            if not identity.key_digest:
                 continue
             if bundle.keys.get(identity.key_digest) != identity.team:
                 self._stop(
--- a/src/fireflyspread/callers/_owners.py
+++ b/src/fireflyspread/callers/_owners.py
@@ -3,8 +3,8 @@
 from aiohttp import web
 
 from fireflyspread.callers._context import Context
-from fireflyspread.callers._identity import Identity
 from fireflyspread.exceptions import NoAuthorityError
+from fireflyspread.nodes import Identity
 
 __all__ = ["relay_unless_owned"]
 
--- a/src/fireflyspread/callers/_programs.py
+++ b/src/fireflyspread/callers/_programs.py
@@ -11,10 +11,10 @@
 )
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
-from fireflyspread.callers._identity import Identity
 from fireflyspread.callers._responses import make_json_response
 from fireflyspread.callers._turn_handlers import TurnHandlers, find_program
 from fireflyspread.exceptions import DrainingError, ProgramEndedError, RequestError
+from fireflyspread.nodes import Identity
 from fireflyspread.programs import Program
 from fireflyspread.recovery import Durability, ProgramEnded, ProgramOpened, find_slot
 
--- a/src/fireflyspread/callers/_remote.py
+++ b/src/fireflyspread/callers/_remote.py
@@ -78,7 +78,12 @@
     }
     path = f"/v1/services/{call.route.name}"
     answer = await context.relay.call(
-        owner, path, headers=headers, body=call.body, identity=call.identity
+        owner,
+        path,
+        headers=headers,
+        body=call.body,
+        identity=call.identity,
+        timeout=max(0.001, left),
     )
     if answer.is_error:
         detail = msgspec.json.decode(answer.body, type=_ErrorBody).error
--- a/src/fireflyspread/callers/_responses.py
+++ b/src/fireflyspread/callers/_responses.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from fireflyspread.exceptions import FireflyError, Outcome
+from fireflyspread.nodes import OUTCOME_HEADER
 
 __all__ = ["EventWriter", "handle_errors", "make_error_body", "make_json_response"]
 
@@ -43,7 +44,7 @@
 
 def _make_error_response(error: FireflyError) -> web.Response:
     response = make_json_response(make_error_body(error), status=error.status)
-    response.headers["X-Outcome"] = error.outcome.value
+    response.headers[OUTCOME_HEADER] = error.outcome.value
     if error.retry_after is not None:
         response.headers["Retry-After"] = str(max(1, math.ceil(error.retry_after)))
     return response
--- a/src/fireflyspread/callers/_turn_handlers.py
+++ b/src/fireflyspread/callers/_turn_handlers.py
@@ -18,10 +18,10 @@
 )
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._deadlines import read_deadline
-from fireflyspread.callers._identity import Identity
 from fireflyspread.callers._responses import EventWriter, make_json_response
 from fireflyspread.callers._turns import TurnRunner, TurnSpec
 from fireflyspread.exceptions import FireflyError, NotFoundError, RequestError
+from fireflyspread.nodes import Identity
 from fireflyspread.programs import Program, RunningTurn, StepKind, compute_digest
 from fireflyspread.recovery import TurnRecorded
 
--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -21,7 +21,12 @@
     encode_message,
 )
 from fireflyspread.nodes._peers import PeerClient, PeerServer
-from fireflyspread.nodes._relay import Relay, make_ssl_context
+from fireflyspread.nodes._relay import (
+    OUTCOME_HEADER,
+    Relay,
+    RelayAnswer,
+    make_ssl_context,
+)
 from fireflyspread.nodes._signature import HOPS_HEADER, Identity, RequestSigner
 
 __all__ = [
@@ -42,7 +47,9 @@
     "PeerServer",
     "RecordsHeld",
     "RecordsTaken",
+    "OUTCOME_HEADER",
     "Relay",
+    "RelayAnswer",
     "RenewAuthority",
     "RequestSigner",
     "TakeRecords",
--- a/src/fireflyspread/nodes/_relay.py
+++ b/src/fireflyspread/nodes/_relay.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from aiohttp import hdrs, web
+from attrs import frozen
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -18,7 +19,10 @@
 from fireflyspread.recovery import Member
 from fireflyspread.settings import Settings, Tls
 
-__all__ = ["Relay", "make_ssl_context"]
+__all__ = ["OUTCOME_HEADER", "Relay", "RelayAnswer", "make_ssl_context"]
+
+# Set on the errors of a node, never on what a target answered.
+OUTCOME_HEADER = "X-Outcome"
 
 _LOG = logging.getLogger(__name__)
 
@@ -51,6 +55,22 @@
 _READING_METHODS = frozenset({hdrs.METH_GET, hdrs.METH_HEAD})
 
 
+@frozen(kw_only=True)
+class RelayAnswer:
+    """Whole answer of another node.
+
+    Attributes
+    ----------
+    is_error : bool
+        Whether the node itself refused the request, rather than a target.
+    """
+
+    status: int
+    content_type: str
+    body: bytes
+    is_error: bool
+
+
 class Relay:
     """Passes caller requests to the owner's internal address.
 
@@ -132,6 +152,57 @@
             _end_connection(request)
         return response
 
+    async def call(
+        self,
+        member: Member,
+        path: str,
+        *,
+        headers: Mapping[str, str],
+        body: bytes,
+        identity: Identity,
+        timeout: float,
+    ) -> "RelayAnswer":
+        """Send a request of this node's own to ``member`` and return the whole answer.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds for the whole answer.
+
+        Raises
+        ------
+        PeerError
+            No answer came; the outcome tells whether the request may have run.
+        """
+        signed = self._signer.sign("POST", path, headers, body, identity, hops=1)
+        url = URL(f"{self._scheme}://{member.internal}{path}", encoded=True)
+        try:
+            async with self._session.post(
+                url,
+                headers={**headers, **signed},
+                data=body,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout, sock_connect=_CONNECT_TIMEOUT
+                ),
+            ) as answer:
+                return RelayAnswer(
+                    status=answer.status,
+                    content_type=answer.headers.get(hdrs.CONTENT_TYPE, ""),
+                    body=await answer.read(),
+                    is_error=OUTCOME_HEADER in answer.headers,
+                )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
+            raise PeerError(
+                f"no connection to node {member.name}: {exc}; repeat the request"
+            ) from exc
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise PeerError(
+                f"node {member.name} did not answer; repeat the request with the "
+                "same idempotency key",
+                outcome=Outcome.MAY_HAVE_RUN,
+            ) from exc
+
     def abandon(self, member: Member) -> None:
         """Break what is being relayed to a member that has been removed.
 
--- a/tests/programs/test_program.py
+++ b/tests/programs/test_program.py
@@ -94,7 +94,7 @@
             budget.fit_answer(100, 1)
 
     def test_charges_a_failed_turn(self) -> None:
-        """Tokens of a turn that broke off count, so retries cannot exceed the budget."""
+        """Tokens of a broken turn count, so retries cannot exceed the budget."""
         program = Program.from_record(make_opened(budget=100))
         program.budget.start(80)
         program.apply(
