--- /dev/null
+++ b/src/fireflyspread/routing/_isolation.py
@@ -0,0 +1,80 @@
+"""Runs suspected requests alone on a replica."""
+
+from collections.abc import Sequence
+
+from fireflyspread.routing._placement import ReplicaState
+from fireflyspread.routing._quarantine import Quarantine
+from fireflyspread.routing._scheduler import Work
+from fireflyspread.routing._target import TargetState
+
+__all__ = ["Isolation"]
+
+
+class Isolation:
+    """Empties replicas for suspects.
+
+    Of one fingerprint, only one request runs or waits for a replica to become empty;
+    a request that crashes replicas and is sent many times at once would otherwise
+    crash as many replicas.
+
+    Parameters
+    ----------
+    quarantine : Quarantine
+        Says on which replicas a suspect has crashed already. Another replica is
+        preferred, because two different ones are needed to convict.
+    max_fraction : float
+        Part of the replicas of a target that may be taken by suspects.
+    """
+
+    def __init__(self, quarantine: Quarantine, *, max_fraction: float = 0.34) -> None:
+        self._quarantine = quarantine
+        self._max_fraction = max_fraction
+        self._requests: dict[str, str] = {}
+
+    def place(
+        self, work: Work, state: TargetState, usable: Sequence[ReplicaState]
+    ) -> ReplicaState | None:
+        """Return an empty replica, or reserve one and return None."""
+        if self._requests.get(work.fingerprint, work.request) != work.request:
+            return None
+        reserved = list(state.iterate_reserved())
+        for replica in reserved:
+            if replica.reserved_for == work.request:
+                if replica in usable:
+                    return replica if replica.running == 0 else None
+                replica.reserved_for = None
+                reserved.remove(replica)
+                break
+        if len(reserved) >= max(1, int(self._max_fraction * len(state.replicas))):
+            return None
+        chosen = self._choose(work, state, usable)
+        if chosen is None:
+            return None
+        chosen.reserved_for = work.request
+        self._requests[work.fingerprint] = work.request
+        return chosen if chosen.running == 0 else None
+
+    def _choose(
+        self, work: Work, state: TargetState, usable: Sequence[ReplicaState]
+    ) -> ReplicaState | None:
+        free = [
+            replica
+            for replica in usable
+            if replica.alone is None
+            and replica.reserved_for is None
+            and state.health.may_use(replica.replica.name)
+        ]
+        crashed = self._quarantine.get_crashed(work.fingerprint)
+        free = [r for r in free if r.replica.name not in crashed] or free
+        return min(free, key=lambda replica: replica.running, default=None)
+
+    def forget(self, work: Work, state: TargetState) -> None:
+        """End the reservation of a request that does not wait or run any more."""
+        if self._requests.get(work.fingerprint) != work.request:
+            return
+        del self._requests[work.fingerprint]
+        for replica in state.iterate_reserved():
+            if replica.reserved_for == work.request:
+                replica.reserved_for = None
+            if replica.alone == work.request:
+                replica.alone = None
--- /dev/null
+++ b/src/fireflyspread/routing/_target.py
@@ -0,0 +1,147 @@
+"""The state of one target in the scheduler."""
+
+from collections.abc import Iterator
+from typing import Any
+
+from fireflyspread.bundle import Target
+from fireflyspread.clock import Clock
+from fireflyspread.routing._deadlines import WaitEstimator
+from fireflyspread.routing._health import ReplicaHealth
+from fireflyspread.routing._placement import ReplicaState
+from fireflyspread.routing._queue import Queue
+from fireflyspread.routing._scheduler import LoadReport, Result, Work
+
+__all__ = ["TargetState"]
+
+# Weight of the newest request in the mean time of a replica.
+_SMOOTHING = 0.1
+
+
+class TargetState:
+    """Queue, replicas and statistics of one target.
+
+    Parameters
+    ----------
+    report_ttl : float
+        Seconds after which a load report is not used any more.
+    """
+
+    def __init__(
+        self,
+        target: Target,
+        clock: Clock,
+        queue: Queue,
+        health: ReplicaHealth,
+        *,
+        report_ttl: float,
+    ) -> None:
+        self.target = target
+        self.queue = queue
+        self.health = health
+        self.wait = WaitEstimator()
+        self.replicas: dict[str, ReplicaState] = {}
+        self._clock = clock
+        self._report_ttl = report_ttl
+        self.update(target)
+
+    def update(self, target: Target) -> None:
+        """Take over the replicas and the concurrency of ``target``."""
+        self.target = target
+        known = self.replicas
+        self.replicas = {}
+        for replica in target.replicas:
+            state = known.get(replica.name)
+            if state is None or state.replica.url != replica.url:
+                state = ReplicaState(replica=replica, concurrency=target.concurrency)
+            state.replica, state.concurrency = replica, target.concurrency
+            self.replicas[replica.name] = state
+        self.health.set_replicas(self.replicas)
+
+    def list_usable(self, leaving: frozenset[str]) -> list[ReplicaState]:
+        """Return the replicas whose VM is not leaving."""
+        return [s for s in self.replicas.values() if s.replica.vm not in leaving]
+
+    def list_free(
+        self, usable: list[ReplicaState], guaranteed: int
+    ) -> list[ReplicaState]:
+        """Return the replicas of ``usable`` that take a request now."""
+        return [
+            state
+            for state in usable
+            if state.alone is None
+            and state.reserved_for is None
+            and not self._is_full(state, guaranteed)
+            and self.health.may_use(state.replica.name)
+        ]
+
+    def _is_full(self, state: ReplicaState, guaranteed: int) -> bool:
+        report = state.report
+        if report is not None:
+            age = self._clock.read_monotonic() - report.received_at
+            if age > self._report_ttl:
+                state.report = None
+        return state.is_full(guaranteed)
+
+    def take_report(self, name: str, report: LoadReport) -> bool:
+        """Store a load report; return whether the replica is of this target."""
+        state = self.replicas.get(name)
+        if state is None:
+            return False
+        if state.report is None or report.received_at >= state.report.received_at:
+            state.report = report
+            state.running_at_report = state.running
+        return True
+
+    def count_places(self, leaving: frozenset[str]) -> int:
+        """Return how many requests of this node run at once.
+
+        When requests wait, that is what runs now, because the rest of the places is
+        taken by other nodes.
+        """
+        running = sum(state.running for state in self.replicas.values())
+        if len(self.queue) and running:
+            return running
+        return sum(
+            state.concurrency
+            for state in self.replicas.values()
+            if state.replica.vm not in leaving
+        )
+
+    def record(
+        self, replica: ReplicaState, work: Work, result: Result, seconds: float
+    ) -> None:
+        """Learn from a request that ended."""
+        cost = work.cost
+        if work.holder == replica.replica.name:
+            cost -= work.prefix_tokens
+        self.health.record(replica.replica.name, result, seconds / max(cost, 1.0))
+        if result is Result.ANSWERED:
+            self.wait.record(work.cost, seconds)
+            if replica.service_seconds == 0.0:
+                replica.service_seconds = seconds
+            replica.service_seconds += _SMOOTHING * (seconds - replica.service_seconds)
+
+    def iterate_reserved(self) -> Iterator[ReplicaState]:
+        """Iterate over the replicas that are emptied or used by a suspect."""
+        for state in self.replicas.values():
+            if state.reserved_for is not None or state.alone is not None:
+                yield state
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state as JSON types."""
+        return {
+            "queued": len(self.queue),
+            "seconds_per_cost": self.wait.seconds_per_cost,
+            "ejected": list(self.health.list_ejected()),
+            "replicas": {
+                name: {
+                    "running": state.running,
+                    "load": state.estimate_load(),
+                    "cache_pressure": round(state.get_cache_pressure(), 3),
+                    "service_seconds": round(state.service_seconds, 3),
+                    "alone": state.alone,
+                    "reserved_for": state.reserved_for,
+                }
+                for name, state in self.replicas.items()
+            },
+        }
