--- a/src/fireflyspread/settings.py
+++ b/src/fireflyspread/settings.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "Address",
+    "Advertise",
     "Limits",
     "Listen",
     "Logging",
@@ -79,6 +80,18 @@
     operators: Address
 
 
+@frozen(kw_only=True)
+class Advertise:
+    """Addresses under which other nodes reach this one, where they differ.
+
+    A node that listens on all addresses, or that is reached through a translation of
+    addresses, cannot be reached at the address that it listens on.
+    """
+
+    internal: Address | None = None
+    peers: Address | None = None
+
+
 @frozen(kw_only=True)
 class Platform:
     """Base URLs of the platform's services."""
@@ -146,10 +159,21 @@
     data_folder: str | None = None
     statsd: Address | None = None
     tls: Tls | None = None
+    advertise: Advertise = field(factory=Advertise)
     timing: Timing = field(factory=Timing)
     limits: Limits = field(factory=Limits)
     logging: Logging = field(factory=Logging)
 
+    @property
+    def internal_address(self) -> Address:
+        """Address at which other nodes send relayed calls."""
+        return self.advertise.internal or self.listen.internal
+
+    @property
+    def peers_address(self) -> Address:
+        """Address at which other nodes send messages."""
+        return self.advertise.peers or self.listen.peers
+
     @classmethod
     def from_file(cls, path: str | Path) -> "Settings":
         """Read and check a JSON settings file.
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -36,3 +36,10 @@
         listen = {**CONFIG["listen"], "callers": "localhost:8000"}
         with pytest.raises(SettingsError, match="IP number"):
             Settings.from_config({**CONFIG, "listen": listen})
+
+    def test_advertised_address_wins(self) -> None:
+        """Other nodes are told the advertised address, not one they cannot reach."""
+        advertise = {"peers": "127.0.0.1:9002"}
+        settings = Settings.from_config({**CONFIG, "advertise": advertise})
+        assert str(settings.peers_address) == "127.0.0.1:9002"
+        assert str(settings.internal_address) == "127.0.0.1:8001"
