--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -1,5 +1,6 @@
 """Messages between nodes."""
 
+from fireflyspread.nodes._greetings import Greeter, find_neighbours
 from fireflyspread.nodes._messages import (
     MESSAGE_VERSION,
     AcquireTokens,
@@ -39,6 +40,7 @@
     "FenceConfirmed",
     "FetchBundle",
     "Hello",
+    "Greeter",
     "HOPS_HEADER",
     "HoldRecords",
     "Identity",
@@ -56,5 +58,6 @@
     "TokensGranted",
     "decode_message",
     "encode_message",
+    "find_neighbours",
     "make_ssl_context",
 ]
