Add the administration API

Operators draft, approve and roll bundles, withdraw keys, see which members have confirmed a version, and list or end the programs of a node. Every request needs an operator's key, which the node knows only by its digest; every error says whether the request ran. Logs carry the operator, digest and version of a change.

--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -7,9 +7,26 @@
 
 from fireflyspread.settings import Logging
 
-__all__ = ["configure_logging"]
+__all__ = ["JsonFormatter", "TextFormatter", "configure_logging"]
 
-_FIELDS = ("request", "program", "team", "node", "target", "replica", "version")
+_FIELDS = (
+    "request",
+    "program",
+    "team",
+    "node",
+    "zone",
+    "target",
+    "replica",
+    "route",
+    "version",
+    "operator",
+    "digest",
+    "code",
+)
+
+
+def _collect_fields(record: logging.LogRecord) -> dict[str, Any]:
+    return {name: record.__dict__[name] for name in _FIELDS if name in record.__dict__}
 
 
 class JsonFormatter(logging.Formatter):
@@ -21,22 +38,30 @@
             "level": record.levelname,
             "logger": record.name,
             "message": record.getMessage(),
+            **_collect_fields(record),
         }
-        for name in _FIELDS:
-            if name in record.__dict__:
-                entry[name] = record.__dict__[name]
         if record.exc_info:
             entry["error"] = self.formatException(record.exc_info)
-        return json.dumps(entry)
+        return json.dumps(entry, default=str)
+
+
+class TextFormatter(logging.Formatter):
+    """Text lines that end with the ids given as ``extra``."""
+
+    def __init__(self) -> None:
+        super().__init__("%(asctime)s %(levelname)s %(name)s %(message)s")
+
+    def formatMessage(self, record: logging.LogRecord) -> str:
+        fields = _collect_fields(record).items()
+        return " ".join(
+            [super().formatMessage(record), *(f"{k}={v}" for k, v in fields)]
+        )
 
 
 def configure_logging(settings: Logging) -> None:
     """Send all logs to standard error in the configured format."""
     handler = logging.StreamHandler(sys.stderr)
-    if settings.format == "json":
-        handler.setFormatter(JsonFormatter())
-    else:
-        handler.setFormatter(
-            logging.Formatter("%(asctime)s %(levelname)s %(name)s %(message)s")
-        )
+    handler.setFormatter(
+        JsonFormatter() if settings.format == "json" else TextFormatter()
+    )
     logging.basicConfig(level=settings.level, handlers=[handler], force=True)
--- /dev/null
+++ b/src/fireflyspread/operators/_authentication.py
@@ -0,0 +1,50 @@
+"""Operators' keys."""
+
+import hashlib
+import hmac
+from collections.abc import Mapping
+
+from fireflyspread.exceptions import AuthenticationError
+
+__all__ = ["OperatorKeys"]
+
+
+class OperatorKeys:
+    """Finds the operator that a key belongs to.
+
+    Parameters
+    ----------
+    digests : mapping of str to str
+        SHA-256 digest of the key of each operator, by the operator's name.
+    """
+
+    def __init__(self, digests: Mapping[str, str]) -> None:
+        self._digests = dict(digests)
+
+    def authenticate(self, header: str | None) -> str:
+        """Return the operator named by an ``Authorization`` header.
+
+        Raises
+        ------
+        AuthenticationError
+            The header is absent or malformed, or the key is unknown.
+        """
+        scheme, _, key = (header or "").partition(" ")
+        if scheme.lower() != "bearer" or not key.strip():
+            raise AuthenticationError(
+                "no operator key; send the header 'Authorization: Bearer <key>'"
+            )
+        # aiohttp decodes bytes of a header that are not UTF-8 to lone surrogates.
+        data = key.strip().encode("utf-8", "surrogateescape")
+        presented = hashlib.sha256(data).hexdigest()
+        found = ""
+        # All digests are compared, so that the time does not tell which one is near.
+        for operator, digest in self._digests.items():
+            if hmac.compare_digest(presented, digest):
+                found = operator
+        if not found:
+            raise AuthenticationError(
+                "the operator key is unknown; add its digest to operator_keys in the "
+                "settings of this node"
+            )
+        return found
--- /dev/null
+++ b/tests/operators/test_api.py
@@ -0,0 +1,230 @@
+"""The administration API over HTTP."""
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+from aiohttp import ClientSession
+from attrs import frozen
+
+from fireflyspread.operators import MemberVersion
+from tests.bundle.examples import KEY, make_bundle
+from tests.operators.admin_node import ANA_KEY, BEN_KEY, AdminNode
+
+
+@frozen
+class Caller:
+    """Client of one API."""
+
+    session: ClientSession
+    url: str
+
+    @property
+    def port(self) -> int:
+        """Port of the API."""
+        return int(self.url.rpartition(":")[2])
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: Any = None,
+        data: bytes | None = None,
+        key: str | None = ANA_KEY,
+    ) -> tuple[int, Any]:
+        """Return status and decoded body of one request."""
+        headers = {} if key is None else {"Authorization": f"Bearer {key}"}
+        async with self.session.request(
+            method, f"{self.url}/admin/v1{path}", json=body, data=data, headers=headers
+        ) as response:
+            return response.status, await response.json()
+
+    async def roll(self, data: bytes, version: int) -> str:
+        """Draft, approve and roll a bundle."""
+        _, draft = await self.call("POST", "/bundles", data=data)
+        path = f"/bundles/{draft['digest']}"
+        await self.call("POST", f"{path}/approvals")
+        body = {"expected_version": version}
+        status, answer = await self.call("POST", f"{path}/roll", body=body)
+        assert status == 200, answer
+        return draft["digest"]
+
+
+@pytest.fixture
+def node() -> AdminNode:
+    """A node with small bodies."""
+    return AdminNode(body_bytes=10_000)
+
+
+@pytest.fixture
+async def caller(node: AdminNode) -> AsyncIterator[Caller]:
+    """A client of the running API of ``node``."""
+    api = node.make_api()
+    await api.start()
+    async with ClientSession() as session:
+        yield Caller(session, f"http://{api.address}")
+    await api.stop()
+
+
+class TestAuthentication:
+    """Every request needs an operator's key."""
+
+    @pytest.mark.parametrize("key", [None, "wrong", KEY, "schlüssel"])
+    async def test_refuses_other_keys(self, caller: Caller, key: str | None) -> None:
+        """No key, an unknown key or a caller's key opens nothing."""
+        status, answer = await caller.call("GET", "/state", key=key)
+        assert (status, answer["code"]) == (401, "key_unknown")
+        assert "wrong" not in answer["message"]
+
+    async def test_refuses_bytes_that_are_no_text(self, caller: Caller) -> None:
+        """A header that is not UTF-8 is an unknown key, not a fault."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", caller.port)
+        writer.write(b"GET /admin/v1/state HTTP/1.1\r\nHost: x\r\n")
+        writer.write(b"Connection: close\r\nAuthorization: Bearer \xff\r\n\r\n")
+        assert b" 401 " in await reader.readline()
+        writer.close()
+
+    async def test_hides_unknown_paths(self, caller: Caller) -> None:
+        """Which paths exist is not told without a key."""
+        assert (await caller.call("GET", "/nothing", key=None))[0] == 401
+
+
+class TestErrors:
+    """Error responses."""
+
+    async def test_names_unknown_path(self, caller: Caller) -> None:
+        """An unknown path has the same error form as everything else."""
+        status, answer = await caller.call("GET", "/nothing")
+        assert status == 404
+        assert answer["code"] == "not_found" and answer["outcome"] == "not_run"
+
+    async def test_refuses_large_body(self, caller: Caller) -> None:
+        """A body beyond the limit is refused instead of being held in memory."""
+        status, answer = await caller.call("POST", "/bundles", data=b" " * 10_001)
+        assert (status, answer["code"]) == (413, "payload_too_large")
+
+    async def test_tells_when_to_retry(self, node: AdminNode, caller: Caller) -> None:
+        """While the store is down, the answer says when to come back."""
+        node.store.is_down = True
+        status, answer = await caller.call("GET", "/bundles/current")
+        assert (status, answer["code"]) == (503, "store_unavailable")
+        assert answer["retry_after"] == 1.0
+
+    async def test_hides_unexpected_error(
+        self, node: AdminNode, caller: Caller, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """A fault of the program does not claim that nothing ran."""
+        node.members = None  # type: ignore[assignment]
+        with caplog.at_level(logging.CRITICAL):
+            status, answer = await caller.call("GET", "/rollout")
+        assert (status, answer["outcome"]) == (500, "may_have_run")
+
+
+class TestBundles:
+    """Draft, approve, roll."""
+
+    async def test_rolls_approved_bundle(self, caller: Caller) -> None:
+        """The bundle in force is the one that was approved."""
+        assert (await caller.call("GET", "/bundles/current"))[0] == 404
+        digest = await caller.roll(make_bundle().to_json(), 0)
+        _, current = await caller.call("GET", "/bundles/current")
+        assert (current["version"], current["digest"]) == (1, digest)
+        assert current["rolled_by"] == "ana"
+        assert current["fences"] == {"matcher": 1, "quotes": 1}
+
+    async def test_shows_differences(self, caller: Caller) -> None:
+        """An approver sees what the bundle changes."""
+        await caller.roll(make_bundle().to_json(), 0)
+        data = make_bundle(half="south").to_json()
+        _, draft = await caller.call("POST", "/bundles", data=data)
+        _, shown = await caller.call("GET", f"/bundles/{draft['digest']}", key=BEN_KEY)
+        (change,) = shown["differences"]
+        assert change["changes_owner"] and shown["compared_with"] == 1
+        assert shown["bundle"]["targets"][1]["half"] == "south"
+
+    async def test_refuses_unapproved(self, caller: Caller) -> None:
+        """A draft alone cannot be rolled."""
+        data = make_bundle().to_json()
+        _, draft = await caller.call("POST", "/bundles", data=data)
+        path = f"/bundles/{draft['digest']}/roll"
+        status, answer = await caller.call("POST", path, body={"expected_version": 0})
+        assert (status, answer["code"]) == (409, "bundle_not_approved")
+
+    async def test_tells_loser_who_won(self, caller: Caller) -> None:
+        """A roll over an old version names the winner."""
+        digest = await caller.roll(make_bundle().to_json(), 0)
+        path = f"/bundles/{digest}/roll"
+        body = {"expected_version": 0}
+        status, answer = await caller.call("POST", path, body=body, key=BEN_KEY)
+        assert (status, answer["code"]) == (409, "bundle_conflict")
+        assert "ana rolled version 1" in answer["message"]
+
+    async def test_names_wrong_field(self, caller: Caller) -> None:
+        """A misspelt field of a roll request is refused by name."""
+        path = f"/bundles/{'0' * 64}/roll"
+        status, answer = await caller.call("POST", path, body={"expected": 0})
+        assert status == 400 and "expected" in answer["message"]
+
+    async def test_withdraws_key(self, caller: Caller) -> None:
+        """A withdrawn key is gone from the bundle in force."""
+        await caller.roll(make_bundle().to_json(), 0)
+        digest = make_bundle().keys[0].digest
+        status, roll = await caller.call("POST", f"/keys/{digest}/withdraw")
+        assert (status, roll["version"]) == (200, 2)
+        _, current = await caller.call("GET", "/bundles/current")
+        assert digest not in [key["digest"] for key in current["bundle"]["keys"]]
+
+    async def test_does_not_repeat_key(self, caller: Caller) -> None:
+        """A key sent by mistake instead of its digest is not repeated."""
+        status, answer = await caller.call("POST", f"/keys/{KEY}/withdraw")
+        assert status == 400 and KEY not in answer["message"]
+
+
+class TestRollout:
+    """GET /admin/v1/rollout."""
+
+    async def test_lists_missing_members(self, node: AdminNode, caller: Caller) -> None:
+        """A member that has not confirmed the version is shown as missing."""
+        await caller.roll(make_bundle().to_json(), 0)
+        node.members = [
+            MemberVersion(node="entry-1", zone="a", bundle_version=1, age=0.1),
+            MemberVersion(node="entry-2", zone="b", bundle_version=0),
+        ]
+        _, answer = await caller.call("GET", "/rollout")
+        assert [m["node"] for m in answer["confirmed"]] == ["entry-1"]
+        assert [m["node"] for m in answer["missing"]] == ["entry-2"]
+
+    async def test_answers_while_store_is_down(
+        self, node: AdminNode, caller: Caller
+    ) -> None:
+        """During an outage the newest version of the members counts."""
+        node.members = [MemberVersion(node="entry-1", zone="a", bundle_version=4)]
+        node.store.is_down = True
+        _, answer = await caller.call("GET", "/rollout")
+        assert (answer["version"], answer["is_store_up"]) == (4, False)
+
+
+class TestPrograms:
+    """Programs and state of the node."""
+
+    async def test_lists_by_team(self, caller: Caller) -> None:
+        """Programs of other teams are left out."""
+        _, answer = await caller.call("GET", "/programs?team=orders")
+        assert answer == {"programs": []}
+
+    @pytest.mark.parametrize("limit", ["0", "x", "1001", "²"])
+    async def test_refuses_limit(self, caller: Caller, limit: str) -> None:
+        """A list cannot be made arbitrarily long."""
+        assert (await caller.call("GET", f"/programs?limit={limit}"))[0] == 400
+
+    async def test_ends_program(self, caller: Caller) -> None:
+        """An ended program is found no more."""
+        assert (await caller.call("DELETE", "/programs/p1"))[1]["id"] == "p1"
+        assert (await caller.call("GET", "/programs/p1"))[0] == 404
+
+    async def test_dumps_state(self, caller: Caller) -> None:
+        """The state of the process is returned as given."""
+        assert await caller.call("GET", "/state") == (200, {"epoch": 3})
