--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflyspread.recovery._journal import Durability, Journal
 from fireflyspread.recovery._members import Member, MembersDocument, SlotRow
+from fireflyspread.recovery._ownership import Ownership
 from fireflyspread.recovery._records import (
     BudgetReserved,
     IntentAbandoned,
@@ -13,6 +14,7 @@
     Record,
     SessionHeld,
     SessionReleased,
+    TurnFailed,
     TurnRecorded,
     decode_records,
     encode_records,
@@ -32,6 +34,7 @@
     "Member",
     "MembersDocument",
     "OutcomeRecorded",
+    "Ownership",
     "ProgramEnded",
     "ProgramOpened",
     "ProgramSnapshot",
@@ -41,6 +44,7 @@
     "SlotRow",
     "SlotState",
     "Store",
+    "TurnFailed",
     "TurnRecorded",
     "decode_records",
     "encode_records",
