--- a/src/fireflyspread/bundle/_model.py
+++ b/src/fireflyspread/bundle/_model.py
@@ -30,7 +30,8 @@
 
 def hash_key(key: str) -> str:
     """Return the SHA-256 digest of a caller's key as 64 hex digits."""
-    return hashlib.sha256(key.encode()).hexdigest()
+    # aiohttp decodes bytes of a header that are not UTF-8 to lone surrogates.
+    return hashlib.sha256(key.encode("utf-8", "surrogateescape")).hexdigest()
 
 
 @frozen(kw_only=True)
--- a/src/fireflyspread/callers/_programs.py
+++ b/src/fireflyspread/callers/_programs.py
@@ -352,7 +352,9 @@
         writer = self._make_writer(request)
         try:
             result = await self._turns.run(program, running, spec, writer)
-            await writer.write(make_end_events(program.id, result.record, result.durability))
+            await writer.write(
+                make_end_events(program.id, result.record, result.durability)
+            )
         except FireflyError as exc:
             return await writer.fail(exc)
         return await writer.finish()
@@ -444,5 +446,3 @@
     response.headers["Content-Type"] = recorded["content_type"]
     response.headers["X-Turn"] = str(record.turn)
     return response
-
-
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -78,7 +78,11 @@
         self._context = context
 
     async def run(
-        self, program: Program, running: RunningTurn, spec: TurnSpec, writer: EventWriter
+        self,
+        program: Program,
+        running: RunningTurn,
+        spec: TurnSpec,
+        writer: EventWriter,
     ) -> TurnResult:
         """Run a turn, stream it to ``writer`` and record it.
 
@@ -192,9 +196,7 @@
         if durability is Durability.PENDING:
             context.ownership.check_authority()
         context.metrics.count("turns.recorded")
-        return TurnResult(
-            record=record, text=text, usage=usage, durability=durability
-        )
+        return TurnResult(record=record, text=text, usage=usage, durability=durability)
 
     def give_up(self, error: BaseException) -> None:
         """Charge what was used and let the caller send the turn again."""
--- a/src/fireflyspread/operators/_authentication.py
+++ b/src/fireflyspread/operators/_authentication.py
@@ -1,9 +1,9 @@
 """Operators' keys."""
 
-import hashlib
 import hmac
 from collections.abc import Mapping
 
+from fireflyspread.bundle import hash_key
 from fireflyspread.exceptions import AuthenticationError
 
 __all__ = ["OperatorKeys"]
@@ -34,9 +34,7 @@
             raise AuthenticationError(
                 "no operator key; send the header 'Authorization: Bearer <key>'"
             )
-        # aiohttp decodes bytes of a header that are not UTF-8 to lone surrogates.
-        data = key.strip().encode("utf-8", "surrogateescape")
-        presented = hashlib.sha256(data).hexdigest()
+        presented = hash_key(key.strip())
         found = ""
         # All digests are compared, so that the time does not tell which one is near.
         for operator, digest in self._digests.items():
