--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -82,9 +82,9 @@
         program: Program,
         running: RunningTurn,
         spec: TurnSpec,
-        writer: EventWriter,
+        writer: EventWriter | None,
     ) -> TurnResult:
-        """Run a turn, stream it to ``writer`` and record it.
+        """Run a turn, stream it to ``writer`` if there is one, and record it.
 
         Raises
         ------
@@ -110,7 +110,7 @@
         program: Program,
         running: RunningTurn,
         spec: TurnSpec,
-        writer: EventWriter,
+        writer: EventWriter | None,
     ) -> None:
         self._context = context
         self._program = program
@@ -249,7 +249,7 @@
             framed.append(b"id: %d\n%b\n\n" % (number, event))
             self._events.append(event)
             self._running.answer.append(framed[-1])
-        if framed:
+        if framed and self._writer is not None:
             await self._writer.write(b"".join(framed))
 
     async def _hold_session(self, replica: str) -> None:
