--- a/src/fireflyspread/_pools.py
+++ b/src/fireflyspread/_pools.py
@@ -14,10 +14,21 @@
 
 
 class ReplicaPool(Generic[T]):
-    """Creates a client on first use and keeps it until ``close``."""
-
-    def __init__(self, create: Callable[[str], T]) -> None:
+    """Creates a client on first use and keeps it until ``close``.
+
+    Parameters
+    ----------
+    create : callable
+        Makes the client of a base URL.
+    session : optional
+        Closed after all clients, when no other pool uses it.
+    """
+
+    def __init__(
+        self, create: Callable[[str], T], *, session: _Closable | None = None
+    ) -> None:
         self._create = create
+        self._session = session
         self._clients: dict[str, T] = {}
 
     def get(self, url: str) -> T:
@@ -32,3 +43,5 @@
         clients, self._clients = self._clients, {}
         for client in clients.values():
             await client.close()
+        if self._session is not None:
+            await self._session.close()
--- a/src/fireflyspread/callers/_api.py
+++ b/src/fireflyspread/callers/_api.py
@@ -110,7 +110,8 @@
             body = await read_body(request, limit)
             identity = identify(request, body)
             slot = find(request, identity)
-            with self._count_running(), self._context.keys.hold(identity):
+            program = request.match_info.get("id", "")
+            with self._count_running(), self._context.guard.hold(identity, program):
                 if slot is not None:
                     relayed = await relay_unless_owned(
                         self._context, request, slot, identity, body
--- a/src/fireflyspread/callers/_calls.py
+++ b/src/fireflyspread/callers/_calls.py
@@ -158,11 +158,15 @@
             progress.is_written = True
             await context.ownership.commit(declared)
             context.ownership.check_authority()
-            version = context.bundles.version
-            await context.fences.wait_clear(
-                call.target, version, timeout=self._measure_left(call)
-            )
-            with context.fences.act(call.target.name, version):
+            fence = self._find_fence(call.target)
+            if not call.target.checks_fence:
+                await context.fences.wait_clear(
+                    call.target.name, fence, timeout=self._measure_left(call)
+                )
+            with context.fences.act(call.target.name, fence):
+                # A newer bundle may have come into force while this call waited.
+                if self._find_fence(call.target) != fence:
+                    raise StaleFenceError("the target has changed its owner")
                 progress.is_dispatched = True
                 answer = await self._send(call, ticket)
             result = Result.ANSWERED
@@ -229,7 +233,6 @@
             self._context.scheduler.release(ticket, result)
 
     async def _send(self, call: Call, ticket: Ticket) -> ServiceAnswer:
-        active = self._context.bundles.get_active()
         request = ServiceRequest(
             request=ticket.work.request,
             path=call.route.path,
@@ -237,10 +240,13 @@
             body=call.body,
             timeout=self._measure_left(call),
             idempotency_key=call.idempotency_key,
-            fence=active.fences.get(call.target.name, 0),
+            fence=self._find_fence(call.target),
         )
         return await self._context.services.get(ticket.replica.url).call(request)
 
+    def _find_fence(self, target: Target) -> int:
+        return self._context.bundles.get_active().fences.get(target.name, 0)
+
     def _measure_left(self, call: Call) -> float:
         left = call.deadline - self._context.clock.read_monotonic()
         if left <= 0:
--- a/src/fireflyspread/callers/_context.py
+++ b/src/fireflyspread/callers/_context.py
@@ -4,8 +4,8 @@
 
 from fireflyspread._pools import ReplicaPool
 from fireflyspread.bundle import BundleHolder
+from fireflyspread.callers._guard import RequestGuard
 from fireflyspread.callers._identity import Authenticator
-from fireflyspread.callers._keys import KeyGuard
 from fireflyspread.clock import Clock
 from fireflyspread.engines import Engine, SessionReleaser
 from fireflyspread.limits import RateLimiter
@@ -28,7 +28,7 @@
     clock: Clock
     bundles: BundleHolder
     authenticator: Authenticator
-    keys: KeyGuard
+    guard: RequestGuard
     ownership: Ownership
     programs: ProgramTable
     intents: IntentTable
--- /dev/null
+++ b/src/fireflyspread/daemon/_build.py
@@ -0,0 +1,119 @@
+"""Builds the objects that handle caller requests."""
+
+import random
+
+import aiohttp
+from attrs import frozen
+
+from fireflyspread._pools import ReplicaPool
+from fireflyspread.bundle import ActiveBundle, BundleHolder, Replica
+from fireflyspread.callers import Authenticator, Context, RequestGuard
+from fireflyspread.clock import Clock
+from fireflyspread.engines import Engine, HttpEngine, SessionReleaser
+from fireflyspread.limits import RateLimiter
+from fireflyspread.metrics import Metrics
+from fireflyspread.nodes import FenceGuard, Relay, RequestSigner
+from fireflyspread.programs import IntentTable, ProgramTable
+from fireflyspread.recovery import Ownership, SessionReleased
+from fireflyspread.routing import PolicyScheduler
+from fireflyspread.settings import Settings
+from fireflyspread.tools import HttpService, Service
+
+__all__ = ["Base", "build_context", "find_replica"]
+
+# A replica in the same region accepts a connection within milliseconds; a SYN that
+# is lost once is repeated after 1 s.
+_CONNECT_TIMEOUT = 2.5
+
+
+@frozen(kw_only=True)
+class Base:
+    """What exists before a node takes part: settings, time, state."""
+
+    settings: Settings
+    clock: Clock
+    rng: random.Random
+    bundles: BundleHolder
+    programs: ProgramTable
+    intents: IntentTable
+    metrics: Metrics
+
+    @classmethod
+    def from_config(cls, settings: Settings, clock: Clock) -> "Base":
+        """Build empty state for one node."""
+        return cls(
+            settings=settings,
+            clock=clock,
+            rng=random.Random(),
+            bundles=BundleHolder(),
+            programs=ProgramTable(clock, limit=settings.limits.open_programs),
+            intents=IntentTable(clock),
+            metrics=Metrics.from_config(settings.statsd, settings.node.name),
+        )
+
+
+def build_context(
+    base: Base,
+    *,
+    ownership: Ownership,
+    limiter: RateLimiter,
+    fences: FenceGuard,
+) -> Context:
+    """Build what the caller API works with; needs a running event loop."""
+    settings, clock = base.settings, base.clock
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+    engines: ReplicaPool[Engine] = ReplicaPool(
+        lambda url: HttpEngine(url, session=session), session=session
+    )
+    services: ReplicaPool[Service] = ReplicaPool(
+        lambda url: HttpService(url, session=session)
+    )
+    scheduler = PolicyScheduler.from_config(settings, clock, base.rng)
+    guard = RequestGuard()
+
+    def find_engine(name: str) -> Engine | None:
+        replica = find_replica(base.bundles.get_active(), name)
+        return None if replica is None else engines.get(replica.url)
+
+    def take_released(program: str, replica: str) -> None:
+        found = base.programs.get(program)
+        if found is None or not ownership.owns(found.slot):
+            return
+        record = SessionReleased(slot=found.slot, subject=program, replica=replica)
+        ownership.enqueue(record)
+        base.programs.apply(record)
+
+    return Context(
+        settings=settings,
+        clock=clock,
+        bundles=base.bundles,
+        authenticator=Authenticator(base.bundles),
+        guard=guard,
+        ownership=ownership,
+        programs=base.programs,
+        intents=base.intents,
+        limiter=limiter,
+        scheduler=scheduler,
+        engines=engines,
+        services=services,
+        fences=fences,
+        relay=Relay.from_config(settings, clock),
+        signer=RequestSigner(
+            settings.node_secret, node=settings.node.name, clock=clock
+        ),
+        sessions=SessionReleaser(find_engine, take_released, rng=base.rng),
+        metrics=base.metrics,
+    )
+
+
+def find_replica(active: ActiveBundle, name: str) -> Replica | None:
+    """Return the replica called ``name`` or None."""
+    for target in active.bundle.targets:
+        for replica in target.replicas:
+            if replica.name == name:
+                return replica
+    return None
--- a/src/fireflyspread/engines/__init__.py
+++ b/src/fireflyspread/engines/__init__.py
@@ -8,6 +8,7 @@
     Usage,
 )
 from fireflyspread.engines._http import HttpEngine
+from fireflyspread.engines._release import SessionReleaser
 from fireflyspread.engines._sse import DONE_EVENT, extract_answer
 
 __all__ = [
@@ -17,6 +18,7 @@
     "EngineRequest",
     "HttpEngine",
     "Order",
+    "SessionReleaser",
     "Usage",
     "extract_answer",
 ]
--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -1,5 +1,6 @@
 """Messages between nodes."""
 
+from fireflyspread.nodes._fences import FenceGuard
 from fireflyspread.nodes._greetings import Greeter, find_neighbours
 from fireflyspread.nodes._messages import (
     MESSAGE_VERSION,
@@ -38,6 +39,7 @@
     "ConfirmFence",
     "Failed",
     "FenceConfirmed",
+    "FenceGuard",
     "FetchBundle",
     "Hello",
     "Greeter",
