--- /dev/null
+++ b/tests/routing/test_health.py
@@ -0,0 +1,63 @@
+"""Replicas that fail or are slow get no work for a while."""
+
+from fireflyspread.clock import ManualClock
+from fireflyspread.routing import ReplicaHealth, Result
+
+
+def make_health(replicas: int = 4) -> tuple[ManualClock, ReplicaHealth]:
+    """Return the health of replicas ``r0`` ..."""
+    clock = ManualClock()
+    health = ReplicaHealth(clock)
+    health.set_replicas([f"r{i}" for i in range(replicas)])
+    return clock, health
+
+
+class TestReplicaHealth:
+    """ReplicaHealth."""
+
+    def test_probe_brings_a_replica_back(self) -> None:
+        """A replica that was restarted gets no work again."""
+        clock, health = make_health()
+        health.record("r0", Result.UNREACHABLE, 0.0)
+        assert not health.may_use("r0")
+        clock.advance(2)
+        assert health.may_use("r0")
+        health.start("r0")
+        assert not health.may_use("r0")
+        health.record("r0", Result.ANSWERED, 1.0)
+        assert health.may_use("r0")
+
+    def test_failed_probe_doubles_the_time(self) -> None:
+        """A replica that stays down gets a request every few seconds."""
+        clock, health = make_health()
+        health.record("r0", Result.UNREACHABLE, 0.0)
+        clock.advance(2)
+        health.start("r0")
+        health.record("r0", Result.UNREACHABLE, 0.0)
+        clock.advance(3)
+        assert not health.may_use("r0")
+        clock.advance(1)
+        assert health.may_use("r0")
+
+    def test_one_crash_counts_once(self) -> None:
+        """All requests cut off by one crash lengthen the ejection."""
+        clock, health = make_health()
+        for _ in range(8):
+            health.record("r0", Result.CRASHED, 0.0)
+        clock.advance(2)
+        assert health.may_use("r0")
+
+    def test_ejects_the_slow_one(self) -> None:
+        """A replica that is ten times slower keeps its share of the work."""
+        _, health = make_health()
+        for _ in range(9):
+            for i in range(4):
+                health.record(f"r{i}", Result.ANSWERED, 10.0 if i == 0 else 1.0)
+        assert health.list_ejected() == ("r0",)
+
+    def test_ejects_at_most_half(self) -> None:
+        """An outage behind all replicas leaves nobody to answer."""
+        _, health = make_health()
+        for i in range(4):
+            health.record(f"r{i}", Result.UNREACHABLE, 0.0)
+        assert len(health.list_ejected()) == 2
--- /dev/null
+++ b/tests/routing/test_quarantine.py
@@ -0,0 +1,124 @@
+"""Requests that crash replicas are found, and no others."""
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fireflyspread.clock import ManualClock
+from fireflyspread.routing import Quarantine
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["start", "start_alone", "answer", "crash"]),
+        st.sampled_from("abcd"),
+        st.sampled_from(["r1", "r2", "r3"]),
+        st.floats(0.0, 5.0),
+    ),
+    max_size=80,
+)
+
+
+class TestConviction:
+    """Quarantine.record_crash."""
+
+    @given(_STEPS)
+    @settings(derandomize=True, max_examples=300)
+    def test_only_what_crashed_alone(
+        self, steps: list[tuple[str, str, str, float]]
+    ) -> None:
+        """A request that was only there when another one crashed is convicted."""
+        clock = ManualClock()
+        quarantine = Quarantine(clock, ttl=1e9)
+        running: dict[str, list[tuple[str, float]]] = {}
+        alone: set[str] = set()
+        crashed_alone: set[str] = set()
+        crashes: dict[str, set[str]] = {}
+        for action, fingerprint, replica, gap in steps:
+            clock.advance(gap)
+            there = running.setdefault(replica, [])
+            if action.startswith("start") and replica not in alone:
+                if action == "start_alone" and there:
+                    continue
+                if action == "start_alone":
+                    alone.add(replica)
+                there.append((fingerprint, clock.read_monotonic()))
+                quarantine.start(fingerprint, replica)
+            elif action == "answer" and there:
+                ended, _ = there.pop(0)
+                quarantine.record_answer(ended, alone=replica in alone)
+                quarantine.finish(ended, replica)
+                alone.discard(replica)
+            elif action == "crash":
+                for ended, at in there:
+                    crashes.setdefault(ended, set()).add(replica)
+                    if replica in alone:
+                        crashed_alone.add(ended)
+                    quarantine.record_crash(ended, replica, at, alone=replica in alone)
+                for ended, _ in there:
+                    quarantine.finish(ended, replica)
+                there.clear()
+                alone.discard(replica)
+        for fingerprint in quarantine.convicted():
+            assert fingerprint in crashed_alone
+            assert len(crashes[fingerprint]) >= 2
+
+    def test_two_replicas_once_alone(self) -> None:
+        """A request that crashes every replica is let through."""
+        clock = ManualClock()
+        quarantine = Quarantine(clock)
+        for replica, alone in (("r1", False), ("r2", True)):
+            quarantine.start("p", replica)
+            started_at = clock.read_monotonic()
+            clock.advance(1)
+            quarantine.record_crash("p", replica, started_at, alone=alone)
+            quarantine.finish("p", replica)
+        assert quarantine.is_convicted("p")
+        clock.advance(601)
+        assert not quarantine.is_convicted("p")
+
+    def test_answer_while_alone_clears(self) -> None:
+        """A request that was near a crash runs alone for ever."""
+        clock = ManualClock()
+        quarantine = Quarantine(clock)
+        quarantine.merge("n2", ("b",), ())
+        quarantine.start("b", "r1")
+        quarantine.record_crash("b", "r1", clock.read_monotonic(), alone=False)
+        quarantine.record_answer("b", alone=False)
+        assert quarantine.is_suspect("b")
+        quarantine.record_answer("b", alone=True)
+        assert not quarantine.is_suspect("b")
+
+    def test_outage_of_a_zone_suspects_nobody(self) -> None:
+        """All requests of a lost zone run alone on the capacity that is left."""
+        clock = ManualClock()
+        quarantine = Quarantine(clock)
+        started_at = clock.read_monotonic()
+        clock.advance(1)
+        for i in range(4):
+            quarantine.start(f"w{i}", f"r{i}")
+            quarantine.start("p", f"r{i}")
+            quarantine.record_crash(f"w{i}", f"r{i}", started_at, alone=False)
+        assert quarantine.suspects() == ("p",)
+
+
+class TestMerge:
+    """Quarantine.merge."""
+
+    def test_newer_names_replace_older(self) -> None:
+        """A suspect that its node has cleared stays one on other nodes."""
+        quarantine = Quarantine(ManualClock())
+        quarantine.merge("n2", ("a", "b"), ())
+        quarantine.merge("n2", ("b",), ())
+        assert not quarantine.is_suspect("a")
+        assert quarantine.is_suspect("b")
+
+    def test_repetition_does_not_prolong(self) -> None:
+        """Two nodes keep a conviction alive for ever by repeating it."""
+        clock = ManualClock()
+        quarantine = Quarantine(clock, ttl=10)
+        for _ in range(9):
+            quarantine.merge("n2", (), ("p",))
+            clock.advance(1)
+        assert quarantine.is_convicted("p")
+        assert quarantine.convicted() == ()
+        clock.advance(2)
+        assert not quarantine.is_convicted("p")
