Add the harness of local clusters and the caller client

Process-level tests need daemons and stand-ins that can be killed, paused and cut off from each other.

--- a/Makefile
+++ b/Makefile
@@ -15,12 +15,12 @@
 	touch $@
 
 format:
-	$(PYTHON) -m ruff format src standins tests
-	$(PYTHON) -m ruff check --fix src standins tests
+	$(PYTHON) -m ruff format src standins tools tests
+	$(PYTHON) -m ruff check --fix src standins tools tests
 
 check:
-	$(PYTHON) -m ruff format --check src standins tests
-	$(PYTHON) -m ruff check src standins tests
+	$(PYTHON) -m ruff format --check src standins tools tests
+	$(PYTHON) -m ruff check src standins tools tests
 	$(PYTHON) -m mypy
 
 test:
--- /dev/null
+++ b/tests/harness/_cluster.py
@@ -0,0 +1,277 @@
+"""Stand-ins and daemon processes, started together."""
+
+import asyncio
+import hashlib
+import tempfile
+import uuid
+from pathlib import Path
+from typing import Any, Self
+
+import msgspec
+
+from fireflyspread.bundle import Bundle, hash_key
+from fireflyspread.platform import EtcdStore
+from standins._base import find_free_port
+from standins.store import StoreStandIn
+from standins.vm_list import VmListStandIn
+from tests.harness._forwarder import Forwarder
+from tests.harness._nodes import NodeProcess
+from tests.harness._targets import Deployment, StandInProcess
+from tools.client import CallerClient
+
+__all__ = ["LocalCluster"]
+
+ZONES = ("a", "b", "c")
+SECRET = "harness-secret-0123456789"
+OPERATORS = {"olga": "operator-key-olga", "paul": "operator-key-paul"}
+
+
+class LocalCluster:
+    """One deployment on this machine.
+
+    Parameters
+    ----------
+    deployment : str or Deployment
+        Name of an example or a deployment built by a test.
+    nodes : int
+        Number of daemon processes, spread over the zones.
+    timing, limits : dict or None
+        Overrides of these parts of the settings.
+    processes : bool
+        Whether the stand-ins are processes of their own instead of tasks of this one.
+    forwarders : bool
+        Whether forwarders stand between the nodes and between node and store;
+        ``partition`` needs them.
+    folder : Path or None
+        Where settings and logs go; a temporary folder by default.
+    engine : dict or None
+        Options of the engine stand-ins.
+    settings : dict or None
+        Further top-level settings of every node.
+    """
+
+    def __init__(
+        self,
+        deployment: "str | Deployment" = "poklopac",
+        *,
+        nodes: int = 4,
+        timing: dict[str, Any] | None = None,
+        limits: dict[str, Any] | None = None,
+        processes: bool = False,
+        forwarders: bool = True,
+        folder: Path | None = None,
+        engine: dict[str, Any] | None = None,
+        settings: dict[str, Any] | None = None,
+    ) -> None:
+        self._temporary = tempfile.TemporaryDirectory(prefix="fireflyspread-")
+        self.folder = folder or Path(self._temporary.name)
+        logs = self.folder if processes else None
+        if isinstance(deployment, str):
+            deployment = Deployment.from_example(deployment, folder=logs, engine=engine)
+        self.deployment = deployment
+        names = [f"node-{index + 1}" for index in range(nodes)]
+        self._nodes_vms = [
+            {"name": f"vm-{name}", "zone": ZONES[i % 3], "state": "live"}
+            for i, name in enumerate(names)
+        ]
+        vms = [*deployment.list_vms(), *self._nodes_vms]
+        self.store: Any
+        self.vm_list: Any
+        if logs is None:
+            self.store, self.vm_list = StoreStandIn(), VmListStandIn(vms=vms)
+        else:
+            path = self.folder / "vms.json"
+            path.write_bytes(msgspec.json.encode(vms))
+            self.store = StandInProcess("store", logs)
+            self.vm_list = StandInProcess("vm_list", logs, vms=path)
+        self.nodes: dict[str, NodeProcess] = {}
+        self._names = names
+        self._settings = {**(settings or {})}
+        self._settings |= {"timing": timing or {}, "limits": limits or {}}
+        self._uses_forwarders = forwarders
+        self._store_forwarders: dict[str, Forwarder] = {}
+        self._node_forwarders: dict[str, tuple[Forwarder, Forwarder]] = {}
+
+    async def __aenter__(self) -> Self:
+        try:
+            await self.start()
+        except BaseException:
+            await self.stop()
+            raise
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        await self.stop()
+
+    @property
+    def urls(self) -> list[str]:
+        """Base URLs for callers of all nodes."""
+        return [node.url for node in self.nodes.values()]
+
+    async def start(self) -> None:
+        """Start everything, put the bundle in force and wait until all is ready."""
+        await asyncio.gather(
+            self.store.start(), self.vm_list.start(), self.deployment.start()
+        )
+        await self.put_bundle(self.deployment.bundle)
+        for index, name in enumerate(self._names):
+            await self.add_node(name, ZONES[index % 3])
+        await asyncio.gather(*(node.wait_ready() for node in self.nodes.values()))
+
+    async def stop(self) -> None:
+        """Kill the nodes and stop the stand-ins."""
+        await asyncio.gather(*(node.kill() for node in self.nodes.values()))
+        forwarders = [*self._store_forwarders.values()]
+        for pair in self._node_forwarders.values():
+            forwarders += pair
+        await asyncio.gather(*(forwarder.stop() for forwarder in forwarders))
+        await self.deployment.stop()
+        await self.store.stop()
+        await self.vm_list.stop()
+        self._temporary.cleanup()
+
+    async def add_node(self, name: str, zone: str) -> NodeProcess:
+        """Start a further node; does not wait until it is ready."""
+        ports = {part: f"127.0.0.1:{find_free_port()}" for part in _PARTS}
+        settings = {
+            "node": {"name": name, "zone": zone, "vm": f"vm-{name}"},
+            "listen": ports,
+            "platform": {"store": self.store.url, "vm_list": self.vm_list.url},
+            "node_secret": SECRET,
+            "operator_keys": {name: hash_key(k) for name, k in OPERATORS.items()},
+            **self._settings,
+        }
+        if self._uses_forwarders:
+            await self._add_forwarders(name, settings)
+        node = self.nodes[name] = NodeProcess(settings, self.folder)
+        await node.start()
+        return node
+
+    async def put_bundle(self, bundle: dict[str, Any]) -> int:
+        """Put a bundle in force without approval and return its version."""
+        contents = Bundle.from_config(bundle).to_json()
+        digest = hashlib.sha256(contents).hexdigest()
+        store = EtcdStore(self.store.url, timeout=5.0)
+        try:
+            await store.replace(f"bundle/contents/{digest}", contents, revision=0)
+            current = await store.read("bundle/current")
+            document: dict[str, Any] = {"version": 0, "fences": {}}
+            revision = 0
+            if current is not None:
+                document = msgspec.json.decode(current.value)
+                revision = current.revision
+            version = int(document["version"]) + 1
+            fences = await self._find_fences(store, document, bundle, version)
+            value = {
+                "version": version,
+                "digest": digest,
+                "fences": fences,
+                "rolled_by": "harness",
+                "write_id": uuid.uuid4().hex,
+            }
+            written = await store.replace(
+                "bundle/current", msgspec.json.encode(value), revision=revision
+            )
+            assert written is not None, "another operator rolled a bundle meanwhile"
+            return version
+        finally:
+            await store.close()
+
+    def open_client(self, team: str, **options: Any) -> CallerClient:
+        """Return a client of a team that knows all nodes."""
+        return CallerClient(self.urls, self.deployment.keys[team], **options)
+
+    async def kill(self, name: str) -> None:
+        """Kill a node with SIGKILL."""
+        await self.nodes[name].kill()
+
+    def pause(self, name: str) -> None:
+        """Stop a node with SIGSTOP."""
+        self.nodes[name].pause()
+
+    def resume(self, name: str) -> None:
+        """Let a paused node continue."""
+        self.nodes[name].resume()
+
+    async def terminate(self, name: str, timeout: float = 90.0) -> int:
+        """End a node with SIGTERM and return its exit code."""
+        return await self.nodes[name].terminate(timeout)
+
+    async def restart(self, name: str) -> None:
+        """Kill a node, start it again and wait until it is ready."""
+        await self.nodes[name].kill()
+        await self.nodes[name].start()
+        await self.nodes[name].wait_ready()
+
+    def partition(self, name: str, peer: str, *, kind: str = "drop") -> None:
+        """Cut a node off from ``"store"`` or another node, in both directions.
+
+        Parameters
+        ----------
+        kind : str
+            ``"drop"`` or ``"reset"``, see ``Forwarder.cut``.
+        """
+        for forwarder, source in self._find_paths(name, peer):
+            forwarder.cut(source, kind=kind)
+
+    def heal(self, name: str, peer: str) -> None:
+        """End a partition."""
+        for forwarder, source in self._find_paths(name, peer):
+            forwarder.heal(source)
+
+    def isolate(self, name: str, *, kind: str = "drop") -> None:
+        """Cut a node off from the store and all other nodes."""
+        for peer in ("store", *(n for n in self.nodes if n != name)):
+            self.partition(name, peer, kind=kind)
+
+    def rejoin(self, name: str) -> None:
+        """End ``isolate``."""
+        for peer in ("store", *(n for n in self.nodes if n != name)):
+            self.heal(name, peer)
+
+    def find_pid(self, name: str) -> int | None:
+        """Return the process id of a node, or None."""
+        node = self.nodes.get(name)
+        return None if node is None else node.pid
+
+    def _find_paths(self, name: str, peer: str) -> list[tuple[Forwarder, str]]:
+        if not self._uses_forwarders:
+            raise RuntimeError("the cluster has no forwarders; set forwarders=True")
+        if peer == "store":
+            return [(self._store_forwarders[name], "*")]
+        paths = [(forwarder, name) for forwarder in self._node_forwarders[peer]]
+        return paths + [(f, peer) for f in self._node_forwarders[name]]
+
+    async def _add_forwarders(self, name: str, settings: dict[str, Any]) -> None:
+        store = Forwarder(self.store.url.removeprefix("http://"))
+        internal = Forwarder(settings["listen"]["internal"], self.find_pid)
+        peers = Forwarder(settings["listen"]["peers"], self.find_pid)
+        for forwarder in (store, internal, peers):
+            await forwarder.start()
+        self._store_forwarders[name] = store
+        self._node_forwarders[name] = (internal, peers)
+        settings["platform"]["store"] = f"http://{store.address}"
+        settings["advertise"] = {"internal": internal.address, "peers": peers.address}
+
+    async def _find_fences(
+        self,
+        store: EtcdStore,
+        document: dict[str, Any],
+        bundle: dict[str, Any],
+        version: int,
+    ) -> dict[str, int]:
+        halves: dict[str, str] = {}
+        if document["version"]:
+            old = await store.read(f"bundle/contents/{document['digest']}")
+            assert old is not None
+            old_bundle = msgspec.json.decode(old.value)
+            halves = {t["name"]: t["half"] for t in old_bundle["targets"]}
+        return {
+            target["name"]: document["fences"][target["name"]]
+            if halves.get(target["name"]) == target["half"]
+            else version
+            for target in bundle["targets"]
+        }
+
+
+_PARTS = ("callers", "internal", "peers", "operators")
--- /dev/null
+++ b/tools/client.py
@@ -0,0 +1,297 @@
+"""Client of the caller API that retries as a good client does."""
+
+import asyncio
+import random
+import time
+from collections import Counter
+from collections.abc import AsyncIterator
+from typing import Any, Self
+
+import aiohttp
+import msgspec
+from attrs import define, field, frozen
+
+__all__ = ["CallError", "CallerClient", "TurnAnswer"]
+
+# Refusals that a repeated request can overcome although they name no time.
+_RETRYABLE = frozenset(
+    "target_failed target_unreachable replica_crashed answer_crossed "
+    "deadline_exceeded journal_sealed request_running".split()
+)
+_LONGEST_WAIT = 5.0
+
+
+class CallError(Exception):
+    """A request that failed for good.
+
+    Attributes
+    ----------
+    code, outcome : str
+        As in the body of the error; ``no_answer`` and ``may_have_run`` when the
+        connections broke until the patience was over.
+    """
+
+    def __init__(self, code: str, message: str, outcome: str) -> None:
+        super().__init__(f"{code}: {message}")
+        self.code = code
+        self.outcome = outcome
+
+
+class _Retry(Exception):
+    def __init__(self, code: str, wait: float, *, last: CallError) -> None:
+        super().__init__(code)
+        self.code = code
+        self.wait = wait
+        self.last = last
+
+
+@frozen(kw_only=True)
+class TurnAnswer:
+    """Answer of one model turn; times in seconds since the first attempt."""
+
+    text: str
+    usage: dict[str, Any]
+    first_token: float
+    gaps: tuple[float, ...]
+    seconds: float
+    attempts: int
+    durability: str
+
+
+@define
+class _Stream:
+    text: str = ""
+    usage: dict[str, Any] = field(factory=dict)
+    durability: str = ""
+    times: list[float] = field(factory=list)
+    is_done: bool = False
+
+
+class CallerClient:
+    """A caller of one team that knows all nodes.
+
+    Parameters
+    ----------
+    nodes : list of str
+        Base URLs; the next one is tried after a failure.
+    key : str
+        The team's key.
+    patience : float
+        Seconds after which a request is given up.
+    """
+
+    def __init__(
+        self,
+        nodes: list[str],
+        key: str,
+        *,
+        patience: float = 60.0,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.nodes = list(nodes)
+        self.retries: Counter[str] = Counter()
+        self._headers = {"Authorization": f"Bearer {key}"}
+        self._patience = patience
+        self._rng = rng or random.Random()
+        self._next = self._rng.randrange(len(nodes)) if nodes else 0
+        self._session: aiohttp.ClientSession | None = None
+
+    async def __aenter__(self) -> Self:
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0),
+            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
+        )
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        if self._session is not None:
+            await self._session.close()
+
+    async def open_program(self, budget: int, *, parent: str | None = None) -> str:
+        """Open a program or a sub-agent and return its id."""
+        path = "/v1/programs" if parent is None else f"/v1/programs/{parent}/children"
+        answer = await self.request("POST", path, json={"budget": budget})
+        return str(msgspec.json.decode(answer)["id"])
+
+    async def end_program(self, program: str) -> None:
+        """End a program."""
+        await self.request("DELETE", f"/v1/programs/{program}")
+
+    async def read_program(self, program: str) -> dict[str, Any]:
+        """Return the state of a program."""
+        answer = await self.request("GET", f"/v1/programs/{program}")
+        return dict(msgspec.json.decode(answer))
+
+    async def read_history(self, program: str) -> list[dict[str, Any]]:
+        """Return the messages of a program."""
+        answer = await self.request("GET", f"/v1/programs/{program}/history")
+        return list(msgspec.json.decode(answer)["messages"])
+
+    async def call(
+        self,
+        route: str,
+        body: bytes,
+        *,
+        program: str | None = None,
+        turn: int = 0,
+        idempotency_key: str | None = None,
+    ) -> bytes:
+        """Call a service, as a turn of a program if one is given."""
+        headers = {"Content-Type": "application/json"}
+        path = f"/v1/services/{route}"
+        if program is not None:
+            headers["X-Turn"] = str(turn)
+            path = f"/v1/programs/{program}/calls/{route}"
+        if idempotency_key is not None:
+            headers["Idempotency-Key"] = idempotency_key
+        return await self.request("POST", path, data=body, headers=headers)
+
+    async def run_turn(
+        self,
+        program: str,
+        turn: int,
+        messages: list[dict[str, Any]],
+        *,
+        model: str,
+        max_tokens: int = 256,
+    ) -> TurnAnswer:
+        """Run a model turn as a stream until its answer is whole."""
+        body = {"turn": turn, "model": model, "messages": messages}
+        body |= {"max_tokens": max_tokens, "stream": True}
+        path = f"/v1/programs/{program}/turns"
+        begun = time.monotonic()
+        attempts = 0
+        first = 0.0
+
+        async def attempt() -> _Stream:
+            nonlocal attempts, first
+            attempts += 1
+            stream = _Stream()
+            try:
+                await self._read_stream(path, body, stream)
+            finally:
+                if not first and stream.times:
+                    first = stream.times[0]
+            return stream
+
+        stream = await self._repeat(attempt)
+        times = stream.times or [time.monotonic()]
+        return TurnAnswer(
+            text=stream.text,
+            usage=stream.usage,
+            first_token=(first or times[0]) - begun,
+            gaps=tuple(b - a for a, b in zip(times, times[1:], strict=False)),
+            seconds=time.monotonic() - begun,
+            attempts=attempts,
+            durability=stream.durability,
+        )
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        headers: dict[str, str] | None = None,
+        **kw: Any,
+    ) -> bytes:
+        """Send a request until it is answered and return the body.
+
+        Raises
+        ------
+        CallError
+            The request was refused for good or the patience was over.
+        """
+
+        async def attempt() -> bytes:
+            async with self._send(method, path, headers=headers, **kw) as response:
+                body = await response.read()
+                if response.status >= 400:
+                    raise _read_error(response, body)
+                return body
+
+        return await self._repeat(attempt)
+
+    def _send(self, method: str, path: str, **kw: Any) -> Any:
+        assert self._session is not None, "use the client in an async with block"
+        headers = {**self._headers, **(kw.pop("headers", None) or {})}
+        url = self.nodes[self._next % len(self.nodes)] + path
+        return self._session.request(method, url, headers=headers, **kw)
+
+    async def _repeat(self, attempt: Any) -> Any:
+        until = time.monotonic() + self._patience
+        while True:
+            try:
+                async with asyncio.timeout(max(0.05, until - time.monotonic())):
+                    return await attempt()
+            except _Retry as exc:
+                code, wait, last = exc.code, exc.wait, exc.last
+            except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+                last = CallError("no_answer", repr(exc), "may_have_run")
+                code, wait = "no_answer", 0.1
+            self.retries[code] += 1
+            if code != "rate_limited":
+                self._next += 1
+            wait *= 1.0 + self._rng.random()
+            if time.monotonic() + wait > until:
+                raise last
+            await asyncio.sleep(wait)
+
+    async def _read_stream(
+        self, path: str, body: dict[str, Any], stream: _Stream
+    ) -> None:
+        async with self._send("POST", path, json=body) as response:
+            if response.status >= 400:
+                raise _read_error(response, await response.read())
+            async for event in _split_events(response.content):
+                _take_event(event, stream)
+        if not stream.is_done:
+            last = CallError("stream_cut", "no [DONE] event", "may_have_run")
+            raise _Retry("stream_cut", 0.1, last=last)
+
+
+async def _split_events(content: aiohttp.StreamReader) -> AsyncIterator[bytes]:
+    rest = b""
+    async for data in content.iter_any():
+        *events, rest = (rest + data).split(b"\n\n")
+        for event in events:
+            yield event
+
+
+def _take_event(event: bytes, stream: _Stream) -> None:
+    lines = dict(line.partition(b": ")[::2] for line in event.split(b"\n"))
+    data = lines.get(b"data", b"")
+    if lines.get(b"event") == b"error":
+        raise _make_failure(msgspec.json.decode(data)["error"])
+    if data == b"[DONE]":
+        stream.is_done = True
+    elif data:
+        chunk = msgspec.json.decode(data)
+        for choice in chunk.get("choices", ()):
+            text = choice.get("delta", {}).get("content")
+            if text:
+                stream.text += text
+                stream.times.append(time.monotonic())
+        stream.usage = chunk.get("usage") or stream.usage
+        note = chunk.get("fireflyspread") or {}
+        stream.durability = note.get("durability", stream.durability)
+
+
+def _read_error(response: aiohttp.ClientResponse, body: bytes) -> Exception:
+    try:
+        error = msgspec.json.decode(body)["error"]
+    except (msgspec.DecodeError, KeyError, TypeError):
+        text = body[:200].decode(errors="replace")
+        return CallError(f"status_{response.status}", text, "may_have_run")
+    return _make_failure(error)
+
+
+def _make_failure(error: dict[str, Any]) -> Exception:
+    code = str(error.get("code"))
+    outcome = str(error.get("outcome"))
+    last = CallError(code, str(error.get("message")), outcome)
+    wait = error.get("retry_after")
+    if wait is None and code not in _RETRYABLE:
+        return last
+    if code == "may_have_run":
+        return last
+    return _Retry(code, min(_LONGEST_WAIT, wait or 0.2), last=last)
