Add the load tool

Seeded programs of both deployments run against the caller API in closed or open loop. Every answer is checked against the digest of the history that it must belong to, and refusals inside a team's rate are counted at the caller.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -376,7 +376,8 @@
         return answer_json([run.to_json() for run in self.runs])
 
     async def _get_totals(self, request: web.Request) -> web.Response:
-        return answer_json({**self.totals, **self._read_load()})
+        sessions = len(self.cache.sessions)
+        return answer_json({**self.totals, **self._read_load(), "sessions": sessions})
 
 
 if __name__ == "__main__":
--- a/tools/client.py
+++ b/tools/client.py
@@ -11,7 +11,7 @@
 import msgspec
 from attrs import define, field, frozen
 
-__all__ = ["CallError", "CallerClient", "TurnAnswer"]
+__all__ = ["CallError", "CallerClient", "RateWatch", "TurnAnswer"]
 
 # Refusals that a repeated request can overcome although they name no time.
 _RETRYABLE = frozenset(
@@ -37,6 +37,36 @@
         self.outcome = outcome
 
 
+class RateWatch:
+    """Token bucket of a team as a caller sees it; finds refusals inside the rate.
+
+    Parameters
+    ----------
+    rate, burst : float
+        The team's figures in the bundle.
+    """
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.wrong_refusals = 0
+        self._rate = rate
+        self._burst = burst
+        self._tokens = burst
+        self._time = time.monotonic()
+
+    def take(self) -> bool:
+        """Count a request and return whether it is inside the rate."""
+        now = time.monotonic()
+        gained = (now - self._time) * self._rate
+        self._tokens, self._time = min(self._burst, self._tokens + gained), now
+        self._tokens -= 1.0
+        return self._tokens >= 0.0
+
+    def give_back(self, was_inside: bool) -> None:
+        """Undo a request that was refused."""
+        self._tokens += 1.0
+        self.wrong_refusals += was_inside
+
+
 class _Retry(Exception):
     def __init__(self, code: str, wait: float, *, last: CallError) -> None:
         super().__init__(code)
@@ -78,6 +108,10 @@
         The team's key.
     patience : float
         Seconds after which a request is given up.
+    rng : random.Random or None
+        Jitter of the retries.
+    watch : RateWatch or None
+        Counts refusals inside the team's rate.
     """
 
     def __init__(
@@ -87,13 +121,15 @@
         *,
         patience: float = 60.0,
         rng: random.Random | None = None,
+        watch: RateWatch | None = None,
     ) -> None:
         self.nodes = list(nodes)
         self.retries: Counter[str] = Counter()
         self._headers = {"Authorization": f"Bearer {key}"}
         self._patience = patience
         self._rng = rng or random.Random()
-        self._next = self._rng.randrange(len(nodes)) if nodes else 0
+        self._watch = watch
+        self._next = 0
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
@@ -174,7 +210,7 @@
                     first = stream.times[0]
             return stream
 
-        stream = await self._repeat(attempt)
+        stream = await self._repeat(attempt, is_limited=True)
         times = stream.times or [time.monotonic()]
         return TurnAnswer(
             text=stream.text,
@@ -209,7 +245,8 @@
                     raise _read_error(response, body)
                 return body
 
-        return await self._repeat(attempt)
+        is_limited = "/calls/" in path or "/services/" in path
+        return await self._repeat(attempt, is_limited=is_limited)
 
     def _send(self, method: str, path: str, **kw: Any) -> Any:
         assert self._session is not None, "use the client in an async with block"
@@ -217,9 +254,10 @@
         url = self.nodes[self._next % len(self.nodes)] + path
         return self._session.request(method, url, headers=headers, **kw)
 
-    async def _repeat(self, attempt: Any) -> Any:
+    async def _repeat(self, attempt: Any, *, is_limited: bool = False) -> Any:
         until = time.monotonic() + self._patience
         while True:
+            inside = self._watch is not None and is_limited and self._watch.take()
             try:
                 async with asyncio.timeout(max(0.05, until - time.monotonic())):
                     return await attempt()
@@ -231,6 +269,8 @@
             self.retries[code] += 1
             if code != "rate_limited":
                 self._next += 1
+            elif self._watch is not None and is_limited:
+                self._watch.give_back(inside)
             wait *= 1.0 + self._rng.random()
             if time.monotonic() + wait > until:
                 raise last
--- /dev/null
+++ b/tools/load.py
@@ -0,0 +1,125 @@
+"""Load tool: runs seeded agent programs against nodes and checks every answer.
+
+With ``--local`` it starts its own nodes and stand-ins; otherwise it takes the
+addresses of running nodes.
+"""
+
+import argparse
+import asyncio
+import shlex
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import uvloop
+
+from tests.harness import LocalCluster, load_bundle, load_keys
+from tools.report import format_report, make_report, read_targets
+from tools.runner import ProgramRunner, run_closed, run_open
+from tools.workload import Workload
+
+__all__ = ["main", "run_load"]
+
+
+async def run_load(
+    arguments: argparse.Namespace,
+    nodes: list[str],
+    bundle: dict[str, Any],
+    controls: list[str],
+) -> dict[str, Any]:
+    """Run the load against ``nodes`` and return the report.
+
+    Parameters
+    ----------
+    controls : list of str
+        Control ports of the targets' stand-ins; may be empty.
+    """
+    workload = Workload(arguments.deployment, bundle, arguments.seed)
+    runner = ProgramRunner(
+        nodes,
+        load_keys(arguments.deployment),
+        bundle,
+        time_scale=arguments.time_scale,
+        patience=arguments.patience,
+        seed=arguments.seed,
+    )
+    begun = time.monotonic()
+    async with runner:
+        if arguments.rate:
+            await run_open(
+                runner,
+                workload.make_plan,
+                programs=arguments.programs,
+                rate=arguments.rate,
+                seed=arguments.seed,
+            )
+        else:
+            await run_closed(
+                runner,
+                workload.make_plan,
+                programs=arguments.programs,
+                concurrency=arguments.concurrency,
+            )
+    seconds = time.monotonic() - begun
+    targets = await read_targets(controls) if controls else {}
+    command = "python -m tools.load " + shlex.join(sys.argv[1:])
+    return make_report(runner, targets, seconds=seconds, command=command)
+
+
+async def _run(arguments: argparse.Namespace) -> dict[str, Any]:
+    if not arguments.local:
+        bundle = load_bundle(arguments.deployment)
+        return await run_load(arguments, arguments.nodes, bundle, arguments.controls)
+    engine = {
+        "token_seconds": arguments.token_seconds,
+        "prompt_token_seconds": arguments.token_seconds / 100,
+    }
+    async with LocalCluster(
+        arguments.deployment,
+        nodes=arguments.local,
+        processes=True,
+        forwarders=False,
+        engine=engine,
+    ) as cluster:
+        replicas = cluster.deployment.replicas.values()
+        controls = [replica.control_url for replica in replicas]
+        bundle = cluster.deployment.bundle
+        return await run_load(arguments, cluster.urls, bundle, controls)
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(description=__doc__)
+    where = parser.add_mutually_exclusive_group(required=True)
+    where.add_argument("--local", type=int, metavar="NODES", help="start own nodes")
+    where.add_argument("--nodes", nargs="+", help="base URLs of running nodes")
+    parser.add_argument("--controls", nargs="*", default=[], help="target controls")
+    parser.add_argument(
+        "--deployment", choices=["poklopac", "asociacion"], default="poklopac"
+    )
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--programs", type=int, default=200)
+    parser.add_argument("--concurrency", type=int, default=32, help="closed loop")
+    parser.add_argument("--rate", type=float, default=0.0, help="open loop, 1/s")
+    parser.add_argument("--time-scale", type=float, default=1.0, help="of the pauses")
+    parser.add_argument("--patience", type=float, default=60.0, help="seconds")
+    parser.add_argument("--token-seconds", type=float, default=0.005)
+    parser.add_argument("--json", type=Path, help="also write the report to a file")
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run the tool; the exit code is 1 if any program failed or was wrong."""
+    arguments = _parse()
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        report = runner.run(_run(arguments))
+    print(format_report(report))
+    if arguments.json:
+        arguments.json.write_bytes(msgspec.json.format(msgspec.json.encode(report)))
+    is_wrong = report["mismatches"] or report["targets"].get("repeated_keys")
+    return 1 if is_wrong or report["counts"].get("programs failed") else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
