Test the caller API in process; end withdrawn streams with an error event

Change: handlers turn the guard's cancellation into an error event; an error after the first event without one aborts the connection. Conclusion: open streams end when their key is withdrawn.

--- a/src/fireflyspread/callers/_guard.py
+++ b/src/fireflyspread/callers/_guard.py
@@ -54,13 +54,25 @@
         try:
             yield
         except asyncio.CancelledError:
-            if held.error is None:
+            error = self.take_error()
+            if error is None:
                 raise
-            task.uncancel()
-            raise held.error from None
+            raise error from None
         finally:
             self._held.pop(task, None)
 
+    def take_error(self) -> FireflyError | None:
+        """Return why the current task was cancelled, and undo the cancellation.
+
+        None when the cancellation did not come from this guard.
+        """
+        task = asyncio.current_task()
+        held = self._held.get(task) if task is not None else None
+        if task is None or held is None or held.error is None:
+            return None
+        task.uncancel()
+        return held.error
+
     def apply(self, bundle: ActiveBundle) -> None:
         """End the requests whose key is not in ``bundle``."""
 
--- a/src/fireflyspread/callers/_responses.py
+++ b/src/fireflyspread/callers/_responses.py
@@ -16,6 +16,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_STARTED = web.RequestKey("started", bool)
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -56,6 +58,11 @@
     try:
         return await handler(request)
     except FireflyError as exc:
+        if _STARTED in request:
+            # A second response would become part of the first one's body; without its
+            # end the first one is known to be incomplete.
+            _abort(request)
+            raise ConnectionResetError(exc.message) from exc
         return _make_error_response(exc)
     except (web.HTTPException, asyncio.CancelledError, ConnectionError):
         raise
@@ -135,6 +142,7 @@
                 "Cache-Control": "no-store",
             }
         )
+        self._request[_STARTED] = True
         await self._response.prepare(self._request)
 
     def _is_congested(self) -> bool:
@@ -143,5 +151,9 @@
 
     def _leave(self) -> None:
         self._is_gone = True
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        _abort(self._request)
+
+
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/src/fireflyspread/callers/_turn_handlers.py
+++ b/src/fireflyspread/callers/_turn_handlers.py
@@ -1,5 +1,7 @@
 """Handlers that run, join, replay and resume turns."""
 
+import asyncio
+
 import msgspec
 from aiohttp import web
 
@@ -133,6 +135,11 @@
             await writer.write(end)
         except FireflyError as exc:
             return await writer.fail(exc)
+        except asyncio.CancelledError:
+            error = self._context.guard.take_error()
+            if error is None:
+                raise
+            return await writer.fail(error)
         return await writer.finish()
 
     async def _attach(
@@ -147,6 +154,11 @@
             await writer.write(make_end_events(program.id, record, durability))
         except FireflyError as exc:
             return await writer.fail(exc)
+        except asyncio.CancelledError:
+            error = self._context.guard.take_error()
+            if error is None:
+                raise
+            return await writer.fail(error)
         return await writer.finish()
 
     async def _replay(
--- a/src/fireflyspread/daemon/__init__.py
+++ b/src/fireflyspread/daemon/__init__.py
@@ -1,6 +1,11 @@
 """The daemon ``fireflyspreadd``."""
 
-from fireflyspread.daemon._main import main
-from fireflyspread.daemon._node import NodeDaemon
+__all__ = ["main"]
 
-__all__ = ["NodeDaemon", "main"]
+
+def main() -> None:
+    """Run the daemon; see ``fireflyspread.daemon._main``."""
+    # Imported late: the entry point must set the environment before uvloop is loaded.
+    from fireflyspread.daemon._main import main as run
+
+    run()
--- a/src/fireflyspread/nodes/_fences.py
+++ b/src/fireflyspread/nodes/_fences.py
@@ -112,9 +112,7 @@
 
     async def _ask(self, member: Member, message: ConfirmFence) -> bool:
         try:
-            answer = await self._client.ask(
-                member.peers, message, timeout=_ASK_TIMEOUT
-            )
+            answer = await self._client.ask(member.peers, message, timeout=_ASK_TIMEOUT)
         except PeerError:
             return False
         return (
--- /dev/null
+++ b/tests/callers/conftest.py
@@ -0,0 +1,174 @@
+"""One node's caller API in this process, against in-process stand-ins."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest_asyncio
+from aiohttp import web
+from attrs import define, field
+
+from fireflyspread.bundle import ActiveBundle, Bundle, Team, hash_key
+from fireflyspread.callers import CallerApi, Context
+from fireflyspread.clock import SystemClock
+from fireflyspread.daemon._build import Base, build_context
+from fireflyspread.limits import RateLimiter
+from fireflyspread.nodes import FenceGuard, PeerClient
+from fireflyspread.recovery import SLOT_COUNT, Durability, Member, Ownership, Record
+from fireflyspread.settings import Settings
+from standins.engine import EngineStandIn
+from standins.service import ServiceStandIn
+
+KEY = "clerk-key"
+OTHER_KEY = "lab-key"
+
+
+class AllSlots(Ownership):
+    """Owns every slot and keeps committed records in a list."""
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+
+    def owned_slots(self) -> frozenset[int]:
+        return frozenset(range(SLOT_COUNT))
+
+    def owns(self, slot: int) -> bool:
+        return True
+
+    def find_owner(self, slot: int) -> Member | None:
+        return None
+
+    def check_authority(self) -> None:
+        return
+
+    async def commit(self, *records: Record, may_pend: bool = False) -> Durability:
+        self.records.extend(records)
+        return Durability.DURABLE
+
+    def enqueue(self, *records: Record) -> None:
+        self.records.extend(records)
+
+
+class NoLimit(RateLimiter):
+    """Admits everything."""
+
+    async def acquire(self, team: Team, amount: float = 1.0) -> None:
+        return
+
+
+@define
+class Node:
+    """A running node with its stand-ins."""
+
+    context: Context
+    ownership: AllSlots
+    engine: EngineStandIn
+    service: ServiceStandIn
+    url: str
+    session: aiohttp.ClientSession = field(repr=False)
+
+    def request(
+        self, method: str, path: str, *, key: str = KEY, **options: object
+    ) -> aiohttp.client._RequestContextManager:
+        """Send a request with a key."""
+        headers = {"Authorization": f"Bearer {key}", **options.pop("headers", {})}  # type: ignore[dict-item]
+        return self.session.request(method, self.url + path, headers=headers, **options)  # type: ignore[arg-type]
+
+
+def make_bundle(engine_url: str, service_url: str, *, version: int = 1) -> ActiveBundle:
+    """Return a bundle with one engine, one service and two teams."""
+    bundle = Bundle.from_config(
+        {
+            "teams": [
+                {"name": "clerks", "rate": 1000, "burst": 1000},
+                {"name": "labs", "rate": 1000, "burst": 1000},
+            ],
+            "keys": [
+                {"digest": hash_key(KEY), "team": "clerks"},
+                {"digest": hash_key(OTHER_KEY), "team": "labs"},
+            ],
+            "targets": [
+                {
+                    "name": "models",
+                    "kind": "engine",
+                    "half": "north",
+                    "replicas": [
+                        {"name": "m1", "url": engine_url, "zone": "a", "vm": "e1"}
+                    ],
+                },
+                {
+                    "name": "orders",
+                    "kind": "service",
+                    "half": "north",
+                    "replicas": [
+                        {"name": "s1", "url": service_url, "zone": "a", "vm": "e2"}
+                    ],
+                },
+            ],
+            "routes": [
+                {"name": "drafts", "target": "models"},
+                {"name": "charges", "target": "orders", "idempotent": False},
+                {"name": "quotes", "target": "orders"},
+                {"name": "catalogue", "target": "orders", "open": True},
+            ],
+        }
+    )
+    return ActiveBundle(version=version, bundle=bundle)
+
+
+def make_settings() -> Settings:
+    """Return settings of a node that listens nowhere by itself."""
+    address = "127.0.0.1:0"
+    return Settings.from_config(
+        {
+            "node": {"name": "entry-1", "zone": "a", "vm": "vm-1"},
+            "listen": {
+                "callers": address,
+                "internal": address,
+                "peers": address,
+                "operators": address,
+            },
+            "platform": {"store": "http://127.0.0.1:1"},
+            "node_secret": "0123456789abcdef",
+        }
+    )
+
+
+@pytest_asyncio.fixture
+async def node() -> AsyncIterator[Node]:
+    """Yield a node that owns every slot."""
+    engine, service = EngineStandIn(), ServiceStandIn()
+    await engine.start()
+    await service.start()
+    base = Base.from_config(make_settings(), SystemClock())
+    base.bundles.offer(make_bundle(engine.url, service.url))
+    ownership, client = AllSlots(), PeerClient()
+    fences = FenceGuard(
+        client,
+        own="entry-1",
+        get_bundle=base.bundles.get_active,
+        get_members=lambda: (),
+        clock=base.clock,
+    )
+    context = build_context(base, ownership=ownership, limiter=NoLimit(), fences=fences)
+    base.bundles.add_listener(context.guard.apply)
+    runner = web.AppRunner(CallerApi(context).make_public_app(), access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    async with aiohttp.ClientSession() as session:
+        yield Node(
+            context=context,
+            ownership=ownership,
+            engine=engine,
+            service=service,
+            url=f"http://127.0.0.1:{port}",
+            session=session,
+        )
+    await runner.cleanup()
+    await context.sessions.close()
+    await context.engines.close()
+    await context.relay.close()
+    await client.close()
+    await engine.stop()
+    await service.stop()
