--- /dev/null
+++ b/src/fireflyspread/daemon/_dump.py
@@ -0,0 +1,66 @@
+"""The state of the process on request."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from fireflyspread import __version__
+from fireflyspread.bundle import BundleHolder
+from fireflyspread.callers import CallerApi, Context
+from fireflyspread.daemon._recovery import Recovery
+from fireflyspread.nodes import Greeter
+from fireflyspread.operators import MemberVersion
+from fireflyspread.recovery import Membership
+
+__all__ = ["dump_state", "list_member_versions"]
+
+
+def list_member_versions(
+    membership: Membership, greeter: Greeter, bundles: BundleHolder
+) -> Sequence[MemberVersion]:
+    """Return each member with the bundle version it was last heard to have in force."""
+    heard = greeter.get_heard()
+    rows = []
+    for member in membership.members():
+        if member.name == membership.name:
+            version, age = bundles.version, 0.0
+        elif member.name in heard:
+            age, hello = heard[member.name]
+            version = hello.bundle_version
+        else:
+            rows.append(
+                MemberVersion(node=member.name, zone=member.zone, bundle_version=0)
+            )
+            continue
+        rows.append(
+            MemberVersion(
+                node=member.name, zone=member.zone, bundle_version=version, age=age
+            )
+        )
+    return rows
+
+
+def dump_state(
+    context: Context, recovery: Recovery, greeter: Greeter, api: CallerApi
+) -> Mapping[str, Any]:
+    """Return what this process knows, as JSON data without keys or histories."""
+    return {
+        "node": context.settings.node.name,
+        "zone": context.settings.node.zone,
+        "release": __version__,
+        "bundle_version": context.bundles.version,
+        "requests": api.running,
+        "held_requests": len(context.guard),
+        "programs": len(context.programs),
+        "intents": len(context.intents),
+        "sessions_being_released": len(context.sessions),
+        "recovery": recovery.dump(),
+        "scheduler": context.scheduler.dump(),
+        "neighbours": {
+            name: {
+                "age": round(age, 3),
+                "epoch": hello.epoch,
+                "bundle_version": hello.bundle_version,
+            }
+            for name, (age, hello) in greeter.get_heard().items()
+        },
+    }
--- /dev/null
+++ b/src/fireflyspread/daemon/_exchange.py
@@ -0,0 +1,135 @@
+"""Messages between this node and the others, and who handles them."""
+
+import random
+
+from fireflyspread.bundle import ActiveBundle, Bundle, BundleFeed, BundleHolder
+from fireflyspread.clock import Clock
+from fireflyspread.exceptions import PeerError
+from fireflyspread.limits import ShareLimiter
+from fireflyspread.nodes import (
+    AcquireTokens,
+    BundleFetched,
+    ConfirmFence,
+    FenceGuard,
+    FetchBundle,
+    Greeter,
+    Hello,
+    Message,
+    PeerClient,
+    PeerServer,
+    TokensGranted,
+)
+from fireflyspread.platform import LeavingVms
+from fireflyspread.recovery import Member, Membership
+from fireflyspread.routing import Quarantine
+from fireflyspread.settings import Settings
+
+__all__ = ["Exchange"]
+
+_FETCH_TIMEOUT = 1.0
+
+
+class Exchange:
+    """Greets the neighbours and answers what concerns bundles, rates and fences."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        client: PeerClient,
+        membership: Membership,
+        bundles: BundleHolder,
+        feed: BundleFeed,
+        leaving: LeavingVms,
+        quarantine: Quarantine,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._name = settings.node.name
+        self._client = client
+        self._membership = membership
+        self._bundles = bundles
+        self._feed = feed
+        self._leaving = leaving
+        self._quarantine = quarantine
+        self.greeter = Greeter(
+            client,
+            own=self._name,
+            make_hello=self._make_hello,
+            take_hello=self._take_hello,
+            interval=settings.timing.hello_interval,
+            clock=clock,
+            rng=rng,
+        )
+
+    def register(
+        self, server: PeerServer, limiter: ShareLimiter, fences: FenceGuard
+    ) -> None:
+        """Answer the messages of other nodes through ``server``."""
+
+        async def take_hello(message: Hello) -> Message:
+            return self.greeter.take(message)
+
+        async def grant_tokens(message: AcquireTokens) -> Message:
+            amount, retry_after = limiter.grant(
+                message.team, message.amount, message.epoch
+            )
+            return TokensGranted(amount=amount, retry_after=retry_after)
+
+        async def send_bundle(message: FetchBundle) -> Message:
+            active = self._bundles.get_active()
+            return BundleFetched(
+                bundle_version=active.version,
+                bundle=active.bundle.to_json(),
+                fences=active.fences,
+            )
+
+        async def confirm_fence(message: ConfirmFence) -> Message:
+            return fences.confirm(message)
+
+        server.register(Hello, take_hello)
+        server.register(AcquireTokens, grant_tokens)
+        server.register(FetchBundle, send_bundle)
+        server.register(ConfirmFence, confirm_fence)
+
+    async def fetch_bundle(self, node: str) -> ActiveBundle:
+        """Return the bundle in force on another node.
+
+        Raises
+        ------
+        PeerError
+            The node is no member or does not answer.
+        """
+        member = self._find_member(node)
+        message = FetchBundle(bundle_version=self._bundles.version)
+        answer = await self._client.ask(member.peers, message, timeout=_FETCH_TIMEOUT)
+        if not isinstance(answer, BundleFetched):
+            raise PeerError(f"node {node} sent no bundle; ask another")
+        return ActiveBundle(
+            version=answer.bundle_version,
+            bundle=Bundle.from_json(answer.bundle),
+            fences=answer.fences,
+        )
+
+    def _find_member(self, node: str) -> Member:
+        for member in self._membership.members():
+            if member.name == node:
+                return member
+        raise PeerError(f"node {node} is no member")
+
+    def _make_hello(self) -> Hello:
+        return Hello(
+            node=self._name,
+            epoch=self._membership.epoch,
+            bundle_version=self._bundles.version,
+            leaving=self._leaving.get_seen(),
+            quarantined=self._quarantine.convicted(),
+            suspects=self._quarantine.suspects(),
+        )
+
+    def _take_hello(self, hello: Hello) -> None:
+        self._feed.announce(hello.node, hello.bundle_version)
+        self._leaving.merge(hello.leaving)
+        self._quarantine.merge(
+            convicted=hello.quarantined, suspects=hello.suspects
+        )
--- /dev/null
+++ b/src/fireflyspread/daemon/_node.py
@@ -0,0 +1,230 @@
+"""Builds and runs one node."""
+
+import asyncio
+import logging
+import ssl
+from collections.abc import Coroutine
+from typing import Any
+
+from aiohttp import web
+
+from fireflyspread.bundle import ActiveBundle, BundleFeed, Rollout
+from fireflyspread.callers import CallerApi, Context
+from fireflyspread.clock import Clock, SystemClock
+from fireflyspread.daemon._build import Base, build_context
+from fireflyspread.daemon._dump import dump_state, list_member_versions
+from fireflyspread.daemon._exchange import Exchange
+from fireflyspread.daemon._programs import NodePrograms, expire_programs
+from fireflyspread.daemon._recovery import Recovery
+from fireflyspread.daemon._targets import ReplicaTasks
+from fireflyspread.exceptions import FireflyError
+from fireflyspread.limits import ShareLimiter
+from fireflyspread.nodes import FenceGuard, PeerClient, PeerServer, make_ssl_context
+from fireflyspread.operators import AdminApi
+from fireflyspread.platform import EtcdStore, LeavingVms, VmList
+from fireflyspread.settings import Address, Settings
+
+__all__ = ["NodeDaemon"]
+
+_LOG = logging.getLogger(__name__)
+
+# Seconds without authority after which open streams are ended. With 2 s of authority
+# a withdrawn key stops within 3 s at a node that hears of nothing any more.
+_ISOLATION_GRACE = 0.5
+_WATCH_INTERVAL = 0.1
+
+
+class NodeDaemon:
+    """One node: its listeners, its tasks and its state."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._base = Base.from_config(settings, clock)
+        self._runners: list[web.AppRunner] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._failed = asyncio.Event()
+
+    @classmethod
+    def from_config(cls, settings: Settings) -> "NodeDaemon":
+        """Build a node from its settings; needs a running event loop."""
+        return cls(settings, SystemClock())
+
+    async def start(self) -> None:
+        """Listen, join the other nodes and serve."""
+        self._build()
+        await self._server.start()
+        await self._admin.start()
+        for app, address, tls in (
+            (self._api.make_internal_app(), self._settings.listen.internal, True),
+            (self._api.make_public_app(), self._settings.listen.callers, False),
+        ):
+            await self._listen(app, address, is_internal=tls)
+        self._spawn(self._feed.run())
+        self._spawn(self._leaving.run())
+        self._spawn(self._recovery.run())
+        self._spawn(expire_programs(self._context, self._api))
+        self._spawn(self._watch_authority())
+        _LOG.info("node started", extra={"node": self._settings.node.name})
+
+    async def wait_stopped(self, stop: asyncio.Event) -> None:
+        """Return when ``stop`` is set or a task of the node has failed."""
+        waits = [asyncio.create_task(e.wait()) for e in (stop, self._failed)]
+        await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for wait in waits:
+            wait.cancel()
+
+    async def stop(self) -> None:
+        """Finish what is running, hand the slots over and close everything."""
+        _LOG.info("node drains", extra={"node": self._settings.node.name})
+        self._api.start_draining()
+        try:
+            async with asyncio.timeout(self._settings.timing.drain_timeout):
+                await self._drain()
+        except TimeoutError:
+            _LOG.warning("drain timeout passed; requests are cut off")
+        for runner in self._runners:
+            await runner.cleanup()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._close()
+        _LOG.info("node stopped", extra={"node": self._settings.node.name})
+
+    async def _drain(self) -> None:
+        # Listeners stay open: calls of programs that this node still owns arrive
+        # through other nodes until the slots have changed hands.
+        await self._recovery.leave()
+        await self._api.wait_idle()
+
+    async def _close(self) -> None:
+        await self._replicas.close()
+        await self._exchange.greeter.close()
+        await self._context.sessions.close()
+        await self._admin.stop()
+        await self._server.stop()
+        await self._context.engines.close()
+        await self._context.relay.close()
+        await self._client.close()
+        await self._store.close()
+
+    def _build(self) -> None:
+        settings, base, clock = self._settings, self._base, self._clock
+        self._store = EtcdStore(
+            settings.platform.store, timeout=settings.timing.store_timeout
+        )
+        self._client = PeerClient(tls=settings.tls)
+        self._server = PeerServer(
+            settings.listen.peers, node=settings.node.name, tls=settings.tls
+        )
+        self._leaving = self._build_leaving()
+        self._recovery = Recovery(
+            base, self._store, self._client, is_vm_listed=self._leaving.is_listed
+        )
+        self._feed = BundleFeed(
+            self._store,
+            base.bundles,
+            rng=base.rng,
+            fetch_from_peer=lambda node: self._exchange.fetch_bundle(node),
+        )
+        limiter = self._recovery.build_limiter()
+        fences = FenceGuard(
+            self._client,
+            own=settings.node.name,
+            get_bundle=base.bundles.get_active,
+            get_members=self._recovery.membership.members,
+            clock=clock,
+        )
+        self._context = build_context(
+            base, ownership=self._recovery, limiter=limiter, fences=fences
+        )
+        self._api = CallerApi(self._context)
+        self._replicas = ReplicaTasks(self._context)
+        self._exchange = Exchange(
+            settings,
+            client=self._client,
+            membership=self._recovery.membership,
+            bundles=base.bundles,
+            feed=self._feed,
+            leaving=self._leaving,
+            quarantine=self._context.scheduler.quarantine,
+            clock=clock,
+            rng=base.rng,
+        )
+        self._exchange.register(self._server, limiter, fences)
+        self._recovery.register(self._server)
+        self._recovery.add_listener(self._exchange.greeter.set_members)
+        self._recovery.add_listener(self._context.relay_members)
+        self._admin = self._build_admin()
+        base.bundles.add_listener(self._context.guard.apply)
+        base.bundles.add_listener(self._replicas.apply)
+        base.bundles.add_listener(limiter.set_bundle)
+
+    def _build_leaving(self) -> LeavingVms:
+        url = self._settings.platform.vm_list
+        return LeavingVms(
+            None if url is None else VmList(url),
+            clock=self._clock,
+            interval=self._settings.timing.vm_poll_interval,
+            on_change=self._set_leaving,
+        )
+
+    def _build_admin(self) -> AdminApi:
+        return AdminApi.from_config(
+            self._settings,
+            rollout=Rollout(self._store),
+            programs=NodePrograms(self._context, self._api),
+            list_members=lambda: list_member_versions(
+                self._recovery.membership, self._exchange.greeter, self._base.bundles
+            ),
+            dump_state=lambda: dump_state(
+                self._context, self._recovery, self._exchange.greeter, self._api
+            ),
+        )
+
+    def _set_leaving(self, vms: frozenset[str]) -> None:
+        self._context.scheduler.set_leaving(vms)
+
+    async def _listen(
+        self, app: web.Application, address: Address, *, is_internal: bool
+    ) -> None:
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=self._settings.timing.drain_timeout,
+        )
+        await runner.setup()
+        self._runners.append(runner)
+        context: ssl.SSLContext | None = None
+        if self._settings.tls is not None:
+            context = make_ssl_context(self._settings.tls, server=True)
+            if not is_internal:
+                context.verify_mode = ssl.CERT_NONE
+        site = web.TCPSite(runner, address.host, address.port, ssl_context=context)
+        await site.start()
+
+    async def _watch_authority(self) -> None:
+        """End open streams once withdrawn keys can no longer be heard of."""
+        lost_at: float | None = None
+        while True:
+            await asyncio.sleep(_WATCH_INTERVAL)
+            try:
+                self._recovery.check_authority()
+                lost_at = None
+                continue
+            except FireflyError:
+                now = self._clock.read_monotonic()
+            lost_at = now if lost_at is None else lost_at
+            if now - lost_at >= _ISOLATION_GRACE:
+                self._context.guard.stop_all()
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        task.add_done_callback(self._note_end)
+        self._tasks.append(task)
+
+    def _note_end(self, task: asyncio.Task[None]) -> None:
+        if task.cancelled() or task.exception() is None:
+            return
+        _LOG.error("a task of the node failed", exc_info=task.exception())
+        self._failed.set()
