--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -19,6 +19,7 @@
 )
 from fireflyspread.recovery._slots import SLOT_COUNT, SlotState, find_slot
 from fireflyspread.recovery._store import Change, Entry, Store
+from fireflyspread.recovery._store_journal import Holder, StoreJournal
 
 __all__ = [
     "SLOT_COUNT",
@@ -26,6 +27,7 @@
     "Change",
     "Durability",
     "Entry",
+    "Holder",
     "IntentAbandoned",
     "IntentDeclared",
     "Journal",
@@ -41,6 +43,7 @@
     "SlotRow",
     "SlotState",
     "Store",
+    "StoreJournal",
     "TurnRecorded",
     "decode_records",
     "encode_records",
--- /dev/null
+++ b/src/fireflyspread/recovery/_entries.py
@@ -0,0 +1,227 @@
+"""Values of journal keys: how records are packed, read back and sealed."""
+
+from collections.abc import Iterator, Sequence
+
+import msgspec
+from attrs import field, frozen
+
+from fireflyspread.recovery._records import AnyRecord, Record
+from fireflyspread.recovery._store import Entry, Store
+
+__all__ = [
+    "MAX_VALUE_BYTES",
+    "JournalEntry",
+    "StoredJournal",
+    "decode_entry",
+    "encode_entry",
+    "encode_record",
+    "find_entry_key",
+    "join_records",
+    "pack_entry",
+    "read_journal",
+    "seal_journal",
+]
+
+# The store takes values up to 1 MB; the rest is room for the envelope.
+MAX_VALUE_BYTES = 900_000
+
+# Keys are read in pages of ten consecutive sequence numbers, so that one answer of
+# the store stays below 10 MB.
+_PAGE_DIGITS = 1
+_SEQUENCE_DIGITS = 12
+
+_RECORD_DECODER = msgspec.msgpack.Decoder(AnyRecord | None)
+
+WITHDRAWN = msgspec.msgpack.encode(None)
+
+
+class JournalEntry(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+    """Value of one journal key.
+
+    Attributes
+    ----------
+    write_id : str
+        Unique to the value, so that a lost response can be resolved.
+    position : int
+        Number of the first record in the journal.
+    records : tuple of Raw
+        Encoded records; nil stands for a record that was withdrawn.
+    fragment : bytes or None
+        Part of a record that is too large for one value.
+    is_last : bool
+        Whether ``fragment`` is the last part of its record.
+    sealed_by : str
+        Incarnation that sealed the journal with this entry.
+    """
+
+    write_id: str
+    position: int
+    records: tuple[msgspec.Raw, ...] = ()
+    fragment: bytes | None = None
+    is_last: bool = True
+    sealed_by: str = ""
+
+
+_ENTRY_DECODER = msgspec.msgpack.Decoder(JournalEntry)
+
+
+def encode_entry(entry: JournalEntry) -> bytes:
+    """Return the stored form of ``entry``."""
+    return msgspec.msgpack.encode(entry)
+
+
+def decode_entry(data: bytes) -> JournalEntry:
+    """Return the entry in ``data``; raises ``msgspec.DecodeError``."""
+    return _ENTRY_DECODER.decode(data)
+
+
+def encode_record(record: Record) -> bytes:
+    """Return the MessagePack form of one record."""
+    return msgspec.msgpack.encode(record)
+
+
+def find_entry_key(prefix: str, sequence: int) -> str:
+    """Return the key of the entry with number ``sequence``."""
+    return f"{prefix}{sequence:0{_SEQUENCE_DIGITS}}"
+
+
+def pack_entry(
+    write_id: str, position: int, queued: Sequence[bytes], offset: int = 0
+) -> tuple[JournalEntry, int]:
+    """Pack as many queued records into one entry as fit.
+
+    Parameters
+    ----------
+    queued : sequence of bytes
+        Encoded records; the first one has number ``position``.
+    offset : int
+        Bytes of the first record that earlier entries hold already.
+
+    Returns
+    -------
+    tuple of JournalEntry and int
+        The entry and the number of records that are complete with it.
+    """
+    if len(queued[0]) > MAX_VALUE_BYTES:
+        part = queued[0][offset : offset + MAX_VALUE_BYTES]
+        is_last = offset + len(part) == len(queued[0])
+        entry = JournalEntry(
+            write_id=write_id, position=position, fragment=part, is_last=is_last
+        )
+        return entry, int(is_last)
+    size, count = 0, 0
+    for data in queued:
+        size += len(data)
+        if size > MAX_VALUE_BYTES:
+            break
+        count += 1
+    records = tuple(msgspec.Raw(data) for data in queued[:count])
+    return JournalEntry(write_id=write_id, position=position, records=records), count
+
+
+def join_records(entries: Sequence[JournalEntry]) -> Iterator[tuple[int, Record]]:
+    """Yield the numbered records of ``entries`` in the order of writing.
+
+    Each number is yielded once; records that several entries carry are the same.
+    Entries may overlap, because a node that held records returns some that the
+    store has as well.
+    """
+    found = 0
+    parts: list[bytes] = []
+    # Stable sort: entries at the same position keep their order of writing.
+    for entry in sorted(entries, key=lambda entry: entry.position):
+        encoded: Sequence[bytes] = [bytes(raw) for raw in entry.records]
+        if entry.fragment is not None:
+            parts.append(entry.fragment)
+            if not entry.is_last:
+                continue
+            encoded, parts = [b"".join(parts)], []
+        for position, data in enumerate(encoded, entry.position):
+            if position < found:
+                continue
+            found = position + 1
+            record = _RECORD_DECODER.decode(data)
+            if record is not None:
+                yield position, record
+
+
+@frozen
+class StoredJournal:
+    """The entries of a journal that are in the store.
+
+    Attributes
+    ----------
+    next_sequence : int
+        Number of the first key that is free.
+    sealed_by : str
+        Incarnation that sealed the journal, or empty.
+    """
+
+    prefix: str
+    keys: tuple[str, ...] = ()
+    entries: tuple[JournalEntry, ...] = field(default=(), repr=False)
+
+    @property
+    def next_sequence(self) -> int:
+        """Number of the first key after the last one."""
+        return int(self.keys[-1][len(self.prefix) :]) + 1 if self.keys else 0
+
+    @property
+    def sealed_by(self) -> str:
+        """Incarnation that sealed the journal, or empty."""
+        return self.entries[-1].sealed_by if self.entries else ""
+
+
+async def read_journal(store: Store, prefix: str) -> StoredJournal:
+    """Read all entries of a journal.
+
+    The owner deletes only the oldest entries, so the numbers have no gaps and the
+    first page that is not full to its end is the last one.
+
+    Raises
+    ------
+    StoreError
+        The store does not answer.
+    """
+    first = await store.read_prefix(prefix, limit=1)
+    rows: list[Entry] = []
+    if first:
+        sequence = int(first[0].key[len(prefix) :])
+        while True:
+            page = find_entry_key(prefix, sequence)[:-_PAGE_DIGITS]
+            found = await store.read_prefix(page)
+            rows.extend(found)
+            if not found or not found[-1].key.endswith("9" * _PAGE_DIGITS):
+                break
+            sequence = int(found[-1].key[len(prefix) :]) + 1
+    return StoredJournal(
+        prefix=prefix,
+        keys=tuple(row.key for row in rows),
+        entries=tuple(decode_entry(row.value) for row in rows),
+    )
+
+
+async def seal_journal(
+    store: Store, prefix: str, *, write_id: str, sealed_by: str, lease: int = 0
+) -> StoredJournal:
+    """Create the next entry of another node's journal and return all entries.
+
+    The owner cannot append after this, because it only creates keys that are
+    absent. The seal must outlive all other entries, or a paused owner could append
+    again; ``lease`` lets the store delete it after a time that no pause reaches.
+
+    Raises
+    ------
+    StoreError
+        The store does not answer; the journal may be sealed all the same.
+    """
+    while True:
+        journal = await read_journal(store, prefix)
+        if journal.sealed_by:
+            return journal
+        seal = JournalEntry(
+            write_id=write_id, position=1 << 62, sealed_by=sealed_by, records=()
+        )
+        key = find_entry_key(prefix, journal.next_sequence)
+        # A key that exists by now is one more entry of the owner: read again.
+        await store.create_once(key, encode_entry(seal), lease=lease)
--- /dev/null
+++ b/tests/recovery/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the journal, membership and takeover."""
