--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -21,6 +21,7 @@
 )
 from fireflyspread.recovery._slots import SLOT_COUNT, SlotState, find_slot
 from fireflyspread.recovery._store import Change, Entry, Store
+from fireflyspread.recovery._store_journal import Holder, StoreJournal
 
 __all__ = [
     "SLOT_COUNT",
@@ -28,6 +29,7 @@
     "Change",
     "Durability",
     "Entry",
+    "Holder",
     "IntentAbandoned",
     "IntentDeclared",
     "Journal",
@@ -44,6 +46,7 @@
     "SlotRow",
     "SlotState",
     "Store",
+    "StoreJournal",
     "TurnFailed",
     "TurnRecorded",
     "decode_records",
