Add session policy, cache hints, polling and sweeping of replicas

Cause: engine memory must not stay allocated to programs that have ended, and hints must not outlive the caches they describe.

--- a/src/fireflyspread/engines/__init__.py
+++ b/src/fireflyspread/engines/__init__.py
@@ -8,7 +8,10 @@
     Usage,
 )
 from fireflyspread.engines._http import HttpEngine
+from fireflyspread.engines._poll import ReplicaPoller
 from fireflyspread.engines._sse import DONE_EVENT, extract_answer
+from fireflyspread.engines._sweep import SessionSweeper
+from fireflyspread.engines._tasks import ReplicaTasks
 
 __all__ = [
     "DONE_EVENT",
@@ -17,6 +20,9 @@
     "EngineRequest",
     "HttpEngine",
     "Order",
+    "ReplicaPoller",
+    "ReplicaTasks",
+    "SessionSweeper",
     "Usage",
     "extract_answer",
 ]
--- a/src/fireflyspread/routing/__init__.py
+++ b/src/fireflyspread/routing/__init__.py
@@ -1,6 +1,7 @@
 """Which request runs next, and on which replica."""
 
 from fireflyspread.routing._health import ReplicaHealth
+from fireflyspread.routing._hints import CacheHints, Hint
 from fireflyspread.routing._placement import (
     LeastReportedLoadPlacement,
     Placement,
@@ -18,10 +19,13 @@
     Ticket,
     Work,
 )
+from fireflyspread.routing._sessions import SessionKeeper
 
 __all__ = [
+    "CacheHints",
     "FairQueue",
     "FifoQueue",
+    "Hint",
     "LeastReportedLoadPlacement",
     "LoadReport",
     "Placement",
@@ -34,6 +38,7 @@
     "RetryBudget",
     "RoundRobinPlacement",
     "Scheduler",
+    "SessionKeeper",
     "Ticket",
     "Work",
     "draw_backoff",
--- /dev/null
+++ b/tests/engines/test_background.py
@@ -0,0 +1,204 @@
+"""Polling and sweeping of a replica, in virtual time."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator
+
+from fireflyspread.bundle import Replica
+from fireflyspread.engines import (
+    Engine,
+    EngineLoad,
+    EngineRequest,
+    Order,
+    ReplicaPoller,
+    ReplicaTasks,
+    SessionSweeper,
+)
+from fireflyspread.exceptions import TargetError, TargetUnreachableError
+from tests.routing.virtual_time import LoopClock, run_virtual
+
+
+class FakeEngine(Engine):
+    """Holds sessions and fails as often as the test says."""
+
+    def __init__(self) -> None:
+        self.sessions: set[str] = set()
+        self.failures = 0
+        self.is_down = False
+        self.last_event = 0
+        self.events: dict[int, str] = {}
+
+    def stream(self, request: EngineRequest) -> AsyncIterator[bytes]:
+        raise NotImplementedError
+
+    async def cancel(self, request: str) -> None:
+        raise NotImplementedError
+
+    async def read_load(self) -> EngineLoad:
+        if self.is_down:
+            raise TargetUnreachableError("down")
+        return EngineLoad(running=1, waiting=2, cache_used=3, cache_capacity=4)
+
+    async def read_cache_events(self, after: int) -> tuple[int, tuple[str, ...]]:
+        new = (self.events[n] for n in sorted(self.events) if n > after)
+        return self.last_event, tuple(new)
+
+    async def list_sessions(self) -> tuple[str, ...]:
+        return tuple(self.sessions)
+
+    async def release_session(self, session: str) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise TargetError("failed")
+        self.sessions.discard(session)
+
+    async def export_session(self, session: str) -> bytes:
+        raise NotImplementedError
+
+    async def import_session(self, session: str, cache: bytes) -> None:
+        raise NotImplementedError
+
+    async def order(self, order: Order) -> None:
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        raise NotImplementedError
+
+
+class TestSessionSweeper:
+    """SessionSweeper.run."""
+
+    def test_retries_until_confirmed(self) -> None:
+        """A lost release leaves memory to a program that has ended."""
+
+        async def main() -> None:
+            engine, released = FakeEngine(), list[str]()
+            engine.sessions, engine.failures = {"p", "q"}, 20
+            sweeper = SessionSweeper(
+                "r",
+                engine,
+                random.Random(1),
+                is_gone=lambda program: False,
+                on_released=released.append,
+            )
+            task = asyncio.create_task(sweeper.run())
+            await asyncio.sleep(1)
+            sweeper.release("p")
+            await asyncio.sleep(1)
+            assert sweeper.pending == ("p",)
+            await asyncio.sleep(120)
+            task.cancel()
+            assert engine.sessions == {"q"}
+            assert released == ["p"]
+            assert sweeper.pending == ()
+
+        run_virtual(main())
+
+    def test_finds_sessions_of_ended_programs(self) -> None:
+        """Memory stays taken when the node that held it is lost."""
+
+        async def main() -> None:
+            engine = FakeEngine()
+            engine.sessions = {"gone", "open"}
+            sweeper = SessionSweeper(
+                "r",
+                engine,
+                random.Random(1),
+                is_gone=lambda program: program == "gone",
+                on_released=lambda program: None,
+            )
+            task = asyncio.create_task(sweeper.run())
+            await asyncio.sleep(1)
+            task.cancel()
+            assert engine.sessions == {"open"}
+
+        run_virtual(main())
+
+    def test_keeps_a_program_that_goes_on(self) -> None:
+        """A late release takes the memory of a program that has come back."""
+
+        async def main() -> None:
+            engine = FakeEngine()
+            engine.sessions, engine.failures = {"p"}, 1
+            sweeper = SessionSweeper(
+                "r",
+                engine,
+                random.Random(1),
+                is_gone=lambda program: False,
+                on_released=lambda program: None,
+            )
+            sweeper.release("p")
+            task = asyncio.create_task(sweeper.run())
+            await asyncio.sleep(0)
+            sweeper.keep("p")
+            await asyncio.sleep(60)
+            task.cancel()
+            assert engine.sessions == {"p"}
+
+        run_virtual(main())
+
+
+class TestReplicaPoller:
+    """ReplicaPoller."""
+
+    def test_tells_events_from_gaps(self) -> None:
+        """Hints survive events that were lost, a restart or a crash."""
+
+        async def main() -> None:
+            engine, seen = FakeEngine(), list[object]()
+            poller = ReplicaPoller(
+                "r",
+                engine,
+                LoopClock(asyncio.get_running_loop()),
+                random.Random(1),
+                on_load=lambda replica, report: None,
+                on_evicted=lambda replica, programs: seen.append(programs),
+                on_gap=lambda replica: seen.append("gap"),
+            )
+            task = asyncio.create_task(poller.run())
+            # The first numbers are not known to be complete; 8 is lost; the engine
+            # starts again at 1.
+            engine.last_event = 5
+            await asyncio.sleep(2)
+            engine.last_event, engine.events = 6, {6: "a"}
+            await asyncio.sleep(2)
+            engine.last_event, engine.events = 8, {7: "b"}
+            await asyncio.sleep(2)
+            engine.last_event, engine.events = 1, {1: "c"}
+            await asyncio.sleep(2)
+            engine.is_down = True
+            await asyncio.sleep(0.7)
+            task.cancel()
+            assert seen == [("a",), "gap", "gap", "gap"]
+
+        run_virtual(main())
+
+
+class TestReplicaTasks:
+    """ReplicaTasks."""
+
+    def test_follows_the_bundle_and_restarts(self) -> None:
+        """A replica is not swept after a fault or goes on being swept when removed."""
+
+        async def main() -> None:
+            runs: list[str] = []
+
+            async def run(replica: Replica) -> None:
+                runs.append(replica.name)
+                if runs.count("a") < 2:
+                    raise RuntimeError("fault")
+                await asyncio.sleep(1e6)
+
+            first, second = (
+                Replica(name=name, url="http://127.0.0.1:1", zone="z", vm="v")
+                for name in "ab"
+            )
+            tasks = ReplicaTasks(run)
+            tasks.set_replicas([first])
+            await asyncio.sleep(5)
+            tasks.set_replicas([second])
+            await asyncio.sleep(5)
+            await tasks.close()
+            assert runs == ["a", "a", "b"]
+
+        run_virtual(main())
