--- a/src/fireflyspread/engines/__init__.py
+++ b/src/fireflyspread/engines/__init__.py
@@ -9,6 +9,7 @@
 )
 from fireflyspread.engines._http import HttpEngine
 from fireflyspread.engines._poll import ReplicaPoller
+from fireflyspread.engines._release import SessionReleaser
 from fireflyspread.engines._sse import DONE_EVENT, extract_answer
 from fireflyspread.engines._sweep import SessionSweeper
 from fireflyspread.engines._tasks import ReplicaTasks
@@ -23,6 +24,7 @@
     "ReplicaPoller",
     "ReplicaTasks",
     "SessionSweeper",
+    "SessionReleaser",
     "Usage",
     "extract_answer",
 ]
