Compare policies in simulated time; tell noise from slow replicas

Cause: trial runs of the comparison ejected service replicas whose times only vary, found slow replicas after their slow time, and convicted requests that were alone by one node's view only.

--- a/src/fireflyspread/routing/_health.py
+++ b/src/fireflyspread/routing/_health.py
@@ -1,5 +1,6 @@
 """Replicas that are unreachable or much slower than the others of their target."""
 
+import math
 import statistics
 from collections.abc import Iterable
 
@@ -11,13 +12,21 @@
 __all__ = ["ReplicaHealth"]
 
 _FAILURES = frozenset({Result.CRASHED, Result.UNREACHABLE})
-# Weight of the newest request in the mean time.
+# Weight of the newest request in the means.
 _SMOOTHING = 0.2
+# A mean with that weight varies like one of this many samples.
+_EFFECTIVE_SAMPLES = (2 - _SMOOTHING) / _SMOOTHING
+# Standard errors by which a replica must be slower, so that times that vary much by
+# themselves do not eject replicas.
+_STANDARD_ERRORS = 4.0
 
 
 @define
 class _Health:
+    """Mean and variance are those of the logarithm of seconds per cost."""
+
     mean: float = 0.0
+    variance: float = 0.0
     samples: int = 0
     timeouts: int = 0
     level: int = 0
@@ -54,7 +63,7 @@
         base: float = 2.0,
         cap: float = 60.0,
         slow_factor: float = 3.0,
-        min_samples: int = 8,
+        min_samples: int = 5,
         max_fraction: float = 0.5,
     ) -> None:
         self._clock = clock
@@ -106,34 +115,59 @@
                 self._eject(health)
         elif result is Result.ANSWERED:
             health.timeouts = 0
-            self._add_sample(health, seconds_per_cost, was_probed)
+            self._add_sample(health, seconds_per_cost)
 
-    def _add_sample(self, health: _Health, value: float, was_probed: bool) -> None:
+    def is_late(self, replica: str, seconds_per_cost: float) -> bool:
+        """Return whether a request that runs has taken as long as on a slow replica."""
+        health = self._replicas.get(replica)
+        others = [] if health is None else self._list_others(health)
+        if not others:
+            return False
+        median = statistics.median(other.mean for other in others)
+        return _log(seconds_per_cost) > median + math.log(self._slow_factor)
+
+    def _add_sample(self, health: _Health, value: float) -> None:
+        value = _log(value)
         if health.is_ejected:
-            if self._is_slow(health, value):
+            if self._is_slow(health, value, 1):
                 self._eject(health)
                 return
             health.is_ejected = False
-            health.mean, health.samples = value, 1
+            health.mean, health.variance, health.samples = value, 0.0, 1
             return
         health.samples += 1
         weight = max(_SMOOTHING, 1.0 / health.samples)
-        health.mean += weight * (value - health.mean)
+        difference = value - health.mean
+        health.mean += weight * difference
+        health.variance = (1 - weight) * (health.variance + weight * difference**2)
         if health.samples >= self._min_samples:
-            if self._is_slow(health, health.mean):
+            samples = min(health.samples, _EFFECTIVE_SAMPLES)
+            if self._is_slow(health, health.mean, samples):
                 self._eject(health)
             elif health.samples >= 4 * self._min_samples:
                 health.level = 0
 
-    def _is_slow(self, health: _Health, value: float) -> bool:
-        others = [
-            other.mean
+    def _is_slow(self, health: _Health, value: float, samples: float) -> bool:
+        """Return whether ``value``, the mean of ``samples``, is far above the others.
+
+        The variance is that of the others, because a replica that has just become
+        slow has a great variance itself.
+        """
+        others = self._list_others(health)
+        if not others:
+            return False
+        median = statistics.median(other.mean for other in others)
+        variance = statistics.median(other.variance for other in others)
+        error = math.sqrt(variance * (1 / samples + 1 / _EFFECTIVE_SAMPLES))
+        least = max(math.log(self._slow_factor), _STANDARD_ERRORS * error)
+        return value - median > least
+
+    def _list_others(self, health: _Health) -> list[_Health]:
+        return [
+            other
             for other in self._replicas.values()
             if other is not health and other.samples >= self._min_samples
         ]
-        if not others:
-            return False
-        return value > self._slow_factor * statistics.median(others)
 
     def _eject(self, health: _Health) -> None:
         if not health.is_ejected:
@@ -144,8 +178,13 @@
         health.is_ejected = True
         health.level = min(health.level + 1, 16)
         health.until = self._clock.read_monotonic() + seconds
-        health.mean, health.samples, health.timeouts = 0.0, 0, 0
+        health.mean, health.variance = 0.0, 0.0
+        health.samples = health.timeouts = 0
 
     def list_ejected(self) -> tuple[str, ...]:
         """Return the replicas that get no work or only probes."""
         return tuple(n for n, health in self._replicas.items() if health.is_ejected)
+
+
+def _log(seconds_per_cost: float) -> float:
+    return math.log(max(seconds_per_cost, 1e-9))
--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -66,7 +66,7 @@
         ]
         crashed = self._quarantine.get_crashed(work.fingerprint)
         free = [r for r in free if r.replica.name not in crashed] or free
-        return min(free, key=lambda replica: replica.running, default=None)
+        return min(free, key=_get_loads, default=None)
 
     def forget(self, work: Work, state: TargetState) -> None:
         """End the reservation of a request that does not wait or run any more."""
@@ -78,3 +78,8 @@
                 replica.reserved_for = None
             if replica.alone == work.request:
                 replica.alone = None
+
+
+def _get_loads(replica: ReplicaState) -> tuple[int, int]:
+    # Requests of other nodes count too: the fewer, the more a crash proves.
+    return (replica.estimate_load(), replica.running)
--- a/src/fireflyspread/routing/_placement.py
+++ b/src/fireflyspread/routing/_placement.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Sequence
 
-from attrs import define
+from attrs import define, field
 
 from fireflyspread.bundle import Replica
 from fireflyspread.routing._scheduler import LoadReport, Work
@@ -32,6 +32,12 @@
         Requests of this node in flight when the report arrived.
     service_seconds : float
         Mean time of a request.
+    peaks : tuple of int
+        Most requests of this node in flight at once, since the last report and
+        between the two last ones.
+    in_flight : dict of str to tuple
+        Start in monotonic seconds and cost of each request of this node that does
+        not count as late yet.
     alone : str or None
         Suspected request that has the replica to itself.
     reserved_for : str or None
@@ -44,6 +50,8 @@
     report: LoadReport | None = None
     running_at_report: int = 0
     service_seconds: float = 0.0
+    peaks: tuple[int, int] = (0, 0)
+    in_flight: dict[str, tuple[float, float]] = field(factory=dict)
     alone: str | None = None
     reserved_for: str | None = None
 
@@ -54,6 +62,33 @@
         others = self.report.running + self.report.waiting - self.running_at_report
         return max(0, others) + self.running
 
+    def start(self, request: str, now: float, cost: float) -> None:
+        """Take note of a request of this node."""
+        self.running += 1
+        self.peaks = (max(self.peaks[0], self.running), self.peaks[1])
+        self.in_flight[request] = (now, cost)
+
+    def finish(self, request: str) -> bool:
+        """Take note of its end; return whether it did not count as late before."""
+        self.running -= 1
+        return self.in_flight.pop(request, None) is not None
+
+    def take_report(self, report: LoadReport) -> None:
+        """Store a load report."""
+        self.report = report
+        self.running_at_report = self.running
+        self.peaks = (self.running, self.peaks[0])
+
+    def is_shared(self) -> bool:
+        """Return whether the replica surely had requests of other nodes lately.
+
+        The report is late, so it may count requests of this node that have ended;
+        the peaks allow for them.
+        """
+        if self.report is None:
+            return False
+        return self.report.running + self.report.waiting > max(self.peaks)
+
     def is_full(self, guaranteed: int) -> bool:
         """Return whether the concurrency limit is reached.
 
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -284,9 +284,8 @@
         else:
             self._isolation.forget(work, state)
         state.queue.take(waiting)
-        replica.running += 1
+        state.start(replica, work)
         self.quarantine.start(work.fingerprint, name)
-        state.health.start(name)
         self._running[work.request, name] = _Running(state, replica, is_alone)
         assert waiting.future is not None
         waiting.future.set_result(
@@ -307,12 +306,11 @@
                 extra={"request": work.request, "replica": name},
             )
             return
-        run.replica.running -= 1
         self._judge(ticket, run, result)
         if run.is_alone:
             self._isolation.forget(work, run.state)
         seconds = self._clock.read_monotonic() - ticket.started_at
-        run.state.record(run.replica, work, result, seconds)
+        run.state.finish(run.replica, work, result, seconds)
         if result is Result.ANSWERED and tokens > 0:
             run.state.queue.settle(work, tokens)
         elif result in _NOT_RUN:
@@ -324,7 +322,11 @@
         # A replica on a VM that is leaving is expected to end.
         if result is Result.CRASHED and ticket.replica.vm not in self._leaving:
             self.quarantine.record_crash(
-                fingerprint, name, ticket.started_at, alone=run.is_alone
+                fingerprint,
+                name,
+                ticket.started_at,
+                alone=run.is_alone,
+                shared=run.replica.is_shared(),
             )
         elif result is Result.ANSWERED:
             self.quarantine.record_answer(fingerprint, alone=run.is_alone)
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -16,7 +16,6 @@
     at: float
     replica: str
     fingerprints: frozenset[str]
-    was_alone: bool
 
 
 @define
@@ -25,7 +24,14 @@
 
     until: float
     replicas: set[str] = field(factory=set)
-    crashed_alone: bool = False
+    alone: int = 0
+    confirmed: bool = False
+
+    def is_proven(self) -> bool:
+        """Return whether no other request can be the cause."""
+        if self.confirmed:
+            return len(self.replicas) >= 2
+        return self.alone >= 2 and len(self.replicas) >= 3
 
 
 class Quarantine:
@@ -36,6 +42,10 @@
     two different replicas, at least once alone, is convicted: only a crash while
     alone distinguishes it from the requests that merely were there too.
 
+    Alone means that this node sent nothing else to the replica. If the replica
+    reported requests of other nodes, one of these may be the cause, and a conviction
+    takes two crashes while alone and three different replicas in all.
+
     When several replicas crash together, the cause is a rack or a zone. Then only
     fingerprints in flight on more than one of them are suspected, because running all
     requests of a lost zone alone would take away the capacity that is left.
@@ -86,7 +96,13 @@
             del self._in_flight[replica]
 
     def record_crash(
-        self, fingerprint: str, replica: str, started_at: float, *, alone: bool
+        self,
+        fingerprint: str,
+        replica: str,
+        started_at: float,
+        *,
+        alone: bool,
+        shared: bool = False,
     ) -> None:
         """Suspect what was in flight when a replica closed a connection.
 
@@ -97,7 +113,9 @@
         started_at : float
             When the request was sent, in monotonic seconds.
         alone : bool
-            Whether the request had the replica to itself.
+            Whether this node sent nothing else to the replica.
+        shared : bool
+            Whether the replica reported requests of other nodes.
         """
         now = self._clock.read_monotonic()
         self._crashes = [c for c in self._crashes if c.at > now - self._ttl][-256:]
@@ -106,20 +124,22 @@
                 return
         fingerprints = frozenset(self._in_flight.get(replica, ())) | {fingerprint}
         alone = alone and len(fingerprints) == 1
-        self._crashes.append(_Crash(now, replica, fingerprints, alone))
-        for each in fingerprints:
-            self._suspect(each, replica, now, alone)
+        self._crashes.append(_Crash(now, replica, fingerprints))
+        for each in sorted(fingerprints):
+            suspect = self._suspect(each, replica, now)
+            suspect.alone += alone
+            suspect.confirmed |= alone and not shared
+            if suspect.is_proven():
+                self._convicted[each] = now + self._ttl
+                del self._suspects[each]
         self._forgive_outage(now)
 
-    def _suspect(self, fingerprint: str, replica: str, now: float, alone: bool) -> None:
+    def _suspect(self, fingerprint: str, replica: str, now: float) -> _Suspect:
         self._cleared.pop(fingerprint, None)
         suspect = self._suspects.setdefault(fingerprint, _Suspect(now + self._ttl))
         suspect.until = now + self._ttl
         suspect.replicas.add(replica)
-        suspect.crashed_alone |= alone
-        if suspect.crashed_alone and len(suspect.replicas) >= 2:
-            self._convicted[fingerprint] = now + self._ttl
-            del self._suspects[fingerprint]
+        return suspect
 
     def _forgive_outage(self, now: float) -> None:
         recent = [c for c in self._crashes if c.at >= now - self._window]
@@ -128,7 +148,7 @@
         counts = Counter(f for crash in recent for f in crash.fingerprints)
         for fingerprint, count in counts.items():
             suspect = self._suspects.get(fingerprint)
-            if count == 1 and suspect is not None and not suspect.crashed_alone:
+            if count == 1 and suspect is not None and not suspect.alone:
                 del self._suspects[fingerprint]
 
     def record_answer(self, fingerprint: str, *, alone: bool) -> None:
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -19,7 +19,7 @@
     fingerprint : str
         Equal for requests that would crash a target in the same way.
     cost : float
-        Expected tokens, prompt and answer.
+        Expected tokens: the prompt beyond the prefix, and the answer.
     attained : float
         Tokens that the program has used so far.
     deadline : float
--- a/src/fireflyspread/routing/_target.py
+++ b/src/fireflyspread/routing/_target.py
@@ -88,10 +88,22 @@
         if state is None:
             return False
         if state.report is None or report.received_at >= state.report.received_at:
-            state.report = report
-            state.running_at_report = state.running
+            state.take_report(report)
+        self._count_late(state)
         return True
 
+    def _count_late(self, state: ReplicaState) -> None:
+        """Count requests as answers once they take as long as on slow replicas.
+
+        Waiting for their end would find a slow replica only after its slow answers.
+        """
+        now = self._clock.read_monotonic()
+        for request, (started_at, cost) in tuple(state.in_flight.items()):
+            value = (now - started_at) / cost
+            if self.health.is_late(state.replica.name, value):
+                del state.in_flight[request]
+                self.health.record(state.replica.name, Result.ANSWERED, value)
+
     def count_places(self, leaving: frozenset[str]) -> int:
         """Return how many requests of this node run at once.
 
@@ -107,14 +119,20 @@
             if state.replica.vm not in leaving
         )
 
-    def record(
+    def start(self, replica: ReplicaState, work: Work) -> None:
+        """Take note that a request starts."""
+        now = self._clock.read_monotonic()
+        replica.start(work.request, now, _get_cost(work, replica))
+        self.health.start(replica.replica.name)
+
+    def finish(
         self, replica: ReplicaState, work: Work, result: Result, seconds: float
     ) -> None:
         """Learn from a request that ended."""
-        cost = work.cost
-        if work.holder == replica.replica.name:
-            cost -= work.prefix_tokens
-        self.health.record(replica.replica.name, result, seconds / max(cost, 1.0))
+        is_new = replica.finish(work.request)
+        if is_new or result is not Result.ANSWERED:
+            value = seconds / _get_cost(work, replica)
+            self.health.record(replica.replica.name, result, value)
         if result is Result.ANSWERED:
             self.wait.record(work.cost, seconds)
             if replica.service_seconds == 0.0:
@@ -145,3 +163,11 @@
                 for name, state in self.replicas.items()
             },
         }
+
+
+def _get_cost(work: Work, replica: ReplicaState) -> float:
+    """Return the cost on a replica, which may have to compute the prefix again."""
+    cost = work.cost
+    if work.holder != replica.replica.name:
+        cost += work.prefix_tokens
+    return max(1.0, cost)
--- a/tests/routing/test_health.py
+++ b/tests/routing/test_health.py
@@ -1,5 +1,7 @@
 """Replicas that fail or are slow get no work for a while."""
 
+import random
+
 from fireflyspread.clock import ManualClock
 from fireflyspread.routing import ReplicaHealth, Result
 
@@ -55,6 +57,15 @@
                 health.record(f"r{i}", Result.ANSWERED, 10.0 if i == 0 else 1.0)
         assert health.list_ejected() == ("r0",)
 
+    def test_noise_is_not_slowness(self) -> None:
+        """Replicas are ejected because the times of their requests vary."""
+        rng = random.Random(1)
+        _, health = make_health()
+        for _ in range(500):
+            for i in range(4):
+                health.record(f"r{i}", Result.ANSWERED, rng.expovariate(1.0))
+            assert health.list_ejected() == ()
+
     def test_ejects_at_most_half(self) -> None:
         """An outage behind all replicas leaves nobody to answer."""
         _, health = make_health()
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -75,6 +75,16 @@
         clock.advance(601)
         assert not quarantine.is_convicted("p")
 
+    def test_company_of_other_nodes_proves_less(self) -> None:
+        """A request is convicted for a crash that another node's request caused."""
+        quarantine = Quarantine(ManualClock())
+        steps = [("r1", False, False), ("r2", True, False), ("r3", True, True)]
+        for replica, alone, is_convicted in steps:
+            quarantine.start("p", replica)
+            quarantine.record_crash("p", replica, 1e9, alone=alone, shared=True)
+            quarantine.finish("p", replica)
+            assert quarantine.is_convicted("p") == is_convicted
+
     def test_answer_while_alone_clears(self) -> None:
         """A request that was near a crash runs alone for ever."""
         clock = ManualClock()
--- /dev/null
+++ b/tools/policy_workload.py
@@ -0,0 +1,157 @@
+"""Programs of both deployments for the comparison of policies."""
+
+import random
+
+from attrs import frozen
+
+__all__ = ["DEPLOYMENTS", "Deployment", "SimulatedStep", "TeamLoad", "draw_program"]
+
+
+@frozen(kw_only=True)
+class SimulatedStep:
+    """A pause followed by a model turn or by a call of the service.
+
+    Attributes
+    ----------
+    new_tokens, completion : int
+        Tokens of the new message and of the answer; 0 for a call.
+    pause : float
+        Seconds before the step.
+    call_seconds : float
+        Service time of a call; 0 for a turn.
+    """
+
+    pause: float
+    new_tokens: int = 0
+    completion: int = 0
+    call_seconds: float = 0.0
+    is_interactive: bool = False
+
+
+@frozen
+class TeamLoad:
+    """A team; ``share`` is its part of the arrivals."""
+
+    name: str
+    weight: float
+    share: float
+
+
+@frozen(kw_only=True)
+class Deployment:
+    """What differs between the deployments.
+
+    Attributes
+    ----------
+    rate : float
+        Programs per second of all teams together without the flood.
+    cache_tokens : int
+        Tokens of KV cache of each replica.
+    flood : str
+        Team that sends eight times its usual load for a while.
+    shapes : dict of str to float
+        Weights of the kinds of programs.
+    """
+
+    name: str
+    engines: int
+    services: int
+    latency: float
+    rate: float
+    cache_tokens: int
+    flood: str
+    teams: tuple[TeamLoad, ...]
+    shapes: dict[str, float]
+
+
+_WEIGHTS = (4.0, 3.0, 2.0, 1.0, 1.0, 1.0, 1.0, 1.0)
+_SHARES = (0.28, 0.18, 0.16, 0.1, 0.08, 0.08, 0.06, 0.06)
+
+
+def _make_teams(*names: str) -> tuple[TeamLoad, ...]:
+    return tuple(map(TeamLoad, names, _WEIGHTS, _SHARES))
+
+
+DEPLOYMENTS = {
+    "poklopac": Deployment(
+        name="poklopac",
+        engines=5,
+        services=3,
+        latency=0.001,
+        rate=0.75,
+        cache_tokens=400_000,
+        flood="reorders",
+        teams=_make_teams(
+            "sourcing",
+            "reorders",
+            "pricing",
+            "quality",
+            "logistics",
+            "catalogue",
+            "marketing",
+            "audit",
+        ),
+        shapes={"long": 2.0, "medium": 4.0, "interactive": 3.0, "call": 1.0},
+    ),
+    "asociacion": Deployment(
+        name="asociacion",
+        engines=4,
+        services=3,
+        latency=0.0005,
+        rate=0.45,
+        cache_tokens=800_000,
+        flood="clinic-b",
+        teams=_make_teams(
+            "clinic-a",
+            "clinic-b",
+            "pathology",
+            "research",
+            "couriers",
+            "billing",
+            "teaching",
+            "archive",
+        ),
+        shapes={"history": 1.6, "medium": 2.0, "interactive": 4.0, "call": 2.0},
+    ),
+}
+
+
+def draw_program(rng: random.Random, shape: str) -> list[SimulatedStep]:
+    """Return the steps of one program of a kind."""
+    if shape == "call":
+        return [SimulatedStep(pause=0.0, call_seconds=rng.expovariate(10.0))]
+    if shape == "interactive":
+        return [
+            SimulatedStep(pause=0.0, call_seconds=0.05),
+            _draw_turn(rng, 0.0, (300, 1500), (40, 120), True),
+        ]
+    if shape == "medium":
+        first = _draw_turn(rng, 0.0, (1000, 3000), (80, 200))
+        call = SimulatedStep(pause=0.1, call_seconds=rng.expovariate(10.0))
+        return [first, call, _draw_turn(rng, 0.5, (100, 400), (80, 200)), call]
+    start = (20_000, 60_000) if shape == "history" else (4_000, 12_000)
+    steps = [_draw_turn(rng, 0.0, start, (80, 250))]
+    for _ in range(rng.randint(8, 30)):
+        # Most tools answer in about a second; some wait for a person.
+        mean = 1.5 if rng.random() < 0.85 else 20.0
+        pause = min(120.0, rng.expovariate(1 / mean))
+        steps.append(_draw_turn(rng, pause, (200, 2000), (60, 250)))
+        if rng.random() < 0.2:
+            seconds = rng.expovariate(10.0)
+            steps.append(SimulatedStep(pause=0.0, call_seconds=seconds))
+    return steps
+
+
+def _draw_turn(
+    rng: random.Random,
+    pause: float,
+    tokens: tuple[int, int],
+    completion: tuple[int, int],
+    is_interactive: bool = False,
+) -> SimulatedStep:
+    return SimulatedStep(
+        pause=pause,
+        new_tokens=rng.randint(*tokens),
+        completion=rng.randint(*completion),
+        is_interactive=is_interactive,
+    )
