--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: env check format test run
+.PHONY: env check format test run bench load
 
 env: $(VENV)/.installed
 
@@ -26,3 +26,13 @@
 test:
 	$(PYTHON) -m pytest
 
+run:
+	$(PYTHON) -m tools.run_local $(RUN_ARGS)
+
+LOAD_ARGS ?= --local 4 --programs 200
+
+load:
+	$(PYTHON) -m tools.load $(LOAD_ARGS)
+
+bench:
+	$(PYTHON) -m tools.bench $(BENCH_ARGS)
