--- a/standins/_base.py
+++ b/standins/_base.py
@@ -26,6 +26,9 @@
     "notify",
 ]
 
+# Bodies carry whole histories; the oldest entries go when the log exceeds this size.
+LOG_BYTES = 256 << 20
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -129,7 +132,7 @@
     faults : Faults or None
         First values of the switches.
     log_limit : int
-        Number of newest requests kept in the log.
+        Number of newest requests kept in the log; 0 keeps none.
     """
 
     faults_class: ClassVar[type[Faults]] = Faults
@@ -143,10 +146,11 @@
         log_limit: int = 50_000,
     ) -> None:
         self.faults: Any = self.faults_class() if faults is None else faults
-        self.received: deque[Received] = deque(maxlen=log_limit)
+        self.received: deque[Received] = deque()
         self._listen = listen
         self._control = control
         self._log_limit = log_limit
+        self._log_bytes = 0
         self._runner: web.AppRunner | None = None
         self._control_runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
@@ -288,16 +292,7 @@
     async def _handle_counted(self, request: web.Request, handler: Handler) -> Any:
         body = await request.read()
         if self._log_limit:
-            self.received.append(
-                Received(
-                    time=time.time(),
-                    method=request.method,
-                    path=request.path,
-                    query=dict(request.query),
-                    headers=dict(request.headers),
-                    body=body,
-                )
-            )
+            self._record(request, body)
         if self.faults.delay:
             await asyncio.sleep(self.faults.delay)
         await self.wait_recovered()
@@ -308,6 +303,22 @@
                 request.transport.abort()
         return response
 
+    def _record(self, request: web.Request, body: bytes) -> None:
+        if len(self.received) == self._log_limit:
+            self._log_bytes -= len(self.received.popleft().body)
+        entry = Received(
+            time=time.time(),
+            method=request.method,
+            path=request.path,
+            query=dict(request.query),
+            headers=dict(request.headers),
+            body=body,
+        )
+        self.received.append(entry)
+        self._log_bytes += len(body)
+        while self._log_bytes > LOG_BYTES:
+            self._log_bytes -= len(self.received.popleft().body)
+
     def _add_control(self, app: web.Application) -> None:
         app.router.add_get("/faults", self._get_faults)
         app.router.add_put("/faults", self._put_faults)
