--- a/tests/harness/test_client.py
+++ b/tests/harness/test_client.py
@@ -33,9 +33,8 @@
 
 def refuse(code: str, *, retry_after: float | None, outcome: str) -> web.Response:
     error = {"code": code, "message": "m", "outcome": outcome}
-    return web.json_response(
-        {"error": {**error, "retry_after": retry_after}}, status=503
-    )
+    body = {"error": {**error, "retry_after": retry_after}}
+    return web.json_response(body, status=503, headers={"X-Outcome": outcome})
 
 
 def make_stream(text: str, *, is_whole: bool) -> web.Response:
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import contextlib
+import math
 import os
 import platform
 import shlex
@@ -130,11 +131,17 @@
 def _format_table(head: list[str], rows: list[list[Any]]) -> str:
     lines = ["| " + " | ".join(head) + " |", "|" + "---|" * len(head)]
     for row in rows:
-        cells = [f"{c:,.2f}" if isinstance(c, float) else str(c) for c in row]
+        cells = [_format_cell(cell) for cell in row]
         lines.append("| " + " | ".join(cells) + " |")
     return "\n".join(lines) + "\n"
 
 
+def _format_cell(cell: Any) -> str:
+    if not isinstance(cell, float):
+        return str(cell)
+    return "-" if math.isnan(cell) else f"{cell:,.2f}"
+
+
 def _show_errors(result: dict[str, Any]) -> str:
     return ", ".join(f"{n}: {c}" for n, c in result["errors"].items()) or "0"
 
--- a/tools/client.py
+++ b/tools/client.py
@@ -317,6 +317,10 @@
 
 
 def _read_error(response: aiohttp.ClientResponse, body: bytes) -> Exception:
+    if "X-Outcome" not in response.headers:
+        # A target's own answer; only errors of the system carry an outcome.
+        text = body[:200].decode(errors="replace")
+        return CallError(f"status_{response.status}", text, "ran")
     try:
         error = msgspec.json.decode(body)["error"]
     except (msgspec.DecodeError, KeyError, TypeError):
