Refuse values of the wrong type and name the remedy

cattrs converted values silently: "false" became true, so a route meant to be closed was open, and 1.5 became 1. Values are now taken only in their own JSON type. Text that is not UTF-8, duplicate fields, NaN and deep nesting are refused; the last two ended in an unexpected error before or were accepted. Messages name field, value and remedy and do not repeat what may be a secret. Settings also refuse timing that does not rise, doubled ports and operator keys that are no digests.

--- a/src/fireflyspread/bundle/_model.py
+++ b/src/fireflyspread/bundle/_model.py
@@ -3,12 +3,19 @@
 import enum
 import hashlib
 import json
+import math
+import re
 from functools import cached_property
 from typing import Any
 
 from attrs import field, frozen, validators
 
-from fireflyspread._structuring import make_converter, structure
+from fireflyspread._structuring import (
+    decode_json,
+    make_converter,
+    require_match,
+    structure,
+)
 from fireflyspread.exceptions import BundleError
 
 __all__ = [
@@ -23,9 +30,36 @@
     "hash_key",
 ]
 
-_NAME = validators.matches_re(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
-_DIGEST = validators.matches_re(r"[0-9a-f]{64}")
-_POSITIVE: Any = validators.gt(0)
+_NAME = require_match(
+    r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}",
+    "use 1 to 128 letters, digits, '.', '_' and '-'",
+)
+_PRINTABLE = require_match(
+    r"[!-~]{1,255}", "use 1 to 255 printable characters without spaces"
+)
+_BASE_URL = require_match(
+    r"https?://[^/\s@?#]+", "write e.g. http://10.0.0.5:9000, without a path"
+)
+_PATH = require_match(r"/[!-~]{0,1023}", "write a path that starts with '/'")
+
+
+def _require_finite(instance: Any, attribute: Any, value: float) -> None:
+    # A number such as 1e999 is read as infinity.
+    if not math.isfinite(value):
+        raise ValueError(f"{attribute.name!r} is {value}; write a finite number")
+
+
+def _require_digest(instance: Any, attribute: Any, value: str) -> None:
+    # The message does not repeat the value, which may be the key itself.
+    if not re.fullmatch(r"[0-9a-f]{64}", value):
+        raise ValueError(
+            f"{attribute.name!r} has {len(value)} characters and is not a SHA-256 "
+            "digest; write what 'fireflyspread key hash' prints"
+        )
+
+
+_POSITIVE: Any = [validators.gt(0), _require_finite]
+_BURST: Any = [validators.ge(1), _require_finite]
 
 
 def hash_key(key: str) -> str:
@@ -50,7 +84,7 @@
 
     name: str = field(validator=_NAME)
     rate: float = field(validator=_POSITIVE)
-    burst: float = field(validator=validators.ge(1))
+    burst: float = field(validator=_BURST)
     weight: float = field(default=1.0, validator=_POSITIVE)
 
 
@@ -58,7 +92,7 @@
 class Key:
     """A caller's key, known only by its digest."""
 
-    digest: str = field(validator=_DIGEST)
+    digest: str = field(validator=_require_digest)
     team: str
 
 
@@ -74,9 +108,9 @@
     """One process of a target."""
 
     name: str = field(validator=_NAME)
-    url: str = field(validator=validators.matches_re(r"https?://[^/]+"))
-    zone: str
-    vm: str
+    url: str = field(validator=_BASE_URL)
+    zone: str = field(validator=_PRINTABLE)
+    vm: str = field(validator=_PRINTABLE)
 
 
 @frozen(kw_only=True)
@@ -121,7 +155,7 @@
 
     name: str = field(validator=_NAME)
     target: str
-    path: str = "/"
+    path: str = field(default="/", validator=_PATH)
     open: bool = False
     idempotent: bool = True
     interactive: bool = False
@@ -179,11 +213,10 @@
     def from_json(cls, data: bytes) -> "Bundle":
         """Parse a JSON bundle; raises ``BundleError``."""
         try:
-            return cls.from_config(json.loads(data))
-        except json.JSONDecodeError as exc:
-            raise BundleError(
-                f"the bundle is not JSON: {exc.msg} at line {exc.lineno}"
-            ) from exc
+            config = decode_json(data)
+        except ValueError as exc:
+            raise BundleError(f"bundle refused: {exc}") from exc
+        return cls.from_config(config)
 
     def to_json(self) -> bytes:
         """Return the canonical JSON form that the digest covers."""
--- a/src/fireflyspread/operators/_client.py
+++ b/src/fireflyspread/operators/_client.py
@@ -1,7 +1,6 @@
 """HTTP client of the administration API and of the caller API."""
 
 import asyncio
-import json
 import ssl
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
@@ -12,7 +11,12 @@
 import msgspec
 from attrs import field, frozen, validators
 
-from fireflyspread._structuring import make_converter, structure
+from fireflyspread._structuring import (
+    decode_json,
+    make_converter,
+    require_match,
+    structure,
+)
 from fireflyspread.exceptions import FireflyError, Outcome
 from fireflyspread.operators._failures import (
     NoConnectionError,
@@ -22,7 +26,9 @@
 
 __all__ = ["AdminClient", "ClientSettings", "HttpClient", "open_client"]
 
-_URL = validators.matches_re(r"https?://[^/]+")
+_URL = require_match(
+    r"https?://[^/\s]+", "write a URL without a path, e.g. http://10.0.0.5:8003"
+)
 _POSITIVE: Any = validators.gt(0)
 
 # A node answers this status when it cannot act now; another node may.
@@ -69,7 +75,7 @@
             The file cannot be read or a field is unknown or invalid.
         """
         try:
-            data = json.loads(Path(path).read_text(encoding="utf-8"))
+            data = decode_json(Path(path).read_bytes())
             return structure(make_converter(), data, cls, "client")
         except OSError as exc:
             raise UsageError(
--- a/src/fireflyspread/settings.py
+++ b/src/fireflyspread/settings.py
@@ -1,14 +1,19 @@
 """Settings of one daemon process, read from a JSON file."""
 
 import ipaddress
-import json
+import re
 from pathlib import Path
 from typing import Any
 
 import cattrs
 from attrs import field, frozen, validators
 
-from fireflyspread._structuring import make_converter, structure
+from fireflyspread._structuring import (
+    decode_json,
+    make_converter,
+    require_match,
+    structure,
+)
 from fireflyspread.exceptions import SettingsError
 
 __all__ = [
@@ -31,7 +36,47 @@
         raise ValueError(f"{value!r} is not an IP number; write e.g. 10.0.0.5") from exc
 
 
+def _require_secret(instance: Any, attribute: Any, value: str) -> None:
+    if len(value) < 16:
+        raise ValueError(
+            f"{attribute.name!r} has {len(value)} characters; give at least 16"
+        )
+
+
+def _require_operator_keys(
+    instance: Any, attribute: Any, value: dict[str, str]
+) -> None:
+    # The messages do not repeat a value, which may be the key itself.
+    for operator, digest in value.items():
+        if not re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", operator):
+            raise ValueError(
+                f"operator name {operator!r} in {attribute.name!r} is invalid; use "
+                "letters, digits, '.', '_' and '-'"
+            )
+        if not re.fullmatch(r"[0-9a-f]{64}", digest):
+            raise ValueError(
+                f"the value of {operator!r} in {attribute.name!r} is not a SHA-256 "
+                "digest; write what 'fireflyspread key hash' prints"
+            )
+    # With one key for two names, one person could give two approvals.
+    if len(set(value.values())) < len(value):
+        raise ValueError(
+            f"two names in {attribute.name!r} have the same key; give each operator "
+            "a key"
+        )
+
+
 _POSITIVE: Any = validators.gt(0)
+_URL = require_match(
+    r"https?://[^/\s]+(/\S*)?", "write a base URL, e.g. http://10.0.0.5:2379"
+)
+_NODE_NAME = require_match(
+    r"[a-z0-9][a-z0-9-]{0,62}",
+    "use 1 to 63 lower-case letters, digits and '-', e.g. entry-1",
+)
+_PRINTABLE = require_match(
+    r"[!-~]{1,255}", "use 1 to 255 printable characters without spaces"
+)
 
 
 @frozen
@@ -51,7 +96,7 @@
             The text has no port or the host is not an IP number.
         """
         host, separator, port = text.rpartition(":")
-        if not separator or not port.isdigit():
+        if not separator or not (port.isascii() and port.isdigit()):
             raise ValueError(f"{text!r} is not an address; write e.g. 10.0.0.5:8000")
         return cls(host=host.strip("[]"), port=int(port))
 
@@ -64,9 +109,9 @@
 class Node:
     """Identity of the node."""
 
-    name: str = field(validator=validators.matches_re(r"[a-z0-9][a-z0-9-]{0,62}"))
-    zone: str = field(validator=validators.min_len(1))
-    vm: str = field(validator=validators.min_len(1))
+    name: str = field(validator=_NODE_NAME)
+    zone: str = field(validator=_PRINTABLE)
+    vm: str = field(validator=_PRINTABLE)
 
 
 @frozen(kw_only=True)
@@ -78,14 +123,32 @@
     peers: Address
     operators: Address
 
+    def __attrs_post_init__(self) -> None:
+        seen: dict[Address, str] = {}
+        for name in ("callers", "internal", "peers", "operators"):
+            address: Address = getattr(self, name)
+            if address.port and address in seen:
+                raise ValueError(
+                    f"{seen[address]!r} and {name!r} both listen on {address}; give "
+                    "each its own port"
+                )
+            seen[address] = name
+        for name in ("internal", "peers"):
+            address = getattr(self, name)
+            if ipaddress.ip_address(address.host).is_unspecified:
+                raise ValueError(
+                    f"{name!r} is {address}, which other nodes cannot connect to; "
+                    "write the IP number of this VM"
+                )
+
 
 @frozen(kw_only=True)
 class Platform:
     """Base URLs of the platform's services."""
 
-    store: str = field(validator=validators.matches_re(r"https?://.+"))
-    vm_list: str | None = None
-    weight_store: str | None = None
+    store: str = field(validator=_URL)
+    vm_list: str | None = field(default=None, validator=validators.optional(_URL))
+    weight_store: str | None = field(default=None, validator=validators.optional(_URL))
 
 
 @frozen(kw_only=True)
@@ -104,6 +167,16 @@
     write_timeout: float = field(default=30.0, validator=_POSITIVE)
     program_idle_timeout: float = field(default=3600.0, validator=_POSITIVE)
 
+    def __attrs_post_init__(self) -> None:
+        # A node must notice the loss of its lease before others may act on it, and
+        # must be able to miss one renewal.
+        if not self.renew_interval < self.authority_ttl < self.lease_ttl:
+            raise ValueError(
+                f"'renew_interval' {self.renew_interval:g}, 'authority_ttl' "
+                f"{self.authority_ttl:g} and 'lease_ttl' {self.lease_ttl} must rise "
+                "in this order; correct them"
+            )
+
 
 @frozen(kw_only=True)
 class Limits:
@@ -136,13 +209,28 @@
 
 @frozen(kw_only=True)
 class Settings:
-    """Everything a daemon process learns from its settings file."""
+    """Everything a daemon process learns from its settings file.
+
+    Attributes
+    ----------
+    node_secret : str
+        Shared by all nodes; signs what they send each other.
+    operator_keys : dict of str to str
+        SHA-256 digest of the key of each operator, by the operator's name.
+    approvals_needed : int
+        Operators that must approve a bundle before it can be rolled.
+    data_folder : str or None
+        Folder on a disk that lasts; None keeps nothing on the VM.
+    """
 
     node: Node
     listen: Listen
     platform: Platform
-    node_secret: str = field(validator=validators.min_len(16), repr=False)
-    operator_keys: dict[str, str] = field(factory=dict, repr=False)
+    node_secret: str = field(validator=_require_secret, repr=False)
+    operator_keys: dict[str, str] = field(
+        factory=dict, validator=_require_operator_keys, repr=False
+    )
+    approvals_needed: int = field(default=1, validator=validators.ge(1))
     data_folder: str | None = None
     statsd: Address | None = None
     tls: Tls | None = None
@@ -150,6 +238,14 @@
     limits: Limits = field(factory=Limits)
     logging: Logging = field(factory=Logging)
 
+    def __attrs_post_init__(self) -> None:
+        operators = len(self.operator_keys)
+        if operators and self.approvals_needed > operators:
+            raise ValueError(
+                f"'approvals_needed' is {self.approvals_needed} with {operators} "
+                "operator keys; lower it or add operators"
+            )
+
     @classmethod
     def from_file(cls, path: str | Path) -> "Settings":
         """Read and check a JSON settings file.
@@ -160,13 +256,13 @@
             The file cannot be read, is not JSON, or a field is unknown or invalid.
         """
         try:
-            data = json.loads(Path(path).read_text(encoding="utf-8"))
+            data = decode_json(Path(path).read_bytes())
         except OSError as exc:
-            raise SettingsError(f"cannot read {path}: {exc.strerror}") from exc
-        except json.JSONDecodeError as exc:
             raise SettingsError(
-                f"{path} is not JSON: {exc.msg} at line {exc.lineno}; mend that line"
+                f"cannot read {path}: {exc.strerror}; give an existing file"
             ) from exc
+        except ValueError as exc:
+            raise SettingsError(f"settings {path} refused: {exc}") from exc
         return cls.from_config(data)
 
     @classmethod
@@ -186,7 +282,11 @@
 
 def _make_converter() -> cattrs.Converter:
     converter = make_converter()
-    converter.register_structure_hook(
-        Address, lambda text, _: Address.from_text(str(text))
-    )
+    converter.register_structure_hook(Address, lambda text, _: _structure_address(text))
     return converter
+
+
+def _structure_address(value: Any) -> Address:
+    if not isinstance(value, str):
+        raise ValueError(f"{value!r} is not an address; write e.g. 10.0.0.5:8000")
+    return Address.from_text(value)
