--- a/tests/bundle/examples.py
+++ b/tests/bundle/examples.py
@@ -42,9 +42,16 @@
     }
 
 
-def make_bundle(*, rate: float = 10.0, half: str = "north") -> Bundle:
-    """Return a bundle with another rate of a team or owner of ``quotes``."""
+def make_bundle(
+    *, rate: float = 10.0, half: str = "north", has_key: bool = True
+) -> Bundle:
+    """Return a bundle with another rate of a team or owner of ``quotes``.
+
+    Without ``has_key`` it lacks ``KEY``.
+    """
     config = make_config()
+    if not has_key:
+        del config["keys"][0]
     config["teams"][0]["rate"] = rate
     config["targets"][1]["half"] = half
     return Bundle.from_config(config)
--- a/tests/bundle/memory_store.py
+++ b/tests/bundle/memory_store.py
@@ -17,7 +17,8 @@
         One item for each coming ``replace``: True loses its response after the
         write took effect, False loses the request before it.
     loss : float
-        Probability that a response or request of a write is lost.
+        Probability that a response or request of a write is lost. Half of the lost
+        requests are carried out after their sender has given up.
     """
 
     def __init__(self, *, rng: random.Random | None = None, loss: float = 0.0) -> None:
@@ -28,6 +29,7 @@
         self.loss = loss
         self.written: list[Entry] = []
         self.watches: list[asyncio.Queue[Change | None]] = []
+        self._late: list[asyncio.Task[None]] = []
         self._rng = rng
 
     async def _interleave(self) -> None:
@@ -75,16 +77,36 @@
         await self._interleave()
         loss = self._draw_loss()
         if loss is False:
-            raise StoreUncertainError("the request was lost")
-        found = self.entries.get(key)
-        result = None
-        if (0 if found is None else found.revision) == revision:
-            result = self.put(key, value)
+            if self._rng is not None and self._rng.random() < 0.5:
+                self._late.append(
+                    asyncio.create_task(self._replace_late(key, value, revision))
+                )
+            await self._wait_timeout()
+            raise StoreUncertainError("the request was lost or is late")
+        result = self._replace_now(key, value, revision)
         await self._interleave()
         if loss:
+            await self._wait_timeout()
             raise StoreUncertainError("the response was lost")
         return result
 
+    def _replace_now(self, key: str, value: bytes, revision: int) -> int | None:
+        found = self.entries.get(key)
+        if (0 if found is None else found.revision) != revision:
+            return None
+        return self.put(key, value)
+
+    async def _replace_late(self, key: str, value: bytes, revision: int) -> None:
+        """Carry out a request that its sender has given up."""
+        await self._wait_timeout()
+        await self._wait_timeout()
+        self._replace_now(key, value, revision)
+
+    async def _wait_timeout(self) -> None:
+        """Let others act for as long as a lost response is waited for."""
+        for _ in range(self._rng.randrange(60) if self._rng else 0):
+            await asyncio.sleep(0)
+
     async def delete(self, *keys: str) -> None:
         await self._interleave()
         for key in keys:
--- a/tests/bundle/test_rollout.py
+++ b/tests/bundle/test_rollout.py
@@ -1,5 +1,7 @@
 """Rollout of bundles: approval, compare-and-swap, lost responses, withdrawal."""
 
+import asyncio
+
 import pytest
 
 from fireflyspread.bundle import CURRENT_KEY, Bundle, Rollout, hash_key
@@ -29,6 +31,32 @@
     return Rollout(store, retry_delay=0.0)
 
 
+class PausingStore(MemoryStore):
+    """Store that holds back writes whose key or value contains a text."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.pauses: dict[bytes, tuple[asyncio.Event, asyncio.Event]] = {}
+
+    async def replace(
+        self, key: str, value: bytes, *, revision: int, lease: int = 0
+    ) -> int | None:
+        for text, (reached, released) in list(self.pauses.items()):
+            if text in key.encode() + value:
+                reached.set()
+                await released.wait()
+        return await super().replace(key, value, revision=revision)
+
+    def hold(self, text: bytes) -> asyncio.Event:
+        """Hold writes with ``text`` back; the event releases them."""
+        self.pauses[text] = (asyncio.Event(), asyncio.Event())
+        return self.pauses[text][1]
+
+    async def wait_held(self, text: bytes) -> None:
+        """Return once a write with ``text`` is held back; fail after 10 s."""
+        await asyncio.wait_for(self.pauses[text][0].wait(), 10.0)
+
+
 async def roll(rollout: Rollout, bundle: Bundle, version: int) -> None:
     """Draft, approve and roll ``bundle`` over ``version``."""
     digest = await rollout.draft(bundle)
@@ -170,3 +198,25 @@
         await roll(rollout, make_bundle(), 0)
         await rollout.withdraw_key(hash_key(KEY), "ben")
         assert (await rollout.withdraw_key(hash_key(KEY), "ben")).version == 3
+
+    async def test_defeats_roll_under_way(self) -> None:
+        """A roll checked before the withdrawal cannot bring the key back after it.
+
+        The key was missing from the bundle in force when it was withdrawn, so only
+        the new version of the withdrawal makes the other roll fail.
+        """
+        store = PausingStore()
+        rollout = Rollout(store, retry_delay=0.0)
+        await roll(rollout, make_bundle(), 0)
+        release_mark = store.hold(b"bundle/withdrawn/")
+        withdrawal = asyncio.create_task(rollout.withdraw_key(hash_key(KEY), "ivo"))
+        await store.wait_held(b"bundle/withdrawn/")
+        await roll(rollout, make_bundle(has_key=False), 1)
+        release_roll = store.hold(b'"rolled_by":"ben"')
+        rolling = asyncio.create_task(rollout.roll(make_bundle().digest, "ben", 2))
+        await store.wait_held(b'"rolled_by":"ben"')
+        release_mark.set()
+        await withdrawal
+        release_roll.set()
+        with pytest.raises(BundleConflictError, match="ivo rolled version 3"):
+            await rolling
