--- a/src/fireflyspread/callers/_api.py
+++ b/src/fireflyspread/callers/_api.py
@@ -9,13 +9,13 @@
 from fireflyspread.callers._bodies import ChatBody, decode_body, read_body
 from fireflyspread.callers._call_handlers import CallHandlers
 from fireflyspread.callers._context import Context
-from fireflyspread.callers._identity import Identity
 from fireflyspread.callers._owners import relay_unless_owned
 from fireflyspread.callers._programs import ProgramHandlers
 from fireflyspread.callers._remote import find_intent_slot
 from fireflyspread.callers._responses import handle_errors, make_json_response
 from fireflyspread.callers._turn_handlers import TurnHandlers
 from fireflyspread.exceptions import AuthenticationError, NoAuthorityError
+from fireflyspread.nodes import Identity
 from fireflyspread.recovery import find_slot
 
 __all__ = ["CallerApi"]
@@ -110,7 +110,8 @@
             body = await read_body(request, limit)
             identity = identify(request, body)
             slot = find(request, identity)
-            with self._count_running(), self._context.keys.hold(identity):
+            program = request.match_info.get("id", "")
+            with self._count_running(), self._context.guard.hold(identity, program):
                 if slot is not None:
                     relayed = await relay_unless_owned(
                         self._context, request, slot, identity, body
@@ -144,13 +145,16 @@
             raise
 
     def _identify_relayed(self, request: web.Request, body: bytes) -> Identity:
-        team, key_digest = self._context.relay.verify(request, body)
-        if not key_digest:
-            return Identity(team="", key_digest="")
-        identity = self._context.authenticator.confirm(key_digest)
-        if identity.team != team:
+        relayed = self._context.signer.check(
+            request.method, request.rel_url.raw_path_qs, request.headers, body
+        )
+        if not relayed.key_digest:
+            return relayed
+        # The key is checked again: it may have been withdrawn in a newer bundle.
+        confirmed = self._context.authenticator.confirm(relayed.key_digest)
+        if confirmed.team != relayed.team:
             raise AuthenticationError("the key belongs to another team now")
-        return identity
+        return relayed
 
     def _find_intent(self, request: web.Request, identity: Identity) -> int | None:
         route = self._context.bundles.get_active().routes.get(
--- a/src/fireflyspread/callers/_context.py
+++ b/src/fireflyspread/callers/_context.py
@@ -4,13 +4,13 @@
 
 from fireflyspread._pools import ReplicaPool
 from fireflyspread.bundle import BundleHolder
+from fireflyspread.callers._guard import RequestGuard
 from fireflyspread.callers._identity import Authenticator
-from fireflyspread.callers._keys import KeyGuard
 from fireflyspread.clock import Clock
-from fireflyspread.engines import Engine
+from fireflyspread.engines import Engine, SessionReleaser
 from fireflyspread.limits import RateLimiter
 from fireflyspread.metrics import Metrics
-from fireflyspread.nodes import FenceGuard, Relay
+from fireflyspread.nodes import FenceGuard, Relay, RequestSigner
 from fireflyspread.programs import IntentTable, ProgramTable
 from fireflyspread.recovery import Ownership
 from fireflyspread.routing import Scheduler
@@ -28,7 +28,7 @@
     clock: Clock
     bundles: BundleHolder
     authenticator: Authenticator
-    keys: KeyGuard
+    guard: RequestGuard
     ownership: Ownership
     programs: ProgramTable
     intents: IntentTable
@@ -38,4 +38,6 @@
     services: ReplicaPool[Service]
     fences: FenceGuard
     relay: Relay
+    signer: RequestSigner
+    sessions: SessionReleaser
     metrics: Metrics = field(factory=Metrics)
--- a/src/fireflyspread/callers/_responses.py
+++ b/src/fireflyspread/callers/_responses.py
@@ -10,11 +10,14 @@
 from aiohttp import web
 
 from fireflyspread.exceptions import FireflyError, Outcome
+from fireflyspread.nodes import OUTCOME_HEADER
 
 __all__ = ["EventWriter", "handle_errors", "make_error_body", "make_json_response"]
 
 _LOGGER = logging.getLogger(__name__)
 
+_STARTED = web.RequestKey("started", bool)
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -43,7 +46,7 @@
 
 def _make_error_response(error: FireflyError) -> web.Response:
     response = make_json_response(make_error_body(error), status=error.status)
-    response.headers["X-Outcome"] = error.outcome.value
+    response.headers[OUTCOME_HEADER] = error.outcome.value
     if error.retry_after is not None:
         response.headers["Retry-After"] = str(max(1, math.ceil(error.retry_after)))
     return response
@@ -55,6 +58,11 @@
     try:
         return await handler(request)
     except FireflyError as exc:
+        if _STARTED in request:
+            # A second response would become part of the first one's body; without its
+            # end the first one is known to be incomplete.
+            _abort(request)
+            raise ConnectionResetError(exc.message) from exc
         return _make_error_response(exc)
     except (web.HTTPException, asyncio.CancelledError, ConnectionError):
         raise
@@ -134,6 +142,7 @@
                 "Cache-Control": "no-store",
             }
         )
+        self._request[_STARTED] = True
         await self._response.prepare(self._request)
 
     def _is_congested(self) -> bool:
@@ -142,5 +151,9 @@
 
     def _leave(self) -> None:
         self._is_gone = True
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        _abort(self._request)
+
+
+def _abort(request: web.Request) -> None:
+    if request.transport is not None:
+        request.transport.abort()
--- a/src/fireflyspread/callers/_turn_handlers.py
+++ b/src/fireflyspread/callers/_turn_handlers.py
@@ -1,5 +1,7 @@
 """Handlers that run, join, replay and resume turns."""
 
+import asyncio
+
 import msgspec
 from aiohttp import web
 
@@ -18,10 +20,10 @@
 )
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._deadlines import read_deadline
-from fireflyspread.callers._identity import Identity
 from fireflyspread.callers._responses import EventWriter, make_json_response
 from fireflyspread.callers._turns import TurnRunner, TurnSpec
 from fireflyspread.exceptions import FireflyError, NotFoundError, RequestError
+from fireflyspread.nodes import Identity
 from fireflyspread.programs import Program, RunningTurn, StepKind, compute_digest
 from fireflyspread.recovery import TurnRecorded
 
@@ -133,6 +135,11 @@
             await writer.write(end)
         except FireflyError as exc:
             return await writer.fail(exc)
+        except asyncio.CancelledError:
+            error = self._context.guard.take_error()
+            if error is None:
+                raise
+            return await writer.fail(error)
         return await writer.finish()
 
     async def _attach(
@@ -147,6 +154,11 @@
             await writer.write(make_end_events(program.id, record, durability))
         except FireflyError as exc:
             return await writer.fail(exc)
+        except asyncio.CancelledError:
+            error = self._context.guard.take_error()
+            if error is None:
+                raise
+            return await writer.fail(error)
         return await writer.finish()
 
     async def _replay(
--- a/src/fireflyspread/settings.py
+++ b/src/fireflyspread/settings.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "Address",
+    "Advertise",
     "Limits",
     "Listen",
     "Logging",
@@ -133,13 +134,18 @@
                     "each its own port"
                 )
             seen[address] = name
-        for name in ("internal", "peers"):
-            address = getattr(self, name)
-            if ipaddress.ip_address(address.host).is_unspecified:
-                raise ValueError(
-                    f"{name!r} is {address}, which other nodes cannot connect to; "
-                    "write the IP number of this VM"
-                )
+
+
+@frozen(kw_only=True)
+class Advertise:
+    """Addresses under which other nodes reach this one, where they differ.
+
+    A node that listens on all addresses, or that is reached through a translation of
+    addresses, cannot be reached at the address that it listens on.
+    """
+
+    internal: Address | None = None
+    peers: Address | None = None
 
 
 @frozen(kw_only=True)
@@ -234,6 +240,7 @@
     data_folder: str | None = None
     statsd: Address | None = None
     tls: Tls | None = None
+    advertise: Advertise = field(factory=Advertise)
     timing: Timing = field(factory=Timing)
     limits: Limits = field(factory=Limits)
     logging: Logging = field(factory=Logging)
@@ -245,6 +252,23 @@
                 f"'approvals_needed' is {self.approvals_needed} with {operators} "
                 "operator keys; lower it or add operators"
             )
+        for name in ("internal", "peers"):
+            address: Address = getattr(self, f"{name}_address")
+            if ipaddress.ip_address(address.host).is_unspecified:
+                raise ValueError(
+                    f"{name!r} is {address}, which other nodes cannot connect to; "
+                    f"write the IP number of this VM in advertise.{name}"
+                )
+
+    @property
+    def internal_address(self) -> Address:
+        """Address at which other nodes send relayed calls."""
+        return self.advertise.internal or self.listen.internal
+
+    @property
+    def peers_address(self) -> Address:
+        """Address at which other nodes send messages."""
+        return self.advertise.peers or self.listen.peers
 
     @classmethod
     def from_file(cls, path: str | Path) -> "Settings":
