--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -7,9 +7,9 @@
 
 from fireflyspread.settings import Logging
 
-__all__ = ["JsonFormatter", "TextFormatter", "configure_logging"]
+__all__ = ["FIELDS", "JsonFormatter", "TextFormatter", "configure_logging"]
 
-_FIELDS = (
+FIELDS = (
     "request",
     "program",
     "team",
@@ -26,7 +26,7 @@
 
 
 def _collect_fields(record: logging.LogRecord) -> dict[str, Any]:
-    return {name: record.__dict__[name] for name in _FIELDS if name in record.__dict__}
+    return {name: record.__dict__[name] for name in FIELDS if name in record.__dict__}
 
 
 class JsonFormatter(logging.Formatter):
