Wire a first daemon: four processes serve dependent turns

Change: daemon with listeners, bundle feed, greetings, engine tasks and a provisional membership that splits the slots evenly without takeover.

--- a/src/fireflyspread/callers/_context.py
+++ b/src/fireflyspread/callers/_context.py
@@ -13,7 +13,7 @@
 from fireflyspread.nodes import FenceGuard, Relay, RequestSigner
 from fireflyspread.programs import IntentTable, ProgramTable
 from fireflyspread.recovery import Ownership
-from fireflyspread.routing import Scheduler
+from fireflyspread.routing import PolicyScheduler
 from fireflyspread.settings import Settings
 from fireflyspread.tools import Service
 
@@ -33,7 +33,7 @@
     programs: ProgramTable
     intents: IntentTable
     limiter: RateLimiter
-    scheduler: Scheduler
+    scheduler: PolicyScheduler
     engines: ReplicaPool[Engine]
     services: ReplicaPool[Service]
     fences: FenceGuard
--- a/src/fireflyspread/callers/_guard.py
+++ b/src/fireflyspread/callers/_guard.py
@@ -50,7 +50,7 @@
         """
         task = asyncio.current_task()
         assert task is not None
-        held = self._held[task] = _Held(identity, program)
+        self._held[task] = _Held(identity, program)
         try:
             yield
         except asyncio.CancelledError:
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -195,6 +195,8 @@
             program.running = None
         if durability is Durability.PENDING:
             context.ownership.check_authority()
+        if program.holder is not None:
+            context.sessions.end_turn(program.id, program.holder, record.context_tokens)
         context.metrics.count("turns.recorded")
         return TurnResult(record=record, text=text, usage=usage, durability=durability)
 
@@ -221,7 +223,7 @@
         """Run the rest of the turn on one replica."""
         request = self._make_request()
         events: list[bytes] = []
-        await self._hold_session(replica)
+        self._hold_session(replica)
         self._is_dispatched = True
         try:
             async for chunk in self._context.engines.get(url).stream(request):
@@ -252,8 +254,9 @@
         if framed and self._writer is not None:
             await self._writer.write(b"".join(framed))
 
-    async def _hold_session(self, replica: str) -> None:
+    def _hold_session(self, replica: str) -> None:
         program = self._program
+        self._context.sessions.begin_turn(program.id, replica)
         if replica in program.sessions:
             return
         record = SessionHeld(slot=program.slot, subject=program.id, replica=replica)
--- a/src/fireflyspread/daemon/_build.py
+++ b/src/fireflyspread/daemon/_build.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 
 from fireflyspread._pools import ReplicaPool
-from fireflyspread.bundle import ActiveBundle, BundleHolder, Replica
+from fireflyspread.bundle import BundleHolder
 from fireflyspread.callers import Authenticator, Context, RequestGuard
 from fireflyspread.clock import Clock
 from fireflyspread.engines import Engine, HttpEngine, SessionReleaser
@@ -14,12 +14,12 @@
 from fireflyspread.metrics import Metrics
 from fireflyspread.nodes import FenceGuard, Relay, RequestSigner
 from fireflyspread.programs import IntentTable, ProgramTable
-from fireflyspread.recovery import Ownership, SessionReleased
+from fireflyspread.recovery import Ownership
 from fireflyspread.routing import PolicyScheduler
 from fireflyspread.settings import Settings
 from fireflyspread.tools import HttpService, Service
 
-__all__ = ["Base", "build_context", "find_replica"]
+__all__ = ["Base", "build_context", "build_pools"]
 
 # A replica in the same region accepts a connection within milliseconds; a SYN that
 # is lost once is repeated after 1 s.
@@ -58,35 +58,15 @@
     ownership: Ownership,
     limiter: RateLimiter,
     fences: FenceGuard,
+    engines: ReplicaPool[Engine],
+    services: ReplicaPool[Service],
+    sessions: SessionReleaser,
 ) -> Context:
     """Build what the caller API works with; needs a running event loop."""
     settings, clock = base.settings, base.clock
-    session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
-        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
-        cookie_jar=aiohttp.DummyCookieJar(),
-    )
-    engines: ReplicaPool[Engine] = ReplicaPool(
-        lambda url: HttpEngine(url, session=session), session=session
-    )
-    services: ReplicaPool[Service] = ReplicaPool(
-        lambda url: HttpService(url, session=session)
-    )
     scheduler = PolicyScheduler.from_config(settings, clock, base.rng)
     guard = RequestGuard()
 
-    def find_engine(name: str) -> Engine | None:
-        replica = find_replica(base.bundles.get_active(), name)
-        return None if replica is None else engines.get(replica.url)
-
-    def take_released(program: str, replica: str) -> None:
-        found = base.programs.get(program)
-        if found is None or not ownership.owns(found.slot):
-            return
-        record = SessionReleased(slot=found.slot, subject=program, replica=replica)
-        ownership.enqueue(record)
-        base.programs.apply(record)
-
     return Context(
         settings=settings,
         clock=clock,
@@ -105,15 +85,22 @@
         signer=RequestSigner(
             settings.node_secret, node=settings.node.name, clock=clock
         ),
-        sessions=SessionReleaser(find_engine, take_released, rng=base.rng),
+        sessions=sessions,
         metrics=base.metrics,
     )
 
 
-def find_replica(active: ActiveBundle, name: str) -> Replica | None:
-    """Return the replica called ``name`` or None."""
-    for target in active.bundle.targets:
-        for replica in target.replicas:
-            if replica.name == name:
-                return replica
-    return None
+def build_pools() -> tuple[ReplicaPool[Engine], ReplicaPool[Service]]:
+    """Return the clients of engines and of services, which share one session."""
+    session = aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
+        cookie_jar=aiohttp.DummyCookieJar(),
+    )
+    engines: ReplicaPool[Engine] = ReplicaPool(
+        lambda url: HttpEngine(url, session=session), session=session
+    )
+    services: ReplicaPool[Service] = ReplicaPool(
+        lambda url: HttpService(url, session=session)
+    )
+    return engines, services
--- a/src/fireflyspread/daemon/_dump.py
+++ b/src/fireflyspread/daemon/_dump.py
@@ -7,15 +7,15 @@
 from fireflyspread.bundle import BundleHolder
 from fireflyspread.callers import CallerApi, Context
 from fireflyspread.daemon._recovery import Recovery
+from fireflyspread.daemon._targets import ReplicaTasks
 from fireflyspread.nodes import Greeter
 from fireflyspread.operators import MemberVersion
-from fireflyspread.recovery import Membership
 
 __all__ = ["dump_state", "list_member_versions"]
 
 
 def list_member_versions(
-    membership: Membership, greeter: Greeter, bundles: BundleHolder
+    membership: Recovery, greeter: Greeter, bundles: BundleHolder
 ) -> Sequence[MemberVersion]:
     """Return each member with the bundle version it was last heard to have in force."""
     heard = greeter.get_heard()
@@ -40,7 +40,11 @@
 
 
 def dump_state(
-    context: Context, recovery: Recovery, greeter: Greeter, api: CallerApi
+    context: Context,
+    recovery: Recovery,
+    greeter: Greeter,
+    api: CallerApi,
+    replicas: ReplicaTasks,
 ) -> Mapping[str, Any]:
     """Return what this process knows, as JSON data without keys or histories."""
     return {
@@ -52,7 +56,7 @@
         "held_requests": len(context.guard),
         "programs": len(context.programs),
         "intents": len(context.intents),
-        "sessions_being_released": len(context.sessions),
+        "sessions_being_released": replicas.count_pending(),
         "recovery": recovery.dump(),
         "scheduler": context.scheduler.dump(),
         "neighbours": {
--- a/src/fireflyspread/daemon/_exchange.py
+++ b/src/fireflyspread/daemon/_exchange.py
@@ -4,10 +4,9 @@
 
 from fireflyspread.bundle import ActiveBundle, Bundle, BundleFeed, BundleHolder
 from fireflyspread.clock import Clock
+from fireflyspread.daemon._recovery import Recovery
 from fireflyspread.exceptions import PeerError
-from fireflyspread.limits import ShareLimiter
 from fireflyspread.nodes import (
-    AcquireTokens,
     BundleFetched,
     ConfirmFence,
     FenceGuard,
@@ -17,10 +16,9 @@
     Message,
     PeerClient,
     PeerServer,
-    TokensGranted,
 )
 from fireflyspread.platform import LeavingVms
-from fireflyspread.recovery import Member, Membership
+from fireflyspread.recovery import Member
 from fireflyspread.routing import Quarantine
 from fireflyspread.settings import Settings
 
@@ -37,7 +35,7 @@
         settings: Settings,
         *,
         client: PeerClient,
-        membership: Membership,
+        membership: Recovery,
         bundles: BundleHolder,
         feed: BundleFeed,
         leaving: LeavingVms,
@@ -62,20 +60,12 @@
             rng=rng,
         )
 
-    def register(
-        self, server: PeerServer, limiter: ShareLimiter, fences: FenceGuard
-    ) -> None:
+    def register(self, server: PeerServer, fences: FenceGuard) -> None:
         """Answer the messages of other nodes through ``server``."""
 
         async def take_hello(message: Hello) -> Message:
             return self.greeter.take(message)
 
-        async def grant_tokens(message: AcquireTokens) -> Message:
-            amount, retry_after = limiter.grant(
-                message.team, message.amount, message.epoch
-            )
-            return TokensGranted(amount=amount, retry_after=retry_after)
-
         async def send_bundle(message: FetchBundle) -> Message:
             active = self._bundles.get_active()
             return BundleFetched(
@@ -88,7 +78,6 @@
             return fences.confirm(message)
 
         server.register(Hello, take_hello)
-        server.register(AcquireTokens, grant_tokens)
         server.register(FetchBundle, send_bundle)
         server.register(ConfirmFence, confirm_fence)
 
@@ -131,5 +120,5 @@
         self._feed.announce(hello.node, hello.bundle_version)
         self._leaving.merge(hello.leaving)
         self._quarantine.merge(
-            convicted=hello.quarantined, suspects=hello.suspects
+            hello.node, convicted=hello.quarantined, suspects=hello.suspects
         )
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -8,17 +8,16 @@
 
 from aiohttp import web
 
-from fireflyspread.bundle import ActiveBundle, BundleFeed, Rollout
-from fireflyspread.callers import CallerApi, Context
+from fireflyspread.bundle import BundleFeed, Rollout
+from fireflyspread.callers import CallerApi
 from fireflyspread.clock import Clock, SystemClock
-from fireflyspread.daemon._build import Base, build_context
+from fireflyspread.daemon._build import Base, build_context, build_pools
 from fireflyspread.daemon._dump import dump_state, list_member_versions
 from fireflyspread.daemon._exchange import Exchange
 from fireflyspread.daemon._programs import NodePrograms, expire_programs
 from fireflyspread.daemon._recovery import Recovery
 from fireflyspread.daemon._targets import ReplicaTasks
 from fireflyspread.exceptions import FireflyError
-from fireflyspread.limits import ShareLimiter
 from fireflyspread.nodes import FenceGuard, PeerClient, PeerServer, make_ssl_context
 from fireflyspread.operators import AdminApi
 from fireflyspread.platform import EtcdStore, LeavingVms, VmList
@@ -100,7 +99,6 @@
     async def _close(self) -> None:
         await self._replicas.close()
         await self._exchange.greeter.close()
-        await self._context.sessions.close()
         await self._admin.stop()
         await self._server.stop()
         await self._context.engines.close()
@@ -135,11 +133,26 @@
             get_members=self._recovery.membership.members,
             clock=clock,
         )
+        engines, services = build_pools()
+        self._replicas = ReplicaTasks(
+            engines=engines,
+            programs=base.programs,
+            ownership=self._recovery,
+            clock=clock,
+            rng=base.rng,
+            interval=settings.timing.load_poll_interval,
+        )
         self._context = build_context(
-            base, ownership=self._recovery, limiter=limiter, fences=fences
+            base,
+            ownership=self._recovery,
+            limiter=limiter,
+            fences=fences,
+            engines=engines,
+            services=services,
+            sessions=self._replicas,
         )
+        self._replicas.set_scheduler(self._context.scheduler)
         self._api = CallerApi(self._context)
-        self._replicas = ReplicaTasks(self._context)
         self._exchange = Exchange(
             settings,
             client=self._client,
@@ -151,14 +164,12 @@
             clock=clock,
             rng=base.rng,
         )
-        self._exchange.register(self._server, limiter, fences)
+        self._exchange.register(self._server, fences)
         self._recovery.register(self._server)
         self._recovery.add_listener(self._exchange.greeter.set_members)
-        self._recovery.add_listener(self._context.relay_members)
         self._admin = self._build_admin()
         base.bundles.add_listener(self._context.guard.apply)
         base.bundles.add_listener(self._replicas.apply)
-        base.bundles.add_listener(limiter.set_bundle)
 
     def _build_leaving(self) -> LeavingVms:
         url = self._settings.platform.vm_list
@@ -178,7 +189,11 @@
                 self._recovery.membership, self._exchange.greeter, self._base.bundles
             ),
             dump_state=lambda: dump_state(
-                self._context, self._recovery, self._exchange.greeter, self._api
+                self._context,
+                self._recovery,
+                self._exchange.greeter,
+                self._api,
+                self._replicas,
             ),
         )
 
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -4,9 +4,12 @@
 import uuid
 from collections.abc import Callable
 
+import msgspec
+
+from fireflyspread.bundle import Team
 from fireflyspread.daemon._build import Base
-from fireflyspread.limits import RateLimiter
 from fireflyspread.exceptions import NoAuthorityError, StoreError
+from fireflyspread.limits import RateLimiter
 from fireflyspread.nodes import PeerClient, PeerServer
 from fireflyspread.recovery import (
     SLOT_COUNT,
@@ -19,11 +22,15 @@
     Store,
     StoreJournal,
 )
-import msgspec
 
 MEMBERS_KEY = "members"
 
 
+class _Unlimited(RateLimiter):
+    async def acquire(self, team: Team, amount: float = 1.0) -> None:
+        return
+
+
 class Recovery(Ownership):
     """First cut: joins the members document and splits the slots evenly."""
 
@@ -104,6 +111,9 @@
                 pass
             await asyncio.sleep(0.3)
 
+    def build_limiter(self) -> RateLimiter:
+        return _Unlimited()
+
     async def leave(self) -> None:
         return
 
@@ -132,4 +142,6 @@
             slots=rows,
         )
         value = msgspec.json.encode(document)
-        return await self._store.replace(MEMBERS_KEY, value, revision=revision) is not None
+        return (
+            await self._store.replace(MEMBERS_KEY, value, revision=revision) is not None
+        )
--- a/src/fireflyspread/daemon/_targets.py
+++ b/src/fireflyspread/daemon/_targets.py
@@ -1,29 +1,65 @@
-"""One task for each replica of the bundle in force."""
+"""Tasks for each engine replica of the bundle in force."""
 
 import asyncio
-import logging
+import random
 
+from attrs import define
+
+from fireflyspread._pools import ReplicaPool
 from fireflyspread.bundle import ActiveBundle, Replica, TargetKind
-from fireflyspread.callers import Context
-from fireflyspread.engines import Engine
-from fireflyspread.exceptions import FireflyError
-from fireflyspread.recovery import find_slot
-from fireflyspread.routing import LoadReport
+from fireflyspread.clock import Clock
+from fireflyspread.engines import (
+    Engine,
+    ReplicaPoller,
+    SessionReleaser,
+    SessionSweeper,
+)
+from fireflyspread.programs import ProgramTable
+from fireflyspread.recovery import Ownership, SessionReleased, find_slot
+from fireflyspread.routing import LoadReport, PolicyScheduler, SessionKeeper
 
 __all__ = ["ReplicaTasks"]
 
-_LOG = logging.getLogger(__name__)
 
-# Seconds between two comparisons of an engine's sessions with the open programs.
-_SWEEP_INTERVAL = 5.0
+@define
+class _Running:
+    sweeper: SessionSweeper
+    tasks: list[asyncio.Task[None]]
+
 
+class ReplicaTasks(SessionReleaser):
+    """Polls engines and releases the memory of programs that do not need it.
 
-class ReplicaTasks:
-    """Polls the load of engines and releases memory that no program uses."""
+    Parameters
+    ----------
+    interval : float
+        Mean seconds between two polls of a replica.
+    """
 
-    def __init__(self, context: Context) -> None:
-        self._context = context
-        self._tasks: dict[tuple[str, str], list[asyncio.Task[None]]] = {}
+    def __init__(
+        self,
+        *,
+        engines: ReplicaPool[Engine],
+        programs: ProgramTable,
+        ownership: Ownership,
+        clock: Clock,
+        rng: random.Random,
+        interval: float,
+    ) -> None:
+        self._engines = engines
+        self._programs = programs
+        self._ownership = ownership
+        self._clock = clock
+        self._rng = rng
+        self._interval = interval
+        self._keeper = SessionKeeper(clock)
+        self._scheduler: PolicyScheduler | None = None
+        self._running: dict[tuple[str, str], _Running] = {}
+        self._sweepers: dict[str, SessionSweeper] = {}
+
+    def set_scheduler(self, scheduler: PolicyScheduler) -> None:
+        """Pass load reports on to ``scheduler``."""
+        self._scheduler = scheduler
 
     def apply(self, active: ActiveBundle) -> None:
         """Run tasks for the engine replicas of ``active`` and no others."""
@@ -33,64 +69,104 @@
             if target.kind is TargetKind.ENGINE
             for replica in target.replicas
         }
-        for key in set(self._tasks) - set(wanted):
-            for task in self._tasks.pop(key):
+        for key in set(self._running) - set(wanted):
+            self._sweepers.pop(key[0], None)
+            for task in self._running.pop(key).tasks:
                 task.cancel()
-        for key in set(wanted) - set(self._tasks):
-            replica = wanted[key]
-            self._tasks[key] = [
-                asyncio.create_task(self._poll_load(replica)),
-                asyncio.create_task(self._sweep(replica)),
-            ]
+        for key in set(wanted) - set(self._running):
+            self._running[key] = self._start(wanted[key])
+            self._sweepers[key[0]] = self._running[key].sweeper
+
+    def begin_turn(self, program: str, replica: str) -> None:
+        self._keeper.end_pause(program)
+        sweeper = self._sweepers.get(replica)
+        if sweeper is not None:
+            sweeper.keep(program)
+
+    def end_turn(self, program: str, replica: str, tokens: int) -> None:
+        self._keeper.begin_pause(program, replica, "", tokens)
+
+    def release(self, program: str, replicas: frozenset[str]) -> None:
+        self._keeper.forget(program)
+        for replica in replicas:
+            sweeper = self._sweepers.get(replica)
+            if sweeper is None:
+                # The replica has left the bundle; nobody may be asked any more.
+                self._take_released(program, replica)
+            else:
+                sweeper.release(program)
+
+    def count_pending(self) -> int:
+        """Return how many releases no engine has confirmed yet."""
+        return sum(len(sweeper.pending) for sweeper in self._sweepers.values())
 
     async def close(self) -> None:
         """Stop all tasks."""
-        tasks = [task for tasks in self._tasks.values() for task in tasks]
-        self._tasks.clear()
+        tasks = [task for running in self._running.values() for task in running.tasks]
+        self._running.clear()
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
-    async def _poll_load(self, replica: Replica) -> None:
-        context = self._context
-        while True:
-            try:
-                load = await self._find(replica).read_load()
-            except FireflyError as exc:
-                _LOG.debug("no load of %s: %s", replica.name, exc.message)
-            else:
-                report = LoadReport(
-                    running=load.running,
-                    waiting=load.waiting,
-                    cache_used=load.cache_used,
-                    cache_capacity=load.cache_capacity,
-                    received_at=context.clock.read_monotonic(),
-                )
-                context.scheduler.report_load(replica.name, report)
-            await asyncio.sleep(context.settings.timing.load_poll_interval)
-
-    async def _sweep(self, replica: Replica) -> None:
-        """Release sessions of programs that this node owns and that are gone."""
-        suspects: set[str] = set()
-        while True:
-            await asyncio.sleep(_SWEEP_INTERVAL)
-            try:
-                sessions = await self._find(replica).list_sessions()
-            except FireflyError as exc:
-                _LOG.debug("no sessions of %s: %s", replica.name, exc.message)
-                continue
-            gone = {session for session in sessions if self._is_gone(session)}
-            # A session counts as left behind only when two comparisons in a row find
-            # it so: a program may have been opened since the engine answered.
-            for session in gone & suspects:
-                self._context.sessions.release(session, frozenset([replica.name]))
-            suspects = gone
+    def _start(self, replica: Replica) -> _Running:
+        name, engine = replica.name, self._engines.get(replica.url)
+        sweeper = SessionSweeper(
+            name,
+            engine,
+            self._rng,
+            is_gone=self._is_gone,
+            on_released=lambda program: self._take_released(program, name),
+        )
+        poller = ReplicaPoller(
+            name,
+            engine,
+            self._clock,
+            self._rng,
+            on_load=self._take_load,
+            on_evicted=self._take_evicted,
+            on_gap=self._take_gap,
+            interval=self._interval,
+        )
+        works = (sweeper.run(), poller.run())
+        return _Running(sweeper, [asyncio.create_task(work) for work in works])
+
+    def _take_load(self, replica: str, report: LoadReport) -> None:
+        if self._scheduler is not None:
+            self._scheduler.report_load(replica, report)
+        chosen = self._keeper.choose_releases(
+            replica, report.cache_used, report.cache_capacity
+        )
+        for program_id in chosen:
+            program = self._programs.get(program_id)
+            self._keeper.forget(program_id)
+            if program is not None and program.running is None:
+                program.holder = None
+                self._sweepers[replica].release(program_id)
+
+    def _take_evicted(self, replica: str, sessions: tuple[str, ...]) -> None:
+        for session in sessions:
+            program = self._programs.get(session)
+            if program is not None and program.holder == replica:
+                program.holder = None
+
+    def _take_gap(self, replica: str) -> None:
+        for program in self._programs:
+            if program.holder == replica:
+                program.holder = None
+
+    def _take_released(self, program_id: str, replica: str) -> None:
+        program = self._programs.get(program_id)
+        if program is None or not self._ownership.owns(program.slot):
+            return
+        if program.running is not None:
+            # The turn that runs now may hold new memory on the same replica.
+            return
+        record = SessionReleased(slot=program.slot, subject=program_id, replica=replica)
+        self._ownership.enqueue(record)
+        self._programs.apply(record)
 
     def _is_gone(self, session: str) -> bool:
-        if not self._context.ownership.owns(find_slot(session)):
+        if not self._ownership.owns(find_slot(session)):
             return False
-        program = self._context.programs.get(session)
+        program = self._programs.get(session)
         return program is None or program.ended is not None
-
-    def _find(self, replica: Replica) -> Engine:
-        return self._context.engines.get(replica.url)
--- a/src/fireflyspread/engines/__init__.py
+++ b/src/fireflyspread/engines/__init__.py
@@ -5,11 +5,11 @@
     EngineLoad,
     EngineRequest,
     Order,
+    SessionReleaser,
     Usage,
 )
 from fireflyspread.engines._http import HttpEngine
 from fireflyspread.engines._poll import ReplicaPoller
-from fireflyspread.engines._release import SessionReleaser
 from fireflyspread.engines._sse import DONE_EVENT, extract_answer
 from fireflyspread.engines._sweep import SessionSweeper
 from fireflyspread.engines._tasks import ReplicaTasks
--- a/src/fireflyspread/engines/_engine.py
+++ b/src/fireflyspread/engines/_engine.py
@@ -6,7 +6,7 @@
 import msgspec
 from attrs import frozen
 
-__all__ = ["Engine", "EngineLoad", "EngineRequest", "Order", "Usage"]
+__all__ = ["Engine", "EngineLoad", "EngineRequest", "Order", "SessionReleaser", "Usage"]
 
 
 @frozen(kw_only=True)
@@ -136,3 +136,19 @@
     @abc.abstractmethod
     async def close(self) -> None:
         """Close all connections."""
+
+
+class SessionReleaser(abc.ABC):
+    """Gives back the engine memory of programs."""
+
+    @abc.abstractmethod
+    def begin_turn(self, program: str, replica: str) -> None:
+        """Take note that a program runs on ``replica`` now."""
+
+    @abc.abstractmethod
+    def end_turn(self, program: str, replica: str, tokens: int) -> None:
+        """Take note that a program pauses and ``replica`` holds ``tokens`` for it."""
+
+    @abc.abstractmethod
+    def release(self, program: str, replicas: frozenset[str]) -> None:
+        """Release what ``replicas`` hold for an ended program, until they confirm."""
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -10,7 +10,8 @@
 from fireflyspread.bundle import ActiveBundle, Bundle, Team, hash_key
 from fireflyspread.callers import CallerApi, Context
 from fireflyspread.clock import SystemClock
-from fireflyspread.daemon._build import Base, build_context
+from fireflyspread.daemon._build import Base, build_context, build_pools
+from fireflyspread.daemon._targets import ReplicaTasks
 from fireflyspread.limits import RateLimiter
 from fireflyspread.nodes import FenceGuard, PeerClient
 from fireflyspread.recovery import SLOT_COUNT, Durability, Member, Ownership, Record
@@ -149,7 +150,25 @@
         get_members=lambda: (),
         clock=base.clock,
     )
-    context = build_context(base, ownership=ownership, limiter=NoLimit(), fences=fences)
+    engines, services = build_pools()
+    replicas = ReplicaTasks(
+        engines=engines,
+        programs=base.programs,
+        ownership=ownership,
+        clock=base.clock,
+        rng=base.rng,
+        interval=0.5,
+    )
+    context = build_context(
+        base,
+        ownership=ownership,
+        limiter=NoLimit(),
+        fences=fences,
+        engines=engines,
+        services=services,
+        sessions=replicas,
+    )
+    replicas.apply(base.bundles.get_active())
     base.bundles.add_listener(context.guard.apply)
     runner = web.AppRunner(CallerApi(context).make_public_app(), access_log=None)
     await runner.setup()
@@ -166,7 +185,7 @@
             session=session,
         )
     await runner.cleanup()
-    await context.sessions.close()
+    await replicas.close()
     await context.engines.close()
     await context.relay.close()
     await client.close()
