--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -1,7 +1,11 @@
 """What must last: store, journal, membership, authority, takeover."""
 
+from fireflyspread.recovery._authority import Authority
+from fireflyspread.recovery._held import HeldRecords
 from fireflyspread.recovery._journal import Durability, Journal
 from fireflyspread.recovery._members import Member, MembersDocument, SlotRow
+from fireflyspread.recovery._membership import Membership
+from fireflyspread.recovery._peers import Peers, Promise
 from fireflyspread.recovery._records import (
     BudgetReserved,
     IntentAbandoned,
@@ -13,6 +17,7 @@
     Record,
     SessionHeld,
     SessionReleased,
+    SnapshotTaken,
     TurnRecorded,
     decode_records,
     encode_records,
@@ -23,25 +28,31 @@
 
 __all__ = [
     "SLOT_COUNT",
+    "Authority",
     "BudgetReserved",
     "Change",
     "Durability",
     "Entry",
+    "HeldRecords",
     "Holder",
     "IntentAbandoned",
     "IntentDeclared",
     "Journal",
     "Member",
     "MembersDocument",
+    "Membership",
     "OutcomeRecorded",
+    "Peers",
     "ProgramEnded",
     "ProgramOpened",
     "ProgramSnapshot",
+    "Promise",
     "Record",
     "SessionHeld",
     "SessionReleased",
     "SlotRow",
     "SlotState",
+    "SnapshotTaken",
     "Store",
     "StoreJournal",
     "TurnRecorded",
--- /dev/null
+++ b/src/fireflyspread/recovery/_assignment.py
@@ -0,0 +1,155 @@
+"""Changes of the members document, as functions from document to document."""
+
+from collections import Counter
+from collections.abc import Iterable, Set
+
+import msgspec
+
+from fireflyspread.recovery._members import Member, MembersDocument, SlotRow
+from fireflyspread.recovery._slots import SLOT_COUNT
+
+__all__ = [
+    "add_member",
+    "assign_rows",
+    "choose_monitor",
+    "drop_source",
+    "find_transfers",
+    "list_journals",
+    "move_slots",
+    "remove_members",
+    "replace_member",
+]
+
+
+def _order_ring(members: Iterable[Member]) -> list[Member]:
+    """Order members so that neighbours are in different zones where possible."""
+    seen: Counter[str] = Counter()
+    keyed = []
+    for member in sorted(members, key=lambda m: m.name):
+        keyed.append((seen[member.zone], member.zone, member.name, member))
+        seen[member.zone] += 1
+    return [row[-1] for row in sorted(keyed, key=lambda row: row[:3])]
+
+
+def choose_monitor(document: MembersDocument, name: str) -> str:
+    """Return the next member on the ring, or empty when there is no other.
+
+    On a ring, no two nodes monitor each other once there are three, so two nodes
+    that fail together are removed one after the other.
+    """
+    ring = [member.name for member in _order_ring(document.members)]
+    if name not in ring or len(ring) < 2:
+        return ""
+    return ring[(ring.index(name) + 1) % len(ring)]
+
+
+def assign_rows(document: MembersDocument) -> MembersDocument:
+    """Give rows without an owner to the members with the fewest slots."""
+    names = {member.name for member in document.members}
+    if not names:
+        return document
+    counts = Counter({name: 0 for name in names})
+    counts.update(row.owner for row in document.slots if row.owner in names)
+    rows = list(document.slots) or [SlotRow()] * SLOT_COUNT
+    for index, row in enumerate(rows):
+        if row.owner not in names:
+            owner = min(names, key=lambda name: (counts[name], name))
+            counts[owner] += 1
+            rows[index] = SlotRow(owner=owner, sources=row.sources)
+    return msgspec.structs.replace(document, slots=tuple(rows))
+
+
+def add_member(document: MembersDocument, member: Member) -> MembersDocument:
+    """Add a member; it gets only slots that have no owner."""
+    joined = msgspec.structs.replace(document, members=(*document.members, member))
+    monitor = choose_monitor(joined, member.name)
+    member = msgspec.structs.replace(member, monitor=monitor)
+    return assign_rows(replace_member(joined, member))
+
+
+def replace_member(document: MembersDocument, member: Member) -> MembersDocument:
+    """Replace the member of the same name."""
+    members = tuple(
+        member if other.name == member.name else other for other in document.members
+    )
+    return msgspec.structs.replace(document, members=members)
+
+
+def _orphan_row(row: SlotRow, removed: dict[str, Member]) -> SlotRow:
+    if row.owner not in removed:
+        return row
+    # An owner that has not finished its own takeover has acknowledged nothing, so
+    # the journal it was to replay stays the only source.
+    sources = row.sources or (removed[row.owner].journal,)
+    return SlotRow(owner="", sources=sources)
+
+
+def remove_members(
+    document: MembersDocument, names: Set[str], *, heir: str = ""
+) -> MembersDocument:
+    """Remove members and name their journals as sources of their slots.
+
+    The rows have no owner afterwards; ``assign_rows`` gives them new ones.
+
+    Parameters
+    ----------
+    heir : str
+        Member that takes over the duties of removed monitors.
+    """
+    removed = {m.name: m for m in document.members if m.name in names}
+    members = []
+    for member in document.members:
+        if member.name in removed:
+            continue
+        if member.monitor in removed:
+            monitor = heir if heir != member.name else ""
+            member = msgspec.structs.replace(member, monitor=monitor)
+        members.append(member)
+    rows = tuple(_orphan_row(row, removed) for row in document.slots)
+    return msgspec.structs.replace(document, members=tuple(members), slots=rows)
+
+
+def drop_source(
+    document: MembersDocument, owner: str, source: str, slots: Set[int]
+) -> MembersDocument:
+    """Mark slots of ``owner`` as replayed from ``source``."""
+    rows = tuple(
+        SlotRow(owner=owner)
+        if index in slots and row == SlotRow(owner=owner, sources=(source,))
+        else row
+        for index, row in enumerate(document.slots)
+    )
+    return msgspec.structs.replace(document, slots=rows)
+
+
+def move_slots(
+    document: MembersDocument, owner: Member, receivers: dict[int, str]
+) -> MembersDocument:
+    """Give slots that ``owner`` has drained to their receivers."""
+    rows = list(document.slots)
+    for slot, receiver in receivers.items():
+        if rows[slot] == SlotRow(owner=owner.name):
+            rows[slot] = SlotRow(owner=receiver, sources=(owner.journal,))
+    return msgspec.structs.replace(document, slots=tuple(rows))
+
+
+def find_transfers(document: MembersDocument, name: str) -> tuple[str, ...]:
+    """Return the receivers, one for each slot that ``name`` should give away."""
+    counts = Counter({member.name: 0 for member in document.members})
+    counts.update(row.owner for row in document.slots if row.owner in counts)
+    receivers = []
+    while counts:
+        receiver = min(counts, key=lambda other: (counts[other], other))
+        if counts[name] - counts[receiver] < 2:
+            break
+        counts[name] -= 1
+        counts[receiver] += 1
+        receivers.append(receiver)
+    return tuple(receivers)
+
+
+def list_journals(document: MembersDocument) -> frozenset[str]:
+    """Return the journals of members and those that rows name."""
+    journals = {member.journal for member in document.members}
+    journals.update(source for row in document.slots for source in row.sources)
+    return frozenset(journals)
--- /dev/null
+++ b/src/fireflyspread/recovery/_authority.py
@@ -0,0 +1,59 @@
+"""Permission of this node to admit, spend and acknowledge."""
+
+from fireflyspread.clock import Clock
+from fireflyspread.exceptions import NoAuthorityError
+
+__all__ = ["Authority"]
+
+
+class Authority:
+    """Deadline after which the node must not act.
+
+    Parameters
+    ----------
+    ttl : float
+        Seconds from the sending of a renewal that was answered.
+    """
+
+    def __init__(self, clock: Clock, ttl: float = 2.0) -> None:
+        self._clock = clock
+        self._ttl = ttl
+        self._deadline = float("-inf")
+
+    @property
+    def ttl(self) -> float:
+        """Seconds that one renewal lasts."""
+        return self._ttl
+
+    @property
+    def remaining(self) -> float:
+        """Seconds until the deadline; negative once it has passed."""
+        return self._deadline - self._clock.read_monotonic()
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the deadline lies ahead."""
+        return self.remaining > 0
+
+    def check(self) -> None:
+        """Do nothing while the node may act.
+
+        Raises
+        ------
+        NoAuthorityError
+            The deadline has passed; nothing may be admitted or acknowledged.
+        """
+        if not self.is_held:
+            raise NoAuthorityError(
+                "this node has lost contact with the store and its monitor; "
+                "retry through another node"
+            )
+
+    def renew(self, sent_at: float, seconds: float | None = None) -> None:
+        """Extend the deadline after a renewal sent at ``sent_at`` was answered."""
+        granted = self._ttl if seconds is None else min(seconds, self._ttl)
+        self._deadline = max(self._deadline, sent_at + granted)
+
+    def revoke(self) -> None:
+        """End the authority at once."""
+        self._deadline = float("-inf")
--- /dev/null
+++ b/src/fireflyspread/recovery/_membership.py
@@ -0,0 +1,508 @@
+"""Membership of this node: joining, renewing authority, removing others."""
+
+import asyncio
+import logging
+import random
+import uuid
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from typing import Any
+
+import msgspec
+
+from fireflyspread.clock import Clock
+from fireflyspread.exceptions import (
+    FireflyError,
+    NoAuthorityError,
+    PeerError,
+    StoreError,
+)
+from fireflyspread.recovery._assignment import (
+    add_member,
+    assign_rows,
+    choose_monitor,
+    list_journals,
+    remove_members,
+    replace_member,
+)
+from fireflyspread.recovery._authority import Authority
+from fireflyspread.recovery._compaction import Compactor
+from fireflyspread.recovery._document import DocumentKeeper
+from fireflyspread.recovery._held import HeldRecords
+from fireflyspread.recovery._lease import grant_member_lease, name_member_lease
+from fireflyspread.recovery._members import Member, MembersDocument
+from fireflyspread.recovery._monitor import Monitor, find_lease_key
+from fireflyspread.recovery._peers import Peers, Promise
+from fireflyspread.recovery._slot_keeper import SlotKeeper, is_member
+from fireflyspread.recovery._slots import SlotState
+from fireflyspread.recovery._store import Store
+from fireflyspread.recovery._store_journal import Holder, Sleep, StoreJournal
+from fireflyspread.recovery._takeover import Takeover
+from fireflyspread.settings import Settings, Timing
+
+__all__ = ["Membership"]
+
+logger = logging.getLogger(__name__)
+
+# Share of the authority's ttl below which the monitor is asked: the store has then
+# missed one renewal, and there is time for several attempts.
+_ASK_MONITOR_BELOW = 0.65
+
+
+class Membership:
+    """Takes part in the cluster as one incarnation after another.
+
+    Parameters
+    ----------
+    member : Member
+        Identity and addresses; the incarnation is chosen at each join.
+    holder : Holder or None
+        Keeps journal records on another node while the store does not answer.
+    on_lost : async callable or None
+        Called when this node was removed. It must end every running request before
+        it returns, because the node joins again afterwards.
+    on_version : callable or None
+        Called with a bundle version that the monitor knows.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        peers: Peers,
+        member: Member,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        timing: Timing,
+        holder: Holder | None = None,
+        on_lost: Callable[[], Awaitable[None]] | None = None,
+        on_version: Callable[[int], None] | None = None,
+        read_version: Callable[[], int] = lambda: 0,
+        sleep: Sleep = asyncio.sleep,
+    ) -> None:
+        self._store = store
+        self._peers = peers
+        self._clock = clock
+        self._timing = timing
+        self._sleep = sleep
+        self._on_lost = on_lost
+        self._on_version = on_version
+        self._read_version = read_version
+        self._member = member
+        self._vms: frozenset[str] | None = None
+        self._is_renaming = False
+        self._is_joined = False
+        self._is_leaving = False
+        self._lost = asyncio.Event()
+        self._news = asyncio.Event()
+        self.authority = Authority(clock, timing.authority_ttl)
+        self.held = HeldRecords()
+        self._monitor = Monitor(member.name, clock=clock, authority=self.authority)
+        self._keeper = DocumentKeeper(
+            store, rng=rng, sleep=sleep, on_change=self._follow_document
+        )
+        self.journal = StoreJournal(
+            store,
+            member.journal,
+            clock=clock,
+            rng=rng,
+            flush_interval=timing.flush_interval,
+            store_timeout=timing.store_timeout,
+            holder=holder,
+            check=self.authority.check,
+            on_sealed=self._lose,
+            sleep=sleep,
+        )
+        takeover = Takeover(
+            store,
+            self.journal,
+            peers,
+            self.held,
+            clock=clock,
+            rng=rng,
+            sleep=sleep,
+            read_document=lambda: self._keeper.document,
+        )
+        self._slots = SlotKeeper(
+            self._keeper,
+            self.journal,
+            takeover,
+            clock=clock,
+            sleep=sleep,
+            store_timeout=timing.store_timeout,
+        )
+        self._compactor = Compactor(self.journal, clock=clock)
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        store: Store,
+        peers: Peers,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        holder: Holder | None = None,
+        on_lost: Callable[[], Awaitable[None]] | None = None,
+        on_version: Callable[[int], None] | None = None,
+        read_version: Callable[[], int] = lambda: 0,
+    ) -> "Membership":
+        """Build the membership of the node that the settings describe."""
+        member = Member(
+            name=settings.node.name,
+            incarnation="",
+            zone=settings.node.zone,
+            vm=settings.node.vm,
+            internal=str(settings.listen.internal),
+            peers=str(settings.listen.peers),
+        )
+        return cls(
+            store,
+            peers,
+            member,
+            clock=clock,
+            rng=rng,
+            timing=settings.timing,
+            holder=holder,
+            on_lost=on_lost,
+            on_version=on_version,
+            read_version=read_version,
+        )
+
+    def add_state(self, state: SlotState) -> None:
+        """Restore, snapshot and drop ``state`` with the slots; call before ``run``."""
+        self._slots.states.append(state)
+
+    @property
+    def member(self) -> Member:
+        """This incarnation as the members document has it."""
+        return self._member
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the newest document read."""
+        return self._keeper.document.epoch
+
+    def members(self) -> tuple[Member, ...]:
+        """Return the members of the newest document read."""
+        return self._keeper.document.members
+
+    def find_owner(self, slot: int) -> Member | None:
+        """Return the member whose row ``slot`` is, whether it has adopted it or not."""
+        document = self._keeper.document
+        if not document.slots:
+            return None
+        return document.find_member(document.slots[slot].owner)
+
+    def owns(self, slot: int) -> bool:
+        """Whether requests of ``slot`` may be admitted here now."""
+        return self.authority.is_held and self._slots.is_open(slot)
+
+    async def wait_owned(self, slot: int) -> None:
+        """Return once ``owns(slot)``.
+
+        Raises
+        ------
+        NoAuthorityError
+            The slot belongs to another node.
+        """
+        while not self.owns(slot):
+            owner = self.find_owner(slot)
+            if owner is not None and owner.name != self._member.name:
+                raise NoAuthorityError(f"slot {slot} belongs to {owner.name}; go there")
+            await self._slots.wait_changed()
+
+    def set_vms(self, vms: frozenset[str]) -> None:
+        """Take note of the platform's list of VMs."""
+        self._vms = vms
+
+    def note_epoch(self, epoch: int) -> None:
+        """Read the document soon when another node knows a newer epoch."""
+        if epoch > self.epoch:
+            self._news.set()
+
+    def grant_authority(self, node: str, incarnation: str) -> Promise:
+        """Answer a node that asks this one, its monitor, not to remove it."""
+        granted = self._monitor.promise(self._keeper.document, node, incarnation)
+        return Promise(
+            granted=granted,
+            seconds=self.authority.ttl if granted else 0.0,
+            epoch=self.epoch,
+            bundle_version=self._read_version(),
+        )
+
+    def hold_records(self, journal: str, position: int, records: bytes) -> None:
+        """Hold records of a member; empty records release what is in the store.
+
+        Raises
+        ------
+        NoAuthorityError
+            This node may not promise anything.
+        PeerError
+            The journal belongs to no member.
+        SealedError
+            A new owner has taken the records of the journal.
+        """
+        if records:
+            self.authority.check()
+        if all(member.journal != journal for member in self.members()):
+            raise PeerError(f"{journal} belongs to no member; read the members again")
+        self.held.hold(journal, position, records)
+
+    def take_held_records(self, journal: str) -> tuple[bytes, ...]:
+        """Give the records held for a sealed journal to its new owner."""
+        return self.held.take(journal)
+
+    async def run(self) -> None:
+        """Join, take part, and join again after a removal; returns after ``leave``."""
+        while not self._is_leaving:
+            await self._join()
+            loops = (
+                self._renew_by_store,
+                self._renew_by_monitor,
+                self._read_document,
+                self._manage_members,
+                self._manage_slots,
+            )
+            tasks = [asyncio.create_task(self._repeat(loop)) for loop in loops]
+            try:
+                await self._lost.wait()
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+            if not self._is_leaving:
+                await self._clear()
+
+    async def _repeat(self, step: Callable[[], Awaitable[None]]) -> None:
+        """Run ``step`` for ever, pausing for ``renew_interval`` after each run."""
+        while True:
+            try:
+                await step()
+            except FireflyError as exc:
+                logger.info("%s failed: %s", step.__name__, exc)
+            except Exception:
+                # One faulty round must not end the renewal of authority.
+                logger.exception("%s failed", step.__name__)
+            await self._sleep(self._timing.renew_interval)
+
+    def _lose(self) -> None:
+        """Stop acting at once; ``run`` does the rest."""
+        self.authority.revoke()
+        self._lost.set()
+
+    def _follow_document(self, document: MembersDocument) -> None:
+        self._monitor.follow(document)
+        self.held.retain(list_journals(document))
+        self._slots.notify()
+        if not self._is_joined:
+            return
+        if not is_member(document, self._member):
+            logger.warning("%s was removed from the members", self._member.incarnation)
+            self._lose()
+            return
+        found = document.find_member(self._member.name)
+        assert found is not None
+        self._member = found
+
+    async def _clear(self) -> None:
+        """Forget everything of the lost incarnation."""
+        self._is_joined = False
+        self._slots.drop_all()
+        if self._on_lost is not None:
+            await self._on_lost()
+        with suppress(StoreError):
+            await self._store.revoke_lease(self._member.lease)
+
+    async def _join(self) -> None:
+        """Become a member as a new incarnation; repeats until it succeeds."""
+        incarnation = uuid.uuid4().hex
+        member = msgspec.structs.replace(
+            self._member, incarnation=incarnation, monitor="", lease=0
+        )
+        await self.journal.restart(member.journal)
+        self._compactor.reset()
+        self._lost.clear()
+        while True:
+            try:
+                if member.lease and await self._store.keep_lease(member.lease):
+                    if await self._try_join(member):
+                        break
+                else:
+                    member = await grant_member_lease(
+                        self._store, member, self._timing.lease_ttl
+                    )
+                    continue
+            except StoreError as exc:
+                logger.info("joining repeated: %s", exc)
+            await self._sleep(self._timing.renew_interval)
+        self._is_joined = True
+        self._follow_document(self._keeper.document)
+        logger.info("joined as %s", self._member.journal)
+
+    async def _try_join(self, member: Member) -> bool:
+        document = await self._keeper.refresh()
+        if is_member(document, member):
+            self._member = member
+            return True
+        old = document.find_member(member.name)
+        if old is not None and await self._store.read(find_lease_key(old)) is not None:
+            return False
+
+        def edit(present: MembersDocument) -> MembersDocument | None:
+            if present is not document:
+                return None
+            cleared = remove_members(present, {member.name}, heir=member.name)
+            return add_member(cleared, member)
+
+        self._member = member
+        return await self._keeper.try_change(edit)
+
+    async def _renew_by_store(self) -> None:
+        sent_at = self._clock.read_monotonic()
+        lease = self._member.lease
+        if await self._store.keep_lease(lease):
+            if not self._lost.is_set():
+                self._renew(sent_at)
+            return
+        member = await grant_member_lease(
+            self._store, self._member, self._timing.lease_ttl
+        )
+        if not await name_member_lease(self._keeper, member):
+            self._lose()
+
+    def _renew(self, sent_at: float, seconds: float | None = None) -> None:
+        was_held = self.authority.is_held
+        self.authority.renew(sent_at, seconds)
+        if not was_held:
+            self._slots.notify()
+
+    async def _renew_by_monitor(self) -> None:
+        if self.authority.remaining > _ASK_MONITOR_BELOW * self.authority.ttl:
+            return
+        name = self._member.monitor
+        monitor = self._keeper.document.find_member(name) if name else None
+        # While a change of monitor is under way, it is not known who may remove
+        # this node, so nobody's promise counts.
+        if monitor is None or self._is_renaming:
+            return
+        sent_at = self._clock.read_monotonic()
+        promise = await self._peers.renew_authority(
+            monitor, self.epoch, self._read_version()
+        )
+        self.note_epoch(promise.epoch)
+        if self._on_version is not None:
+            self._on_version(promise.bundle_version)
+        is_valid = self._member.monitor == name and not self._is_renaming
+        if promise.granted and is_valid and not self._lost.is_set():
+            self._renew(sent_at, promise.seconds)
+
+    async def _read_document(self) -> None:
+        self._news.clear()
+        await self._keeper.refresh()
+
+    async def _manage_members(self) -> None:
+        self.authority.check()
+        await self._name_monitor()
+        document = await self._keeper.refresh()
+        rows = await self._store.read_prefix("nodes/")
+        live = {row.key for row in rows}
+        removable = self._monitor.find_removable(document, live, self._vms)
+        if not removable or self._keeper.document is not document:
+            return
+        names = {member.name for member in removable}
+        logger.warning("removing %s", ", ".join(sorted(names)))
+        self._monitor.begin_removal(document, removable)
+        heir = self._member.name
+        await self._keeper.try_change(
+            lambda present: (
+                assign_rows(remove_members(present, names, heir=heir))
+                if present is document
+                else None
+            )
+        )
+
+    async def _name_monitor(self) -> None:
+        """Name the next member on the ring as this node's monitor."""
+        name = self._member.name
+
+        def edit(document: MembersDocument) -> MembersDocument | None:
+            found = document.find_member(name)
+            if found is None or not is_member(document, self._member):
+                return None
+            monitor = choose_monitor(document, name)
+            return replace_member(
+                document, msgspec.structs.replace(found, monitor=monitor)
+            )
+
+        document = self._keeper.document
+        if choose_monitor(document, name) == self._member.monitor:
+            return
+        self._is_renaming = True
+        await self._keeper.change(edit)
+        self._is_renaming = False
+
+    async def _manage_slots(self) -> None:
+        self.authority.check()
+        await self._slots.adopt(self._member)
+        if self._is_leaving:
+            return
+        await self._slots.rebalance(self._member)
+        document = self._keeper.document
+        # Another node may be reading this journal for slots that were released.
+        if all(self.journal.prefix not in row.sources for row in document.slots):
+            slots = frozenset(self._slots.adopted)
+            await self._compactor.step(slots, self._slots.states)
+
+    async def leave(self) -> None:
+        """Release all slots and end the membership within ``drain_timeout``."""
+        self._is_leaving = True
+        self._monitor.is_leaving = True
+        end = self._clock.read_monotonic() + self._timing.drain_timeout
+        work = asyncio.ensure_future(self._leave(end))
+        timer = asyncio.ensure_future(self._sleep(self._timing.drain_timeout))
+        await asyncio.wait({work, timer}, return_when=asyncio.FIRST_COMPLETED)
+        work.cancel()
+        timer.cancel()
+        await asyncio.gather(work, timer, return_exceptions=True)
+        self._lose()
+        self._slots.drop_all()
+        await self.journal.close()
+
+    async def _leave(self, end: float) -> None:
+        await self._slots.release_all(self._member, end - 1.0)
+        await self.journal.flush()
+        name, heir = self._member.name, self._member.monitor
+
+        def edit(document: MembersDocument) -> MembersDocument | None:
+            if not is_member(document, self._member):
+                return document
+            return assign_rows(remove_members(document, {name}, heir=heir))
+
+        await self._keeper.change(edit)
+        self.authority.revoke()
+        if self.journal.prefix not in list_journals(self._keeper.document):
+            await self.journal.trim(self.journal.stored)
+        await self._store.revoke_lease(self._member.lease)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump of the process."""
+        document = self._keeper.document
+        return {
+            "member": msgspec.to_builtins(self._member),
+            "epoch": document.epoch,
+            "members": [f"{m.name}/{m.incarnation}" for m in document.members],
+            "authority_seconds": self.authority.remaining,
+            "is_joined": self._is_joined,
+            "is_leaving": self._is_leaving,
+            "adopted": sorted(self._slots.adopted),
+            "draining": sorted(self._slots.draining),
+            "replaying": sorted(self._slots.replaying),
+            "journal": {
+                "next_sequence": self.journal.next_sequence,
+                "entries": self.journal.entry_count,
+                "queued": self.journal.queued,
+                "is_sealed": self.journal.is_sealed,
+            },
+            "held": self.held.dump(),
+        }
--- a/src/fireflyspread/recovery/_records.py
+++ b/src/fireflyspread/recovery/_records.py
@@ -17,6 +17,7 @@
     "Record",
     "SessionHeld",
     "SessionReleased",
+    "SnapshotTaken",
     "TurnRecorded",
     "decode_records",
     "encode_records",
@@ -154,6 +155,21 @@
     recorded_at: float
 
 
+class SnapshotTaken(Record, frozen=True, kw_only=True):
+    """The next ``count`` records of the journal are the whole state of the slot.
+
+    Attributes
+    ----------
+    covers : int
+        Records of the slot with a lower number are contained in the snapshot; those
+        between ``covers`` and this record may have been in flight and are replayed
+        after it.
+    """
+
+    count: int
+    covers: int
+
+
 AnyRecord = (
     ProgramOpened
     | TurnRecorded
@@ -165,6 +181,7 @@
     | IntentDeclared
     | IntentAbandoned
     | OutcomeRecorded
+    | SnapshotTaken
 )
 
 _DECODER = msgspec.msgpack.Decoder(tuple[AnyRecord, ...])
--- /dev/null
+++ b/src/fireflyspread/recovery/_slot_keeper.py
@@ -0,0 +1,225 @@
+"""The slots that this node owns: adoption, release and rebalancing."""
+
+import asyncio
+import logging
+from collections import Counter
+from collections.abc import Iterable
+
+from fireflyspread.clock import Clock
+from fireflyspread.exceptions import StoreError
+from fireflyspread.recovery._assignment import (
+    drop_source,
+    find_transfers,
+    list_journals,
+    move_slots,
+)
+from fireflyspread.recovery._document import DocumentKeeper, Edit
+from fireflyspread.recovery._members import Member, MembersDocument
+from fireflyspread.recovery._slots import SlotState
+from fireflyspread.recovery._store_journal import Sleep, StoreJournal
+from fireflyspread.recovery._takeover import Takeover
+
+__all__ = ["SlotKeeper"]
+
+logger = logging.getLogger(__name__)
+
+# One round of rebalancing moves at most so many slots, so that their callers wait
+# for a short takeover instead of a long one.
+_MAX_MOVES = 32
+
+# How long a busy slot admits nothing while its last requests end.
+_DRAIN_SECONDS = 2.0
+
+_DRAIN_POLL = 0.05
+
+
+class SlotKeeper:
+    """Adopts, keeps and releases slots of one node incarnation.
+
+    Parameters
+    ----------
+    store_timeout : float
+        Seconds to wait for the journal before a release is given up.
+    """
+
+    def __init__(
+        self,
+        keeper: DocumentKeeper,
+        journal: StoreJournal,
+        takeover: Takeover,
+        *,
+        clock: Clock,
+        sleep: Sleep,
+        store_timeout: float,
+    ) -> None:
+        self._keeper = keeper
+        self._journal = journal
+        self._takeover = takeover
+        self._clock = clock
+        self._sleep = sleep
+        self._store_timeout = store_timeout
+        self._changed = asyncio.Event()
+        self.states: list[SlotState] = []
+        self.adopted: set[int] = set()
+        self.draining: set[int] = set()
+        self.replaying: set[int] = set()
+
+    def notify(self) -> None:
+        """Wake everyone who waits for a change."""
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def wait_changed(self) -> None:
+        """Return after the next change."""
+        await self._changed.wait()
+
+    def is_open(self, slot: int) -> bool:
+        """Whether the slot is adopted and admits requests."""
+        return slot in self.adopted and slot not in self.draining
+
+    def drop_all(self) -> None:
+        """Forget all slots without giving them to anyone."""
+        slots = frozenset(self.adopted | self.replaying)
+        self.adopted.clear()
+        self.draining.clear()
+        self.replaying.clear()
+        for state in self.states:
+            state.drop(slots)
+        self.notify()
+
+    def _find_unadopted(self, member: Member) -> dict[str, set[int]]:
+        groups: dict[str, set[int]] = {}
+        for slot, row in enumerate(self._keeper.document.slots):
+            if row.owner == member.name and slot not in self.adopted:
+                groups.setdefault(row.sources[0] if row.sources else "", set()).add(
+                    slot
+                )
+        return groups
+
+    async def adopt(self, member: Member) -> None:
+        """Make all slots whose row names this node its own."""
+        for source, found in self._find_unadopted(member).items():
+            slots = frozenset(found)
+            if not source:
+                for state in self.states:
+                    state.restore(slots, ())
+                self._open(slots)
+                continue
+            self.replaying |= slots
+            stored = await self._takeover.replay(member, source, slots, self.states)
+            if not await self._keeper.change(self._make_drop(member, source, slots)):
+                return
+            self.replaying -= slots
+            self._open(slots)
+            if source not in list_journals(self._keeper.document):
+                try:
+                    await self._takeover.delete(stored)
+                except StoreError as exc:
+                    logger.warning("%s was not deleted: %s", source, exc)
+
+    def _make_drop(self, member: Member, source: str, slots: frozenset[int]) -> Edit:
+        def edit(document: MembersDocument) -> MembersDocument | None:
+            if not is_member(document, member):
+                return None
+            return drop_source(document, member.name, source, slots)
+
+        return edit
+
+    def _open(self, slots: frozenset[int]) -> None:
+        self.adopted |= slots
+        logger.info("adopted %d slots, own %d", len(slots), len(self.adopted))
+        self.notify()
+
+    def _is_idle(self, slots: Iterable[int]) -> bool:
+        return all(state.is_idle(frozenset(slots)) for state in self.states)
+
+    async def rebalance(self, member: Member) -> None:
+        """Release slots to members that have fewer."""
+        receivers = find_transfers(self._keeper.document, member.name)[:_MAX_MOVES]
+        if not receivers or self._journal.is_failing:
+            return
+        own = sorted(self.adopted - self.draining)
+        slots = [slot for slot in own if self._is_idle({slot})][: len(receivers)]
+        if slots:
+            self.draining.update(slots)
+        elif own:
+            slots = await self._drain(own[int(self._clock.read_wall()) % len(own)])
+        if slots:
+            await self.release(member, dict(zip(slots, receivers, strict=False)))
+
+    async def _drain(self, slot: int) -> list[int]:
+        """Admit nothing to a busy slot until it is idle or some time has passed."""
+        self.draining.add(slot)
+        end = self._clock.read_monotonic() + _DRAIN_SECONDS
+        while self._clock.read_monotonic() < end:
+            if self._is_idle({slot}):
+                return [slot]
+            await self._sleep(_DRAIN_POLL)
+        self.draining.discard(slot)
+        self.notify()
+        return []
+
+    async def release(self, member: Member, receivers: dict[int, str]) -> bool:
+        """Give idle slots, which admit nothing any more, to other members."""
+        slots = frozenset(receivers)
+        flush = asyncio.ensure_future(self._journal.flush())
+        timer = asyncio.ensure_future(self._sleep(self._store_timeout))
+        try:
+            await asyncio.wait({flush, timer}, return_when=asyncio.FIRST_COMPLETED)
+            if not flush.done():
+                self.draining -= slots
+                self.notify()
+                return False
+            flush.result()
+        finally:
+            flush.cancel()
+            timer.cancel()
+
+        def edit(document: MembersDocument) -> MembersDocument | None:
+            names = {other.name for other in document.members}
+            # The rows may have moved already if a response was lost.
+            wanted = {s: name for s, name in receivers.items() if name in names}
+            if not is_member(document, member):
+                return None
+            return move_slots(document, member, wanted)
+
+        if not await self._keeper.change(edit):
+            return False
+        rows = self._keeper.document.slots
+        moved = frozenset(s for s in slots if rows[s].owner != member.name)
+        for state in self.states:
+            state.drop(moved)
+        self.adopted -= moved
+        self.draining -= slots
+        self.notify()
+        return True
+
+    async def release_all(self, member: Member, deadline: float) -> None:
+        """Release every slot as it becomes idle, until ``deadline`` (monotonic)."""
+        self.draining |= self.adopted
+        while self.adopted and self._clock.read_monotonic() < deadline:
+            self.draining |= self.adopted
+            idle = [slot for slot in sorted(self.adopted) if self._is_idle({slot})]
+            receivers = self._spread(member, idle)
+            if receivers:
+                await self.release(member, receivers)
+                self.draining |= self.adopted
+            elif idle:
+                return
+            await self._sleep(_DRAIN_POLL)
+
+    def _spread(self, member: Member, slots: list[int]) -> dict[int, str]:
+        document = self._keeper.document
+        others = [other.name for other in document.members if other.name != member.name]
+        counts = Counter(row.owner for row in document.slots)
+        receivers = {}
+        for slot in slots if others else ():
+            receivers[slot] = min(others, key=lambda name: (counts[name], name))
+            counts[receivers[slot]] += 1
+        return receivers
+
+
+def is_member(document: MembersDocument, member: Member) -> bool:
+    """Whether the document contains this incarnation."""
+    found = document.find_member(member.name)
+    return found is not None and found.incarnation == member.incarnation
--- a/src/fireflyspread/recovery/_store_journal.py
+++ b/src/fireflyspread/recovery/_store_journal.py
@@ -29,7 +29,7 @@
 )
 from fireflyspread.recovery._journal import Durability, Journal
 from fireflyspread.recovery._members import Member
-from fireflyspread.recovery._records import Record
+from fireflyspread.recovery._records import Record, SnapshotTaken
 from fireflyspread.recovery._store import Store
 from fireflyspread.settings import Timing
 
@@ -47,6 +47,9 @@
 ``SealedError`` when a node has handed them to a new owner already.
 """
 
+# A transaction of the store takes at most 128 operations.
+_DELETE_BATCH = 100
+
 _RETRY_MIN, _RETRY_MAX = 0.1, 1.0
 
 # Records wait in memory while the store is down; new ones are refused beyond this.
@@ -138,6 +141,8 @@
         self._held = 0  # records before this number are held by another node
         self._sent = 0  # records before this number were sent to another node
         self._failing_since: float | None = None
+        # Key and number after the last complete record of each entry in the store.
+        self._entries: deque[tuple[str, int]] = deque()
         self._waiters: deque[tuple[int, asyncio.Future[None]]] = deque()
 
     @property
@@ -150,6 +155,21 @@
         """Number of the next key."""
         return self._sequence
 
+    @property
+    def entry_count(self) -> int:
+        """Number of entries in the store."""
+        return len(self._entries)
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last write has failed and is being repeated."""
+        return self._failing_since is not None
+
+    @property
+    def stored(self) -> int:
+        """Number of records that are in the store."""
+        return self._stored
+
     @property
     def queued(self) -> int:
         """Number of records that are not in the store yet."""
@@ -174,6 +194,26 @@
     def enqueue(self, *records: Record) -> None:
         self._append(records)
 
+    def enqueue_snapshot(
+        self, slot: int, records: tuple[Record, ...], *, covers: int | None = None
+    ) -> None:
+        """Append the whole state of ``slot``; earlier records of it are superseded.
+
+        Parameters
+        ----------
+        covers : int or None
+            Records of the slot before this number are contained in ``records``;
+            None means all.
+        """
+        count = len(records)
+        marker = SnapshotTaken(
+            slot=slot,
+            subject="",
+            count=count,
+            covers=self._stored + len(self._queue) if covers is None else covers,
+        )
+        self._append((marker, *records))
+
     async def flush(self) -> None:
         """Return once all records appended so far are in the store.
 
@@ -197,6 +237,26 @@
         await self.close()
         self._reset(prefix)
 
+    async def trim(self, position: int) -> None:
+        """Delete the oldest entries that contain only records before ``position``.
+
+        The newest entry stays, because the next number is found from it.
+
+        Raises
+        ------
+        StoreError
+            The store does not answer; the entries are deleted by a later call.
+        """
+        while True:
+            count = min(len(self._entries) - 1, _DELETE_BATCH)
+            rows = islice(self._entries, max(count, 0))
+            keys = [key for key, end in rows if end <= position]
+            if not keys:
+                return
+            await self._store.delete(*keys)
+            while self._entries and self._entries[0][0] <= keys[-1]:
+                self._entries.popleft()
+
     def _raise_if_sealed(self) -> None:
         if self.is_sealed:
             raise SealedError(
@@ -324,6 +384,10 @@
                 return created
 
     def _settle(self, entry: JournalEntry, count: int) -> None:
+        key = find_entry_key(self.prefix, self._sequence)
+        # A part of a record is as needed as its last part.
+        end = self._stored + max(count, 1)
+        self._entries.append((key, end))
         self._sequence += 1
         if entry.fragment is not None:
             self._offset = 0 if entry.is_last else self._offset + len(entry.fragment)
--- /dev/null
+++ b/tests/recovery/test_membership.py
@@ -0,0 +1,206 @@
+"""Nodes join, keep authority, take over from each other and leave."""
+
+from collections.abc import AsyncIterator
+
+import pytest
+
+from fireflyspread.exceptions import FireflyError, NoAuthorityError
+from fireflyspread.recovery import Durability
+from tests.recovery.cluster import Cluster
+
+NAMES = ("a", "b", "c", "d")
+
+
+@pytest.fixture
+async def cluster() -> AsyncIterator[Cluster]:
+    cluster = Cluster()
+    await cluster.start(*NAMES, seconds=20.0)
+    yield cluster
+    await cluster.stop()
+
+
+class TestJoin:
+    """Membership.run and rebalancing."""
+
+    async def test_spreads_slots_evenly(self, cluster) -> None:
+        """A node that joins must take its part, or it adds no capacity."""
+        assert cluster.count_slots() == dict.fromkeys(NAMES, 64)
+
+    async def test_names_monitors_on_a_ring(self, cluster) -> None:
+        """Two nodes that monitor each other could not be removed together."""
+        members = cluster.nodes["a"].membership.members()
+        monitors = {m.name: m.monitor for m in members}
+        assert set(monitors.values()) == set(NAMES)
+        assert all(monitors[monitors[name]] != name for name in NAMES)
+
+    async def test_moved_slots_keep_their_records(self, cluster) -> None:
+        """Records written before a slot moved must be replayed by its new owner."""
+        for slot in range(256):
+            owner = cluster.find_owner(slot)
+            await cluster.time.drive(owner.commit(slot, slot))
+        await cluster.start("e", seconds=20.0)
+        assert cluster.count_slots()["e"] >= 50
+        for slot in range(256):
+            assert cluster.find_owner(slot).state.numbers[slot] == [slot]
+
+    async def test_calls_to_store_are_bounded(self, cluster) -> None:
+        """Four nodes may use 100 writes/s and 400 reads/s at full load."""
+        writes, reads = cluster.store.writes, cluster.store.reads
+        for step in range(500):
+            for node in cluster.nodes.values():
+                slot = min(node.membership._slots.adopted)
+                node.membership.journal.enqueue(
+                    *node.state.snapshot(frozenset({slot})),
+                )
+                node.state.numbers.setdefault(slot, [step])
+            await cluster.time.run_for(0.02)
+        assert (cluster.store.writes - writes) / 10.0 <= 100
+        assert (cluster.store.reads - reads) / 10.0 <= 40
+
+
+class TestTakeover:
+    """A node fails and the others go on with its slots."""
+
+    async def test_killed_node(self, cluster) -> None:
+        """Acknowledged records of a killed node must not be lost."""
+        node = cluster.nodes["b"]
+        slots = sorted(node.membership._slots.adopted)
+        for slot in slots:
+            await cluster.time.drive(node.commit(slot, slot))
+        await cluster.kill("b")
+        await cluster.time.run_for(15.0)
+        assert sum(cluster.count_slots().values()) == 256
+        for slot in slots:
+            assert cluster.find_owner(slot).state.numbers[slot] == [slot]
+
+    async def test_two_nodes_killed_together(self, cluster) -> None:
+        """The monitor of a removed monitor takes over its duties."""
+        node = cluster.nodes["a"]
+        monitor = node.membership.member.monitor
+        await cluster.kill("a")
+        await cluster.kill(monitor)
+        await cluster.time.run_for(25.0)
+        assert sum(cluster.count_slots().values()) == 256
+
+    async def test_paused_node_acknowledges_nothing(self, cluster) -> None:
+        """A node that wakes after its takeover must not act or acknowledge."""
+        node = cluster.nodes["c"]
+        slot = min(node.membership._slots.adopted)
+        await cluster.time.drive(node.commit(slot, 1))
+        node.is_paused = True
+        await cluster.time.run_for(15.0)
+        with pytest.raises(NoAuthorityError):
+            node.membership.authority.check()
+        journal = node.membership.journal
+        node.is_paused = False
+        with pytest.raises(FireflyError):
+            await cluster.time.drive(journal.commit(*node.state.snapshot({slot})))
+        assert cluster.find_owner(slot).state.numbers[slot] == [1]
+        await cluster.time.run_for(20.0)
+        assert node.losses == 1
+        assert cluster.count_slots() == dict.fromkeys(NAMES, 64)
+
+    async def test_restarted_node_joins_again(self, cluster) -> None:
+        """A new incarnation replaces the old one without any monitor."""
+        old = cluster.nodes["d"].membership.member.incarnation
+        await cluster.kill("d")
+        await cluster.start("d", seconds=25.0)
+        assert cluster.nodes["d"].membership.member.incarnation != old
+        assert cluster.count_slots() == dict.fromkeys(NAMES, 64)
+
+    async def test_journal_is_deleted_except_its_seal(self, cluster) -> None:
+        """A paused owner could append to a journal that was deleted with its seal."""
+        node = cluster.nodes["b"]
+        slot = min(node.membership._slots.adopted)
+        for number in range(5):
+            await cluster.time.drive(node.commit(slot, number))
+        prefix = node.membership.member.journal
+        await cluster.kill("b")
+        await cluster.time.run_for(20.0)
+        assert len([k for k in cluster.store.rows if k.startswith(prefix)]) == 1
+
+
+class TestAuthority:
+    """Authority is renewed by the store or by the monitor."""
+
+    async def test_store_outage_stops_no_node(self, cluster) -> None:
+        """Turns go on during an outage of the store, held by two nodes."""
+        cluster.store.is_down = True
+        await cluster.time.run_for(60.0)
+        assert cluster.count_slots() == dict.fromkeys(NAMES, 64)
+        node = cluster.nodes["a"]
+        slot = min(node.membership._slots.adopted)
+        kept = await cluster.time.drive(node.commit(slot, 1, may_pend=True))
+        assert kept is Durability.PENDING
+        cluster.store.is_down = False
+        await cluster.time.run_for(10.0)
+        assert cluster.count_slots() == dict.fromkeys(NAMES, 64)
+        assert all(n.losses == 0 for n in cluster.nodes.values())
+
+    async def test_slow_store_stops_no_node(self, cluster) -> None:
+        """A store slower than the authority's ttl must not stop the nodes."""
+        cluster.store.delay = 3.0
+        await cluster.time.run_for(60.0)
+        assert all(n.membership.authority.is_held for n in cluster.nodes.values())
+
+    async def test_isolated_node_stops(self, cluster) -> None:
+        """A node that reaches neither store nor monitor stops within 2 s."""
+        node = cluster.nodes["a"]
+        node.store.is_cut = node.is_isolated = True
+        await cluster.time.run_for(2.01)
+        assert not node.membership.authority.is_held
+        await cluster.time.run_for(20.0)
+        assert sum(cluster.count_slots().values()) == 256
+
+    async def test_monitor_keeps_partitioned_node(self, cluster) -> None:
+        """A node cut off from the store alone must not be removed."""
+        node = cluster.nodes["a"]
+        node.store.is_cut = True
+        await cluster.time.run_for(30.0)
+        assert node.membership.authority.is_held
+        node.store.is_cut = False
+        await cluster.time.run_for(5.0)
+        assert node.losses == 0
+
+    async def test_held_records_survive_their_owner(self, cluster) -> None:
+        """A record acknowledged as pending must be replayed by the new owner."""
+        node = cluster.nodes["b"]
+        slot = min(node.membership._slots.adopted)
+        cluster.store.is_down = True
+        await cluster.time.drive(node.commit(slot, 7, may_pend=True))
+        await cluster.kill("b")
+        cluster.store.is_down = False
+        await cluster.time.run_for(20.0)
+        assert cluster.find_owner(slot).state.numbers[slot] == [7]
+
+
+class TestLeave:
+    """Membership.leave."""
+
+    async def test_gives_all_slots_away(self, cluster) -> None:
+        """After a graceful leave, nobody waits for a lease to expire."""
+        node = cluster.nodes["a"]
+        slot = min(node.membership._slots.adopted)
+        await cluster.time.drive(node.commit(slot, 3))
+        await cluster.time.drive(node.membership.leave())
+        await cluster.time.run_for(2.0)
+        assert node.task.done()
+        assert sum(cluster.count_slots().values()) == 256
+        assert cluster.find_owner(slot).state.numbers[slot] == [3]
+
+    async def test_waits_for_running_requests(self, cluster) -> None:
+        """A slot with a running request must not move under it."""
+        node = cluster.nodes["a"]
+        slot = min(node.membership._slots.adopted)
+        node.state.busy.add(slot)
+        leaving = cluster.time.drive(node.membership.leave(), limit=100.0)
+        import asyncio
+
+        task = asyncio.ensure_future(leaving)
+        await asyncio.sleep(0)
+        for _ in range(50):
+            await asyncio.sleep(0)
+        assert slot in node.membership._slots.adopted
+        node.state.busy.clear()
+        await task
+        assert slot not in node.membership._slots.adopted
