--- a/src/fireflyspread/recovery/_authority.py
+++ b/src/fireflyspread/recovery/_authority.py
@@ -19,6 +19,7 @@
         self._clock = clock
         self._ttl = ttl
         self._deadline = float("-inf")
+        self._is_revoked = False
 
     @property
     def ttl(self) -> float:
@@ -51,9 +52,17 @@
 
     def renew(self, sent_at: float, seconds: float | None = None) -> None:
         """Extend the deadline after a renewal sent at ``sent_at`` was answered."""
+        # A renewal sent before the node was removed may be answered afterwards.
+        if self._is_revoked:
+            return
         granted = self._ttl if seconds is None else min(seconds, self._ttl)
         self._deadline = max(self._deadline, sent_at + granted)
 
     def revoke(self) -> None:
-        """End the authority at once."""
+        """End the authority; renewals have no effect until ``reset``."""
         self._deadline = float("-inf")
+        self._is_revoked = True
+
+    def reset(self) -> None:
+        """Accept renewals again, for a new incarnation."""
+        self._is_revoked = False
--- a/src/fireflyspread/recovery/_membership.py
+++ b/src/fireflyspread/recovery/_membership.py
@@ -17,22 +17,17 @@
     PeerError,
     StoreError,
 )
-from fireflyspread.recovery._assignment import (
-    add_member,
-    assign_rows,
-    choose_monitor,
-    list_journals,
-    remove_members,
-    replace_member,
-)
+from fireflyspread.recovery._assignment import list_journals
 from fireflyspread.recovery._authority import Authority
 from fireflyspread.recovery._compaction import Compactor
 from fireflyspread.recovery._document import DocumentKeeper
 from fireflyspread.recovery._held import HeldRecords
-from fireflyspread.recovery._lease import grant_member_lease, name_member_lease
+from fireflyspread.recovery._lease import grant_member_lease
 from fireflyspread.recovery._members import Member, MembersDocument
-from fireflyspread.recovery._monitor import Monitor, find_lease_key
+from fireflyspread.recovery._monitor import Monitor
 from fireflyspread.recovery._peers import Peers, Promise
+from fireflyspread.recovery._removal import leave_members, remove_expired, try_join
+from fireflyspread.recovery._renewal import Renewal
 from fireflyspread.recovery._slot_keeper import SlotKeeper, is_member
 from fireflyspread.recovery._slots import SlotState
 from fireflyspread.recovery._store import Store
@@ -44,10 +39,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Share of the authority's ttl below which the monitor is asked: the store has then
-# missed one renewal, and there is time for several attempts.
-_ASK_MONITOR_BELOW = 0.65
-
 
 class Membership:
     """Takes part in the cluster as one incarnation after another.
@@ -90,7 +81,6 @@
         self._read_version = read_version
         self._member = member
         self._vms: frozenset[str] | None = None
-        self._is_renaming = False
         self._is_joined = False
         self._is_leaving = False
         self._lost = asyncio.Event()
@@ -132,6 +122,19 @@
             store_timeout=timing.store_timeout,
         )
         self._compactor = Compactor(self.journal, clock=clock)
+        self._renewal = Renewal(
+            store,
+            peers,
+            self._keeper,
+            self.authority,
+            clock=clock,
+            timing=timing,
+            read_member=lambda: self._member,
+            read_version=read_version,
+            on_renewed=self._slots.notify,
+            on_lost=self._lose,
+            on_promise=self._note_promise,
+        )
 
     @classmethod
     def from_config(
@@ -139,15 +142,12 @@
         settings: Settings,
         store: Store,
         peers: Peers,
-        *,
-        clock: Clock,
-        rng: random.Random,
-        holder: Holder | None = None,
-        on_lost: Callable[[], Awaitable[None]] | None = None,
-        on_version: Callable[[int], None] | None = None,
-        read_version: Callable[[], int] = lambda: 0,
+        **options: Any,
     ) -> "Membership":
-        """Build the membership of the node that the settings describe."""
+        """Build the membership of the node that the settings describe.
+
+        ``options`` are those of the class, except ``timing``.
+        """
         member = Member(
             name=settings.node.name,
             incarnation="",
@@ -156,18 +156,7 @@
             internal=str(settings.listen.internal),
             peers=str(settings.listen.peers),
         )
-        return cls(
-            store,
-            peers,
-            member,
-            clock=clock,
-            rng=rng,
-            timing=settings.timing,
-            holder=holder,
-            on_lost=on_lost,
-            on_version=on_version,
-            read_version=read_version,
-        )
+        return cls(store, peers, member, timing=settings.timing, **options)
 
     def add_state(self, state: SlotState) -> None:
         """Restore, snapshot and drop ``state`` with the slots; call before ``run``."""
@@ -258,8 +247,8 @@
         while not self._is_leaving:
             await self._join()
             loops = (
-                self._renew_by_store,
-                self._renew_by_monitor,
+                self._renewal.renew_by_store,
+                self._renewal.renew_by_monitor,
                 self._read_document,
                 self._manage_members,
                 self._manage_slots,
@@ -286,6 +275,11 @@
                 logger.exception("%s failed", step.__name__)
             await self._sleep(self._timing.renew_interval)
 
+    def _note_promise(self, promise: Promise) -> None:
+        self.note_epoch(promise.epoch)
+        if self._on_version is not None:
+            self._on_version(promise.bundle_version)
+
     def _lose(self) -> None:
         """Stop acting at once; ``run`` does the rest."""
         self.authority.revoke()
@@ -316,86 +310,29 @@
 
     async def _join(self) -> None:
         """Become a member as a new incarnation; repeats until it succeeds."""
-        incarnation = uuid.uuid4().hex
         member = msgspec.structs.replace(
-            self._member, incarnation=incarnation, monitor="", lease=0
+            self._member, incarnation=uuid.uuid4().hex, monitor="", lease=0
         )
         await self.journal.restart(member.journal)
         self._compactor.reset()
+        self._renewal.reset()
         self._lost.clear()
-        while True:
+        self.authority.reset()
+        while not self._is_leaving:
             try:
-                if member.lease and await self._store.keep_lease(member.lease):
-                    if await self._try_join(member):
-                        break
-                else:
+                if not member.lease or not await self._store.keep_lease(member.lease):
                     member = await grant_member_lease(
                         self._store, member, self._timing.lease_ttl
                     )
-                    continue
+                if await try_join(self._store, self._keeper, member):
+                    break
             except StoreError as exc:
                 logger.info("joining repeated: %s", exc)
             await self._sleep(self._timing.renew_interval)
+        self._member = member
         self._is_joined = True
         self._follow_document(self._keeper.document)
-        logger.info("joined as %s", self._member.journal)
-
-    async def _try_join(self, member: Member) -> bool:
-        document = await self._keeper.refresh()
-        if is_member(document, member):
-            self._member = member
-            return True
-        old = document.find_member(member.name)
-        if old is not None and await self._store.read(find_lease_key(old)) is not None:
-            return False
-
-        def edit(present: MembersDocument) -> MembersDocument | None:
-            if present is not document:
-                return None
-            cleared = remove_members(present, {member.name}, heir=member.name)
-            return add_member(cleared, member)
-
-        self._member = member
-        return await self._keeper.try_change(edit)
-
-    async def _renew_by_store(self) -> None:
-        sent_at = self._clock.read_monotonic()
-        lease = self._member.lease
-        if await self._store.keep_lease(lease):
-            if not self._lost.is_set():
-                self._renew(sent_at)
-            return
-        member = await grant_member_lease(
-            self._store, self._member, self._timing.lease_ttl
-        )
-        if not await name_member_lease(self._keeper, member):
-            self._lose()
-
-    def _renew(self, sent_at: float, seconds: float | None = None) -> None:
-        was_held = self.authority.is_held
-        self.authority.renew(sent_at, seconds)
-        if not was_held:
-            self._slots.notify()
-
-    async def _renew_by_monitor(self) -> None:
-        if self.authority.remaining > _ASK_MONITOR_BELOW * self.authority.ttl:
-            return
-        name = self._member.monitor
-        monitor = self._keeper.document.find_member(name) if name else None
-        # While a change of monitor is under way, it is not known who may remove
-        # this node, so nobody's promise counts.
-        if monitor is None or self._is_renaming:
-            return
-        sent_at = self._clock.read_monotonic()
-        promise = await self._peers.renew_authority(
-            monitor, self.epoch, self._read_version()
-        )
-        self.note_epoch(promise.epoch)
-        if self._on_version is not None:
-            self._on_version(promise.bundle_version)
-        is_valid = self._member.monitor == name and not self._is_renaming
-        if promise.granted and is_valid and not self._lost.is_set():
-            self._renew(sent_at, promise.seconds)
+        logger.info("joined as %s", member.journal)
 
     async def _read_document(self) -> None:
         self._news.clear()
@@ -403,45 +340,11 @@
 
     async def _manage_members(self) -> None:
         self.authority.check()
-        await self._name_monitor()
-        document = await self._keeper.refresh()
-        rows = await self._store.read_prefix("nodes/")
-        live = {row.key for row in rows}
-        removable = self._monitor.find_removable(document, live, self._vms)
-        if not removable or self._keeper.document is not document:
-            return
-        names = {member.name for member in removable}
-        logger.warning("removing %s", ", ".join(sorted(names)))
-        self._monitor.begin_removal(document, removable)
-        heir = self._member.name
-        await self._keeper.try_change(
-            lambda present: (
-                assign_rows(remove_members(present, names, heir=heir))
-                if present is document
-                else None
-            )
+        await self._renewal.name_monitor()
+        await remove_expired(
+            self._store, self._keeper, self._monitor, self._member, self._vms
         )
 
-    async def _name_monitor(self) -> None:
-        """Name the next member on the ring as this node's monitor."""
-        name = self._member.name
-
-        def edit(document: MembersDocument) -> MembersDocument | None:
-            found = document.find_member(name)
-            if found is None or not is_member(document, self._member):
-                return None
-            monitor = choose_monitor(document, name)
-            return replace_member(
-                document, msgspec.structs.replace(found, monitor=monitor)
-            )
-
-        document = self._keeper.document
-        if choose_monitor(document, name) == self._member.monitor:
-            return
-        self._is_renaming = True
-        await self._keeper.change(edit)
-        self._is_renaming = False
-
     async def _manage_slots(self) -> None:
         self.authority.check()
         await self._slots.adopt(self._member)
@@ -472,14 +375,7 @@
     async def _leave(self, end: float) -> None:
         await self._slots.release_all(self._member, end - 1.0)
         await self.journal.flush()
-        name, heir = self._member.name, self._member.monitor
-
-        def edit(document: MembersDocument) -> MembersDocument | None:
-            if not is_member(document, self._member):
-                return document
-            return assign_rows(remove_members(document, {name}, heir=heir))
-
-        await self._keeper.change(edit)
+        await leave_members(self._keeper, self._member)
         self.authority.revoke()
         if self.journal.prefix not in list_journals(self._keeper.document):
             await self.journal.trim(self.journal.stored)
--- a/src/fireflyspread/recovery/_store_journal.py
+++ b/src/fireflyspread/recovery/_store_journal.py
@@ -3,14 +3,11 @@
 import asyncio
 import logging
 import random
-import uuid
 from collections import deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from itertools import islice
 
-import msgspec
-
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
     FireflyError,
@@ -20,15 +17,13 @@
     StoreUncertainError,
 )
 from fireflyspread.recovery._entries import (
-    WITHDRAWN,
     JournalEntry,
     encode_entry,
-    encode_record,
     find_entry_key,
-    pack_entry,
 )
 from fireflyspread.recovery._journal import Durability, Journal
 from fireflyspread.recovery._members import Member
+from fireflyspread.recovery._queue import RecordQueue
 from fireflyspread.recovery._records import Record, SnapshotTaken
 from fireflyspread.recovery._store import Store
 from fireflyspread.settings import Timing
@@ -132,18 +127,11 @@
     def _reset(self, prefix: str) -> None:
         self.prefix = prefix
         self._sealed = asyncio.Event()
-        self._queue: deque[bytes] = deque()
-        self._queued_bytes = 0
-        self._offset = 0
+        self._queue = RecordQueue()
         self._sequence = 0
-        self._stored = 0  # records before this number are in the store
-        self._in_flight = 0  # records before this number may reach the store
-        self._held = 0  # records before this number are held by another node
-        self._sent = 0  # records before this number were sent to another node
         self._failing_since: float | None = None
-        # Key and number after the last complete record of each entry in the store.
+        # Key and number after the last record of each entry in the store.
         self._entries: deque[tuple[str, int]] = deque()
-        self._waiters: deque[tuple[int, asyncio.Future[None]]] = deque()
 
     @property
     def is_sealed(self) -> bool:
@@ -168,7 +156,7 @@
     @property
     def stored(self) -> int:
         """Number of records that are in the store."""
-        return self._stored
+        return self._queue.stored
 
     @property
     def queued(self) -> int:
@@ -180,16 +168,20 @@
         await self._sealed.wait()
 
     async def commit(self, *records: Record, may_pend: bool = False) -> Durability:
-        if self._queued_bytes > _MAX_QUEUED_BYTES:
-            self._raise_if_sealed()
+        self._raise_if_sealed()
+        if self._queue.nbytes > _MAX_QUEUED_BYTES:
             raise StoreError("too many records wait for the store; retry later")
-        start = self._stored + len(self._queue)
+        queue, start = self._queue, self._queue.end
         end = self._append(records)
         if await self._wait_stored(end):
             return Durability.DURABLE
         if may_pend and self._holder is not None:
             return await self._hold(end)
-        raise self._withdraw(start, end)
+        if queue.withdraw(start, end):
+            raise StoreError(f"the store does not answer for {self.prefix}; retry")
+        raise StoreUncertainError(
+            f"the store did not answer a write to {self.prefix}; retry later"
+        )
 
     def enqueue(self, *records: Record) -> None:
         self._append(records)
@@ -205,12 +197,11 @@
             Records of the slot before this number are contained in ``records``;
             None means all.
         """
-        count = len(records)
         marker = SnapshotTaken(
             slot=slot,
             subject="",
-            count=count,
-            covers=self._stored + len(self._queue) if covers is None else covers,
+            count=len(records),
+            covers=self._queue.end if covers is None else covers,
         )
         self._append((marker, *records))
 
@@ -222,7 +213,8 @@
         SealedError
             Another node has taken over.
         """
-        await self._add_waiter(self._stored + len(self._queue))
+        self._raise_if_sealed()
+        await self._queue.add_waiter(self._queue.end)
 
     async def close(self) -> None:
         """Stop writing; records that still wait are not written."""
@@ -247,15 +239,15 @@
         StoreError
             The store does not answer; the entries are deleted by a later call.
         """
+        entries = self._entries
         while True:
-            count = min(len(self._entries) - 1, _DELETE_BATCH)
-            rows = islice(self._entries, max(count, 0))
-            keys = [key for key, end in rows if end <= position]
+            count = max(0, min(len(entries) - 1, _DELETE_BATCH))
+            keys = [key for key, end in islice(entries, count) if end <= position]
             if not keys:
                 return
             await self._store.delete(*keys)
-            while self._entries and self._entries[0][0] <= keys[-1]:
-                self._entries.popleft()
+            for _ in keys:
+                entries.popleft()
 
     def _raise_if_sealed(self) -> None:
         if self.is_sealed:
@@ -264,29 +256,15 @@
             )
 
     def _append(self, records: tuple[Record, ...]) -> int:
-        """Queue records and return the number after the last one."""
         self._raise_if_sealed()
-        for record in records:
-            data = encode_record(record)
-            self._queue.append(data)
-            self._queued_bytes += len(data)
+        end = self._queue.append(records)
         if self._queue and (self._writer is None or self._writer.done()):
             self._writer = asyncio.create_task(self._write_queued())
-        return self._stored + len(self._queue)
-
-    def _add_waiter(self, end: int) -> asyncio.Future[None]:
-        """Return a future that is done once records before ``end`` are stored."""
-        self._raise_if_sealed()
-        future = asyncio.get_running_loop().create_future()
-        if self._stored >= end:
-            future.set_result(None)
-        else:
-            self._waiters.append((end, future))
-        return future
+        return end
 
     async def _wait_stored(self, end: int) -> bool:
         """Wait up to ``store_timeout``; return whether the store has the records."""
-        waiter = self._add_waiter(end)
+        waiter = self._queue.add_waiter(end)
         timer = asyncio.ensure_future(self._sleep(self._find_patience()))
         try:
             await asyncio.wait({waiter, timer}, return_when=asyncio.FIRST_COMPLETED)
@@ -305,34 +283,14 @@
         failing = self._clock.read_monotonic() - self._failing_since
         return max(0.0, self._store_timeout - failing)
 
-    def _withdraw(self, start: int, end: int) -> StoreError:
-        """Cancel records that no write has carried yet; return what to raise."""
-        if start < max(self._in_flight, self._sent):
-            return StoreUncertainError(
-                f"the store did not answer a write to {self.prefix}; retry later"
-            )
-        for index in range(start - self._stored, end - self._stored):
-            self._queued_bytes -= len(self._queue[index]) - len(WITHDRAWN)
-            # Numbers of later records must not change, so the place is kept.
-            self._queue[index] = WITHDRAWN
-        return StoreError(f"the store does not answer for {self.prefix}; retry later")
-
     async def _hold(self, end: int) -> Durability:
         """Have another node hold all records up to ``end``."""
         assert self._holder is not None
-        sealed = self._sealed
-        if self._held < end and self._stored < end:
-            start = max(self._held, self._stored)
-            queued = islice(self._queue, start - self._stored, None)
-            entry = JournalEntry(
-                write_id=uuid.uuid4().hex,
-                position=start,
-                records=tuple(msgspec.Raw(data) for data in queued),
-            )
-            last = self._stored + len(self._queue)
-            self._sent = last
+        queue, sealed = self._queue, self._sealed
+        if max(queue.held, queue.stored) < end:
+            start, last, data = queue.pack_unheld()
             try:
-                await self._holder(self.prefix, start, encode_entry(entry))
+                await self._holder(self.prefix, start, data)
             except SealedError:
                 if sealed is self._sealed:
                     self._seal()
@@ -340,11 +298,11 @@
                 raise StoreUncertainError(
                     "neither the store nor another node keeps the record; retry later"
                 ) from exc
-            # The journal may have begun anew for another incarnation meanwhile.
-            if sealed.is_set():
-                raise SealedError(f"{self.prefix} was sealed; repeat the request")
-            self._held = max(self._held, last)
-        if self._stored >= end:
+            queue.held = max(queue.held, last)
+        # The journal may have begun anew for another incarnation meanwhile.
+        if sealed.is_set():
+            raise SealedError("the journal was sealed by another node; repeat there")
+        if queue.stored >= end:
             return Durability.DURABLE
         if self._check is not None:
             self._check()
@@ -355,16 +313,15 @@
         while self._queue and not self.is_sealed:
             wait = self._last_flush + self._flush_interval
             await self._sleep(max(0.0, wait - self._clock.read_monotonic()))
+            if self.is_sealed:
+                return
             self._last_flush = self._clock.read_monotonic()
-            entry, count = pack_entry(
-                uuid.uuid4().hex, self._stored, tuple(self._queue), self._offset
-            )
-            # A fragment commits the whole record to being written.
-            self._in_flight = self._stored + max(count, 1)
-            if await self._create(entry):
-                self._settle(entry, count)
-            else:
+            entry, count = self._queue.pack()
+            is_created = await self._create(entry)
+            if not is_created:
                 self._seal()
+            elif not self.is_sealed:
+                self._settle(entry, count)
 
     async def _create(self, entry: JournalEntry) -> bool:
         """Create the next key; repeat the same value until the store answers."""
@@ -384,23 +341,15 @@
                 return created
 
     def _settle(self, entry: JournalEntry, count: int) -> None:
-        key = find_entry_key(self.prefix, self._sequence)
-        # A part of a record is as needed as its last part.
-        end = self._stored + max(count, 1)
-        self._entries.append((key, end))
+        # A part of a record is needed as long as its last part.
+        end = entry.position + max(count, 1)
+        self._entries.append((find_entry_key(self.prefix, self._sequence), end))
         self._sequence += 1
-        if entry.fragment is not None:
-            self._offset = 0 if entry.is_last else self._offset + len(entry.fragment)
-        for _ in range(count):
-            self._queued_bytes -= len(self._queue.popleft())
-        self._stored += count
-        while self._waiters and self._waiters[0][0] <= self._stored:
-            _, future = self._waiters.popleft()
-            if not future.done():
-                future.set_result(None)
-        if self._sent and self._stored >= self._sent:
-            self._sent = 0
-            task = asyncio.create_task(self._release_held(self._stored))
+        queue = self._queue
+        queue.settle(entry, count)
+        if queue.sent and queue.stored >= queue.sent:
+            queue.sent = 0
+            task = asyncio.create_task(self._release_held(queue.stored))
             self._releases.add(task)
             task.add_done_callback(self._releases.discard)
 
@@ -413,12 +362,6 @@
         if self.is_sealed:
             return
         self._sealed.set()
-        for _, future in self._waiters:
-            if not future.done():
-                future.set_exception(SealedError(f"{self.prefix} was sealed"))
-                # A waiter that was cancelled meanwhile never reads the error.
-                future.exception()
-        self._waiters.clear()
-        self._queue.clear()
+        self._queue.abort(SealedError(f"{self.prefix} was sealed by another node"))
         if self._on_sealed is not None:
             self._on_sealed()
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -1,5 +1,6 @@
 """Nodes join, keep authority, take over from each other and leave."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import pytest
@@ -7,6 +8,7 @@
 from fireflyspread.exceptions import FireflyError, NoAuthorityError
 from fireflyspread.recovery import Durability
 from tests.recovery.cluster import Cluster
+from tests.recovery.fakes import settle
 
 NAMES = ("a", "b", "c", "d")
 
@@ -194,12 +196,9 @@
         slot = min(node.membership._slots.adopted)
         node.state.busy.add(slot)
         leaving = cluster.time.drive(node.membership.leave(), limit=100.0)
-        import asyncio
-
         task = asyncio.ensure_future(leaving)
         await asyncio.sleep(0)
-        for _ in range(50):
-            await asyncio.sleep(0)
+        await settle(50)
         assert slot in node.membership._slots.adopted
         node.state.busy.clear()
         await task
