--- a/src/fireflyspread/recovery/_assignment.py
+++ b/src/fireflyspread/recovery/_assignment.py
@@ -15,9 +15,11 @@
     "drop_source",
     "find_transfers",
     "list_journals",
+    "list_takers",
     "move_slots",
     "remove_members",
     "replace_member",
+    "spread_slots",
 ]
 
 
@@ -43,17 +45,23 @@
     return ring[(ring.index(name) + 1) % len(ring)]
 
 
+def list_takers(document: MembersDocument) -> list[str]:
+    """Return the names of the members that may be given slots."""
+    return [member.name for member in document.members if not member.is_leaving]
+
+
 def assign_rows(document: MembersDocument) -> MembersDocument:
     """Give rows without an owner to the members with the fewest slots."""
     names = {member.name for member in document.members}
-    if not names:
+    takers = list_takers(document)
+    if not takers:
         return document
     counts = Counter({name: 0 for name in names})
     counts.update(row.owner for row in document.slots if row.owner in names)
     rows = list(document.slots) or [SlotRow()] * SLOT_COUNT
     for index, row in enumerate(rows):
         if row.owner not in names:
-            owner = min(names, key=lambda name: (counts[name], name))
+            owner = min(takers, key=lambda name: (counts[name], name))
             counts[owner] += 1
             rows[index] = SlotRow(owner=owner, sources=row.sources)
     return msgspec.structs.replace(document, slots=tuple(rows))
@@ -135,10 +143,10 @@
 
 def find_transfers(document: MembersDocument, name: str) -> tuple[str, ...]:
     """Return the receivers, one for each slot that ``name`` should give away."""
-    counts = Counter({member.name: 0 for member in document.members})
+    counts = Counter(dict.fromkeys(list_takers(document), 0))
     counts.update(row.owner for row in document.slots if row.owner in counts)
-    receivers = []
-    while counts:
+    receivers: list[str] = []
+    while name in counts:
         receiver = min(counts, key=lambda other: (counts[other], other))
         if counts[name] - counts[receiver] < 2:
             break
@@ -148,6 +156,19 @@
     return tuple(receivers)
 
 
+def spread_slots(
+    document: MembersDocument, name: str, slots: Iterable[int]
+) -> dict[int, str]:
+    """Return a receiver for each slot that ``name`` releases, if there is any."""
+    others = [other for other in list_takers(document) if other != name]
+    counts = Counter(row.owner for row in document.slots)
+    receivers: dict[int, str] = {}
+    for slot in slots if others else ():
+        receivers[slot] = min(others, key=lambda other: (counts[other], other))
+        counts[receivers[slot]] += 1
+    return receivers
+
+
 def list_journals(document: MembersDocument) -> frozenset[str]:
     """Return the journals of members and those that rows name."""
     journals = {member.journal for member in document.members}
--- a/src/fireflyspread/recovery/_fold.py
+++ b/src/fireflyspread/recovery/_fold.py
@@ -25,7 +25,12 @@
     slots: dict[int, list[tuple[int, Record]]] = {}
     marker: SnapshotTaken | None = None
     snapshot: list[tuple[int, Record]] = []
+    expected = 0
     for position, record in numbered:
+        if position != expected:
+            # Records are missing here, so an open snapshot is incomplete.
+            marker = None
+        expected = position + 1
         if isinstance(record, SnapshotTaken):
             marker, snapshot = record, []
         elif marker is None:
--- a/src/fireflyspread/recovery/_members.py
+++ b/src/fireflyspread/recovery/_members.py
@@ -16,6 +16,10 @@
         Name of the member that alone may remove this one.
     internal, peers : str
         Addresses as ``ip:port``.
+    lease : int
+        Store lease of the key ``nodes/<name>/<incarnation>``.
+    is_leaving : bool
+        Whether the node releases its slots and must not be given any.
     """
 
     name: str
@@ -26,6 +30,7 @@
     peers: str
     monitor: str = ""
     lease: int = 0
+    is_leaving: bool = False
 
     @property
     def journal(self) -> str:
--- a/src/fireflyspread/recovery/_membership.py
+++ b/src/fireflyspread/recovery/_membership.py
@@ -26,7 +26,12 @@
 from fireflyspread.recovery._members import Member, MembersDocument
 from fireflyspread.recovery._monitor import Monitor
 from fireflyspread.recovery._peers import Peers, Promise
-from fireflyspread.recovery._removal import leave_members, remove_expired, try_join
+from fireflyspread.recovery._removal import (
+    announce_leave,
+    leave_members,
+    remove_expired,
+    try_join,
+)
 from fireflyspread.recovery._renewal import Renewal
 from fireflyspread.recovery._slot_keeper import SlotKeeper, is_member
 from fireflyspread.recovery._slots import SlotState
@@ -373,6 +378,7 @@
         await self.journal.close()
 
     async def _leave(self, end: float) -> None:
+        await announce_leave(self._keeper, self._member)
         await self._slots.release_all(self._member, end - 1.0)
         await self.journal.flush()
         await leave_members(self._keeper, self._member)
--- a/src/fireflyspread/recovery/_peers.py
+++ b/src/fireflyspread/recovery/_peers.py
@@ -34,7 +34,11 @@
     async def renew_authority(
         self, member: Member, epoch: int, bundle_version: int
     ) -> Promise:
-        """Ask ``member``, the monitor of this node, not to remove it."""
+        """Ask ``member``, the monitor of this node, not to remove it.
+
+        A call must fail within 0.4 s, so that a second attempt is made before the
+        authority of 2 s ends.
+        """
 
     @abc.abstractmethod
     async def take_held_records(
--- a/src/fireflyspread/recovery/_removal.py
+++ b/src/fireflyspread/recovery/_removal.py
@@ -3,10 +3,13 @@
 import logging
 from collections.abc import Set
 
+import msgspec
+
 from fireflyspread.recovery._assignment import (
     add_member,
     assign_rows,
     remove_members,
+    replace_member,
 )
 from fireflyspread.recovery._document import DocumentKeeper
 from fireflyspread.recovery._members import Member, MembersDocument
@@ -14,7 +17,7 @@
 from fireflyspread.recovery._slot_keeper import is_member
 from fireflyspread.recovery._store import Store
 
-__all__ = ["leave_members", "remove_expired", "try_join"]
+__all__ = ["announce_leave", "leave_members", "remove_expired", "try_join"]
 
 logger = logging.getLogger(__name__)
 
@@ -48,6 +51,18 @@
     return await keeper.try_change(edit)
 
 
+async def announce_leave(keeper: DocumentKeeper, member: Member) -> None:
+    """Tell the other nodes to give no more slots to this one."""
+
+    def edit(document: MembersDocument) -> MembersDocument | None:
+        found = document.find_member(member.name)
+        if found is None or not is_member(document, member):
+            return None
+        return replace_member(document, msgspec.structs.replace(found, is_leaving=True))
+
+    await keeper.change(edit)
+
+
 async def leave_members(keeper: DocumentKeeper, member: Member) -> None:
     """Remove this node itself; its monitor takes over its duties.
 
--- a/src/fireflyspread/recovery/_renewal.py
+++ b/src/fireflyspread/recovery/_renewal.py
@@ -19,7 +19,7 @@
 
 # Share of the authority's ttl below which the monitor is asked: the store has then
 # missed one renewal, and there is time for several attempts.
-_ASK_MONITOR_BELOW = 0.65
+_ASK_MONITOR_BELOW = 0.7
 
 
 class Renewal:
--- a/src/fireflyspread/recovery/_slot_keeper.py
+++ b/src/fireflyspread/recovery/_slot_keeper.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-from collections import Counter
 from collections.abc import Iterable
 
 from fireflyspread.clock import Clock
@@ -12,6 +11,7 @@
     find_transfers,
     list_journals,
     move_slots,
+    spread_slots,
 )
 from fireflyspread.recovery._document import DocumentKeeper, Edit
 from fireflyspread.recovery._members import Member, MembersDocument
@@ -200,7 +200,7 @@
         while self.adopted and self._clock.read_monotonic() < deadline:
             self.draining |= self.adopted
             idle = [slot for slot in sorted(self.adopted) if self._is_idle({slot})]
-            receivers = self._spread(member, idle)
+            receivers = spread_slots(self._keeper.document, member.name, idle)
             if receivers:
                 await self.release(member, receivers)
                 self.draining |= self.adopted
@@ -208,16 +208,6 @@
                 return
             await self._sleep(_DRAIN_POLL)
 
-    def _spread(self, member: Member, slots: list[int]) -> dict[int, str]:
-        document = self._keeper.document
-        others = [other.name for other in document.members if other.name != member.name]
-        counts = Counter(row.owner for row in document.slots)
-        receivers = {}
-        for slot in slots if others else ():
-            receivers[slot] = min(others, key=lambda name: (counts[name], name))
-            counts[receivers[slot]] += 1
-        return receivers
-
 
 def is_member(document: MembersDocument, member: Member) -> bool:
     """Whether the document contains this incarnation."""
--- a/src/fireflyspread/recovery/_store_journal.py
+++ b/src/fireflyspread/recovery/_store_journal.py
@@ -11,7 +11,6 @@
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
     FireflyError,
-    PeerError,
     SealedError,
     StoreError,
     StoreUncertainError,
@@ -294,7 +293,7 @@
             except SealedError:
                 if sealed is self._sealed:
                     self._seal()
-            except PeerError as exc:
+            except FireflyError as exc:
                 raise StoreUncertainError(
                     "neither the store nor another node keeps the record; retry later"
                 ) from exc
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -203,3 +203,14 @@
         node.state.busy.clear()
         await task
         assert slot not in node.membership._slots.adopted
+
+    async def test_gets_no_slots_back(self, cluster) -> None:
+        """Rebalancing must not return slots to a node that drains for long."""
+        node = cluster.nodes["a"]
+        slots = sorted(node.membership._slots.adopted)
+        node.state.busy.add(slots[0])
+        task = asyncio.ensure_future(node.membership.leave())
+        await cluster.time.run_for(20.0)
+        assert node.membership._slots.adopted == {slots[0]}
+        node.state.busy.clear()
+        await cluster.time.drive(task)
