--- a/tests/recovery/cluster.py
+++ b/tests/recovery/cluster.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import AsyncIterator, Awaitable, Iterable
+from typing import TypeVar
 
 from fireflyspread.exceptions import NoAuthorityError, PeerError, StoreError
 from fireflyspread.recovery import (
@@ -21,6 +22,8 @@
 from fireflyspread.settings import Timing
 from tests.recovery.fakes import FakeTime, MemoryStore
 
+T = TypeVar("T")
+
 
 class NumberState(SlotState):
     """Keeps the numbers that were recorded for each slot, in order."""
@@ -59,43 +62,55 @@
 
 
 class NodeStore(Store):
-    """A node's connection to the shared store, which can be cut."""
+    """A node's connection to the shared store.
+
+    It can be cut; while the node is paused, no answer reaches it.
+    """
 
-    def __init__(self, shared: MemoryStore) -> None:
+    def __init__(self, node: "Node", shared: MemoryStore) -> None:
+        self.node = node
         self.shared = shared
         self.is_cut = False
 
-    def _reach(self) -> MemoryStore:
-        if self.is_cut:
-            raise StoreError("no connection to the store")
-        return self.shared
+    async def _relay(self, call: Awaitable[T]) -> T:
+        try:
+            if self.is_cut:
+                raise StoreError("no connection to the store")
+            return await call
+        finally:
+            if asyncio.iscoroutine(call):
+                call.close()
+            await self.node.wait_resumed()
 
     async def read(self, key: str) -> Entry | None:
-        return await self._reach().read(key)
+        return await self._relay(self.shared.read(key))
 
     async def read_prefix(self, prefix: str, *, limit: int = 0) -> tuple[Entry, ...]:
-        return await self._reach().read_prefix(prefix, limit=limit)
+        return await self._relay(self.shared.read_prefix(prefix, limit=limit))
 
     async def replace(
         self, key: str, value: bytes, *, revision: int, lease: int = 0
     ) -> int | None:
-        return await self._reach().replace(key, value, revision=revision, lease=lease)
+        return await self._relay(
+            self.shared.replace(key, value, revision=revision, lease=lease)
+        )
 
     async def delete(self, *keys: str) -> None:
-        await self._reach().delete(*keys)
+        await self._relay(self.shared.delete(*keys))
 
     async def grant_lease(self, ttl: int) -> int:
-        return await self._reach().grant_lease(ttl)
+        return await self._relay(self.shared.grant_lease(ttl))
 
     async def keep_lease(self, lease: int) -> bool:
-        return await self._reach().keep_lease(lease)
+        return await self._relay(self.shared.keep_lease(lease))
 
     async def revoke_lease(self, lease: int) -> None:
-        await self._reach().revoke_lease(lease)
+        await self._relay(self.shared.revoke_lease(lease))
 
-    async def watch(self, prefix: str, *, start_revision: int = 0):  # type: ignore
-        changes: list[Change] = []
-        for change in changes:
+    async def watch(
+        self, prefix: str, *, start_revision: int = 0
+    ) -> AsyncIterator[Change]:
+        async for change in self.shared.watch(prefix, start_revision=start_revision):
             yield change
 
     async def close(self) -> None:
@@ -108,7 +123,7 @@
     def __init__(self, cluster: "Cluster", name: str, zone: str, seed: int) -> None:
         self.cluster = cluster
         self.name = name
-        self.store = NodeStore(cluster.store)
+        self.store = NodeStore(self, cluster.store)
         self.state = NumberState()
         self.is_paused = False
         self.is_isolated = False
@@ -132,6 +147,10 @@
     async def sleep(self, seconds: float) -> None:
         """Sleep; a paused node wakes only after it was resumed."""
         await self.cluster.time.sleep(seconds)
+        await self.wait_resumed()
+
+    async def wait_resumed(self) -> None:
+        """Return once the node is not paused."""
         while self.is_paused:
             await self.cluster.time.sleep(0.05)
 
