--- a/src/fireflyspread/recovery/_records.py
+++ b/src/fireflyspread/recovery/_records.py
@@ -18,6 +18,7 @@
     "SessionHeld",
     "SessionReleased",
     "TurnFailed",
+    "SnapshotTaken",
     "TurnRecorded",
     "decode_records",
     "encode_records",
@@ -162,6 +163,21 @@
     recorded_at: float
 
 
+class SnapshotTaken(Record, frozen=True, kw_only=True):
+    """The next ``count`` records of the journal are the whole state of the slot.
+
+    Attributes
+    ----------
+    covers : int
+        Records of the slot with a lower number are contained in the snapshot; those
+        between ``covers`` and this record may have been in flight and are replayed
+        after it.
+    """
+
+    count: int
+    covers: int
+
+
 AnyRecord = (
     ProgramOpened
     | TurnRecorded
@@ -174,6 +190,7 @@
     | IntentDeclared
     | IntentAbandoned
     | OutcomeRecorded
+    | SnapshotTaken
 )
 
 _DECODER = msgspec.msgpack.Decoder(tuple[AnyRecord, ...])
