Add rate limiter with shares on home nodes

A node's share is the smallest that any members and figures seen during the last 2.1 s allow, so it shrinks at once and grows when no node can still act on what was replaced. Granted tokens count against the home's burst until the asking node must have used or dropped them; otherwise a window of time that begins while they travel would see them and their refill. A missed epoch is bounded by the union of the members before and after it. StaticSplitLimiter is the baseline without messages.

--- /dev/null
+++ b/src/fireflyspread/limits/_homes.py
@@ -0,0 +1,46 @@
+"""Home nodes of a team."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from fireflyspread.bundle import Team
+
+__all__ = ["MembersView"]
+
+# Tokens a home node must be able to hold, so that its bucket absorbs the jitter of
+# its share of the traffic.
+_BURST_FOR_EACH_HOME = 8
+
+
+class MembersView:
+    """The members of one epoch and the home nodes they make.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the members document.
+    names : iterable of str
+        Names of the members.
+    """
+
+    def __init__(self, epoch: int, names: Iterable[str]) -> None:
+        self.epoch = epoch
+        self.names = frozenset(names)
+        self._homes: dict[tuple[str, int], tuple[str, ...]] = {}
+
+    def find_homes(self, team: Team) -> tuple[str, ...]:
+        """Return the home nodes of ``team`` by rendezvous hashing.
+
+        A large team has as many as its burst can be split over, a small one has one.
+        """
+        count = max(1, min(int(team.burst // _BURST_FOR_EACH_HOME), len(self.names)))
+        homes = self._homes.get((team.name, count))
+        if homes is None:
+            ranked = sorted(self.names, key=lambda name: _rank(name, team.name))
+            homes = self._homes[team.name, count] = tuple(ranked[:count])
+        return homes
+
+
+def _rank(member: str, team: str) -> tuple[int, str]:
+    return xxhash.xxh64_intdigest(f"{member}/{team}".encode()), member
--- /dev/null
+++ b/src/fireflyspread/limits/_shares.py
@@ -0,0 +1,366 @@
+"""Rate limiter whose tokens are split over the home nodes of each team."""
+
+import asyncio
+import logging
+import math
+import random
+from collections import deque
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+from attrs import define, field
+
+from fireflyspread.bundle import Team
+from fireflyspread.clock import Clock
+from fireflyspread.exceptions import DrainingError, FireflyError, RateLimitedError
+from fireflyspread.limits._bucket import Bucket, HomeEstimate, Waiter
+from fireflyspread.limits._ledger import ShareLedger
+from fireflyspread.limits._limiter import RateLimiter
+from fireflyspread.limits._token_peers import TokenGrant, TokenPeers
+from fireflyspread.settings import Settings
+
+__all__ = ["ASK_TIMEOUT", "ShareLimiter"]
+
+_LOG = logging.getLogger(__name__)
+
+# Seconds a grant may take from the question to its use; two members are a few
+# milliseconds apart. Later grants are dropped.
+ASK_TIMEOUT = 0.1
+
+# Seconds without questions to a home node that did not answer.
+_UNREACHABLE_PAUSE = 1.0
+
+# Seconds without questions to a home node that was short; bounds the messages of a
+# team that sends several times its rate.
+_SHORT_PAUSE = 0.02
+
+# Home nodes that are asked for one request, so that its refusal comes soon.
+_MOST_ASKS = 8
+
+# Seconds to retry after when no home node can tell.
+_UNKNOWN_RETRY = 1.0
+
+
+@define
+class _Stock:
+    """Tokens of other home nodes that were not used yet, with their expiry."""
+
+    lots: list[tuple[float, float]] = field(factory=list)
+
+    @property
+    def total(self) -> float:
+        return sum(amount for _, amount in self.lots)
+
+    def drop_expired(self, now: float) -> None:
+        self.lots = [lot for lot in self.lots if lot[0] >= now]
+
+    def take(self, amount: float) -> float:
+        """Take up to ``amount`` and return how much was taken."""
+        missing = amount
+        while self.lots and missing > 0.0:
+            expires, held = self.lots.pop(0)
+            if held > missing:
+                self.lots.insert(0, (expires, held - missing))
+            missing -= min(held, missing)
+        return amount - missing
+
+
+class ShareLimiter(RateLimiter):
+    """Splits the rate and burst of a team over its home nodes.
+
+    A node that is short of tokens asks the other home nodes. A home node takes the
+    tokens from its bucket before it answers, so that a lost message loses tokens and
+    never creates them.
+
+    Parameters
+    ----------
+    node : str
+        Name of this node.
+    peers : TokenPeers
+        Way to the other home nodes.
+    check_authority : callable
+        Raises ``NoAuthorityError`` when the node may not act.
+    rng : random.Random
+        Chooses among home nodes that look alike.
+    authority_ttl : float
+        Seconds after which no node acts on a replaced epoch or bundle.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        peers: TokenPeers,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        check_authority: Callable[[], None],
+        authority_ttl: float = 2.0,
+    ) -> None:
+        self._node = node
+        self._peers = peers
+        self._clock = clock
+        self._rng = rng
+        self._check_authority = check_authority
+        # Tokens granted before a share shrank are used up after one more timeout.
+        delay = authority_ttl + ASK_TIMEOUT
+        self._ledger = ShareLedger(node, delay=delay, clock=clock)
+        self._unreachable: dict[str, float] = {}
+
+    @classmethod
+    def from_config(
+        cls,
+        settings: Settings,
+        peers: TokenPeers,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        check_authority: Callable[[], None],
+    ) -> "ShareLimiter":
+        """Build the limiter of the node that ``settings`` describe."""
+        return cls(
+            settings.node.name,
+            peers,
+            clock=clock,
+            rng=rng,
+            check_authority=check_authority,
+            authority_ttl=settings.timing.authority_ttl,
+        )
+
+    def set_members(self, epoch: int, names: Iterable[str]) -> None:
+        self._ledger.set_members(epoch, names)
+
+    def set_teams(self, teams: Mapping[str, Team]) -> None:
+        self._ledger.set_teams(teams)
+
+    async def acquire(self, team: Team, amount: float = 1.0) -> None:
+        self._check_authority()
+        self._require_possible(team.name, amount)
+        bucket = self._ledger.open(team.name)
+        if bucket.take(amount):
+            return
+        waiter = Waiter(amount, asyncio.get_running_loop().create_future())
+        bucket.waiters.append(waiter)
+        if bucket.collector is None:
+            bucket.collector = asyncio.create_task(self._collect(bucket))
+        served_at = await waiter.served
+        # The process may have been paused since the tokens were taken.
+        self._check_authority()
+        if self._clock.read_monotonic() > served_at + ASK_TIMEOUT:
+            raise _make_error(team.name, ASK_TIMEOUT)
+
+    def grant(
+        self, team: str, amount: float, epoch: int, *, asker: str = ""
+    ) -> TokenGrant:
+        """Take tokens from this node's share for another node.
+
+        Parameters
+        ----------
+        epoch : int
+            Epoch of the asking node. A difference does no harm, because tokens are
+            only moved; it is accepted so that nodes need not agree first.
+        asker : str
+            Name and incarnation of the asking node. It asks for a team once at a
+            time, so its earlier grants have been used or dropped.
+
+        Raises
+        ------
+        NoAuthorityError
+            This node may not grant anything now.
+        """
+        self._check_authority()
+        if self._ledger.find_team(team) is None:
+            return TokenGrant(0.0, _UNKNOWN_RETRY)
+        bucket = self._ledger.open(team)
+        if asker:
+            bucket.release(asker)
+        part = bucket.take_part(amount)
+        expires = self._clock.read_monotonic() + ASK_TIMEOUT
+        bucket.reserve(part, asker=asker, expires=expires)
+        if part >= amount:
+            return TokenGrant(part)
+        retry_after = self._ledger.forecast(bucket, min(1.0, amount - part))
+        return TokenGrant(
+            part, retry_after if retry_after < math.inf else _UNKNOWN_RETRY
+        )
+
+    def dump(self) -> dict[str, Any]:
+        view = self._ledger.view
+        now = self._clock.read_monotonic()
+        return {
+            "epoch": 0 if view is None else view.epoch,
+            "members": [] if view is None else sorted(view.names),
+            "unreachable": sorted(m for m, t in self._unreachable.items() if t > now),
+            "teams": {name: self._dump_team(name) for name in self._ledger.buckets},
+        }
+
+    async def close(self) -> None:
+        """Stop asking; requests that wait are refused."""
+        buckets = tuple(self._ledger.buckets.values())
+        tasks = [bucket.collector for bucket in buckets if bucket.collector]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for bucket in buckets:
+            _fail(bucket, DrainingError("the node is shutting down; try another node"))
+
+    def _dump_team(self, name: str) -> dict[str, Any]:
+        bucket = self._ledger.open(name)
+        return {
+            "level": round(bucket.level, 3),
+            "rate": bucket.share.rate,
+            "burst": bucket.share.burst,
+            "reserved": round(bucket.reserved, 3),
+            "waiting": len(bucket.waiters),
+            "homes": list(self._list_homes(name)),
+        }
+
+    def _require_possible(self, name: str, amount: float) -> None:
+        team = self._ledger.find_team(name)
+        if team is None:
+            raise RateLimitedError(
+                f"team {name} is not in the bundle in force on this node; add it"
+            )
+        if amount > team.burst:
+            error: FireflyError = RateLimitedError(
+                f"{amount:g} tokens exceed the burst of team {name}; raise its burst"
+            )
+            error.retry_after = None
+            raise error
+
+    async def _collect(self, bucket: Bucket) -> None:
+        """Ask other home nodes until every waiter is served or refused."""
+        stock = _Stock()
+        try:
+            while bucket.waiters:
+                self._ledger.open(bucket.name)
+                self._serve(bucket, stock)
+                self._refuse(bucket, stock, asked=_MOST_ASKS)
+                if not bucket.waiters:
+                    break
+                home = self._choose_home(bucket)
+                if home is None:
+                    self._refuse(bucket, stock)
+                    break
+                await self._ask(home, bucket, stock)
+        except Exception as exc:
+            _LOG.exception("asking for tokens of team %s failed", bucket.name)
+            _fail(bucket, exc)
+        finally:
+            # Kept by this node as far as its share has room, otherwise lost.
+            self._ledger.open(bucket.name)
+            stock.drop_expired(self._clock.read_monotonic())
+            bucket.put(stock.total)
+            bucket.collector = None
+
+    def _serve(self, bucket: Bucket, stock: _Stock) -> None:
+        now = self._clock.read_monotonic()
+        stock.drop_expired(now)
+        while bucket.waiters:
+            waiter = bucket.waiters[0]
+            if waiter.served.done():
+                bucket.waiters.popleft()
+                continue
+            missing = max(0.0, waiter.amount - stock.total)
+            if not bucket.take(missing):
+                return
+            stock.take(waiter.amount)
+            bucket.waiters.popleft()
+            waiter.served.set_result(now)
+
+    async def _ask(self, home: str, bucket: Bucket, stock: _Stock) -> None:
+        waiting = [w for w in bucket.waiters if not w.served.done()]
+        for waiter in waiting:
+            waiter.asks += 1
+        missing = sum(w.amount for w in waiting) - stock.total - bucket.level
+        view = self._ledger.view
+        epoch = 0 if view is None else view.epoch
+        sent = self._clock.read_monotonic()
+        try:
+            grant = await self._peers.acquire(home, bucket.name, missing, epoch)
+        except FireflyError:
+            now = self._clock.read_monotonic()
+            self._unreachable[home] = now + _UNREACHABLE_PAUSE
+            return
+        now = self._clock.read_monotonic()
+        if now <= sent + ASK_TIMEOUT:
+            stock.lots.append((sent + ASK_TIMEOUT, min(grant.amount, missing)))
+        left = max(0.0, self._estimate(home, bucket) - grant.amount)
+        estimate = bucket.estimates[home] = HomeEstimate(left, now)
+        if grant.amount < missing:
+            estimate.level = 0.0
+            estimate.empty_until = now + max(grant.retry_after, _SHORT_PAUSE)
+
+    def _choose_home(self, bucket: Bucket) -> str | None:
+        """Return the home node with the greatest surplus that may have a token."""
+        now = self._clock.read_monotonic()
+        best, best_rank = None, (0.0, 0.0)
+        for home in self._list_reachable(bucket):
+            estimate = bucket.estimates.get(home)
+            if estimate is not None and estimate.empty_until > now:
+                continue
+            rank = (self._estimate(home, bucket), self._rng.random())
+            if best is None or rank > best_rank:
+                best, best_rank = home, rank
+        return best
+
+    def _estimate(self, home: str, bucket: Bucket) -> float:
+        team = self._ledger.find_team(bucket.name)
+        if team is None:
+            return 0.0
+        homes = len(self._list_homes(bucket.name))
+        estimate = bucket.estimates.get(home)
+        if estimate is None:
+            return team.burst / homes
+        gain = team.rate / homes * (self._clock.read_monotonic() - estimate.time)
+        return min(team.burst / homes, estimate.level + gain)
+
+    def _list_homes(self, name: str) -> tuple[str, ...]:
+        view, team = self._ledger.view, self._ledger.find_team(name)
+        return () if view is None or team is None else view.find_homes(team)
+
+    def _list_reachable(self, bucket: Bucket) -> list[str]:
+        now = self._clock.read_monotonic()
+        return [
+            home
+            for home in self._list_homes(bucket.name)
+            if home != self._node and self._unreachable.get(home, now) <= now
+        ]
+
+    def _refuse(self, bucket: Bucket, stock: _Stock, *, asked: int = 0) -> None:
+        """Refuse the waiters that have asked ``asked`` home nodes."""
+        refused = [w for w in bucket.waiters if w.asks >= asked]
+        if not refused:
+            return
+        bucket.waiters = deque(w for w in bucket.waiters if w.asks < asked)
+        retry_after = self._find_retry(bucket, refused[0].amount)
+        team = self._ledger.find_team(bucket.name)
+        for waiter in refused:
+            if not waiter.served.done():
+                waiter.served.set_exception(_make_error(bucket.name, retry_after))
+            if team is not None:
+                # Each of several requests finds a token only after the one before.
+                retry_after += waiter.amount / team.rate
+
+    def _find_retry(self, bucket: Bucket, amount: float) -> float:
+        now = self._clock.read_monotonic()
+        times = [self._ledger.forecast(bucket, amount)]
+        for home in self._list_reachable(bucket):
+            estimate = bucket.estimates.get(home)
+            if estimate is not None:
+                times.append(max(estimate.empty_until - now, _SHORT_PAUSE))
+        retry_after = min(times)
+        return retry_after if retry_after < math.inf else _UNKNOWN_RETRY
+
+
+def _fail(bucket: Bucket, exc: Exception) -> None:
+    while bucket.waiters:
+        waiter = bucket.waiters.popleft()
+        if not waiter.served.done():
+            waiter.served.set_exception(exc)
+
+
+def _make_error(team: str, retry_after: float) -> RateLimitedError:
+    return RateLimitedError(
+        f"team {team} has used its rate; retry after {retry_after:.3f} s",
+        retry_after=retry_after,
+    )
--- /dev/null
+++ b/src/fireflyspread/limits/_static.py
@@ -0,0 +1,52 @@
+"""Equal split of every rate over the members, without messages."""
+
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from fireflyspread.bundle import Team
+from fireflyspread.clock import Clock
+from fireflyspread.exceptions import RateLimitedError
+from fireflyspread.limits._bucket import Bucket, Segment, Share
+from fireflyspread.limits._limiter import RateLimiter
+
+__all__ = ["StaticSplitLimiter"]
+
+
+class StaticSplitLimiter(RateLimiter):
+    """Baseline for comparison: each member admits its part and asks nobody.
+
+    A bucket holds at least one token; otherwise a team with a small burst would never
+    be served. The sum may therefore exceed the team's burst.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._epoch = 0
+        self._members = 1
+        self._teams: dict[str, Team] = {}
+        self._buckets: dict[str, Bucket] = {}
+
+    async def acquire(self, team: Team, amount: float = 1.0) -> None:
+        bucket = self._buckets.setdefault(team.name, Bucket(team.name))
+        figures = self._teams.get(team.name, team)
+        share = Share(
+            figures.rate / self._members, max(1.0, figures.burst / self._members)
+        )
+        bucket.accrue([Segment(self._clock.read_monotonic(), share)])
+        if not bucket.take(amount):
+            raise RateLimitedError(
+                f"team {team.name} has used its rate on this node; retry later",
+                retry_after=(amount - bucket.level) / share.rate,
+            )
+
+    def set_members(self, epoch: int, names: Iterable[str]) -> None:
+        if epoch > self._epoch:
+            self._epoch = epoch
+            self._members = max(1, len(frozenset(names)))
+
+    def set_teams(self, teams: Mapping[str, Team]) -> None:
+        self._teams = dict(teams)
+
+    def dump(self) -> dict[str, Any]:
+        levels = {name: bucket.level for name, bucket in self._buckets.items()}
+        return {"epoch": self._epoch, "members": self._members, "levels": levels}
--- /dev/null
+++ b/tests/limits/test_shares.py
@@ -0,0 +1,250 @@
+"""Shares of a rate are kept, moved and never created."""
+
+import asyncio
+import json
+
+import pytest
+
+from fireflyspread.bundle import Team
+from fireflyspread.exceptions import NoAuthorityError, RateLimitedError
+from fireflyspread.limits import ASK_TIMEOUT, ShareLimiter
+from tests.limits.cluster import LARGE, NAMES, SETTLED, SMALL, TEAMS, Cluster
+
+
+@pytest.fixture
+def cluster() -> Cluster:
+    return Cluster()
+
+
+class TestAcquire:
+    """ShareLimiter.acquire."""
+
+    async def test_whole_burst_at_one_node(self, cluster: Cluster) -> None:
+        """A team must get its whole burst, not only the share of one node."""
+        cluster.fill()
+        assert await cluster.count("entry-2", LARGE) == 32
+
+    async def test_skewed_load_within_rate(self, cluster: Cluster) -> None:
+        """A load balancer that sends everything to one node must not cause refusals."""
+        cluster.fill()
+        admitted = 0
+        for _ in range(2000):
+            cluster.clock.advance(1.0 / LARGE.rate)
+            admitted += await cluster.count("entry-3", LARGE, most=1)
+        assert admitted == 2000
+
+    async def test_small_team_at_every_node(self, cluster: Cluster) -> None:
+        """A team with one home node must be served at the other nodes too."""
+        cluster.fill()
+        assert len(cluster.find_homes(SMALL)) == 1
+        admitted = [await cluster.count(name, SMALL, most=1) for name in NAMES]
+        assert admitted == [1, 1, 1, 1]
+        assert await cluster.count("entry-1", SMALL) == 0
+
+    async def test_concurrent_asks_are_joined(self, cluster: Cluster) -> None:
+        """A burst must not send one message for each request."""
+        cluster.fill()
+        outside = next(n for n in NAMES if n not in cluster.find_homes(SMALL))
+        limiter = cluster.limiters[outside]
+        await asyncio.gather(*(limiter.acquire(SMALL) for _ in range(4)))
+        assert [amount for _, _, amount in cluster.asks] == [1.0, 3.0] or [
+            amount for _, _, amount in cluster.asks
+        ] == [4.0]
+
+    async def test_retry_after_is_true(self, cluster: Cluster) -> None:
+        """A caller that comes back at the told time must be admitted."""
+        cluster.fill()
+        for name in NAMES:
+            await cluster.count(name, SMALL)
+            with pytest.raises(RateLimitedError) as caught:
+                await cluster.limiters[name].acquire(SMALL)
+            assert caught.value.retry_after is not None
+            assert 0.0 < caught.value.retry_after <= 0.5 + ASK_TIMEOUT
+            cluster.clock.advance(caught.value.retry_after + 1e-6)
+            await cluster.limiters[name].acquire(SMALL)
+
+    async def test_more_than_burst_is_never_possible(self, cluster: Cluster) -> None:
+        """A caller must not repeat a request that can never be admitted."""
+        cluster.fill()
+        with pytest.raises(RateLimitedError, match="burst") as caught:
+            await cluster.limiters["entry-1"].acquire(SMALL, 5.0)
+        assert caught.value.retry_after is None
+
+    async def test_no_authority(self, cluster: Cluster) -> None:
+        """A node that may have been removed must not spend its old share."""
+        cluster.fill()
+        cluster.without_authority.add("entry-1")
+        with pytest.raises(NoAuthorityError):
+            await cluster.limiters["entry-1"].acquire(LARGE)
+
+    async def test_short_home_is_not_asked_again(self, cluster: Cluster) -> None:
+        """Refusals of a team far over its rate must not cost messages each."""
+        cluster.fill()
+        await cluster.count("entry-1", LARGE)
+        cluster.asks.clear()
+        assert await cluster.count("entry-1", LARGE, most=50) == 0
+        assert cluster.asks == []
+
+    async def test_lost_node_costs_one_question(self, cluster: Cluster) -> None:
+        """A home node that is gone must not delay every request."""
+        cluster.fill()
+        cluster.gone.add("entry-4")
+        assert await cluster.count("entry-1", LARGE) == 24
+        assert [home for _, home, _ in cluster.asks].count("entry-4") == 1
+
+    async def test_team_outside_the_bundle(self, cluster: Cluster) -> None:
+        """A team that was removed must not be admitted on its old figures."""
+        cluster.fill()
+        other = Team(name="other", rate=1.0, burst=1.0)
+        with pytest.raises(RateLimitedError, match="bundle"):
+            await cluster.limiters["entry-1"].acquire(other)
+
+    async def test_close_refuses_waiters(self, cluster: Cluster) -> None:
+        """A shutdown must answer the requests that wait for tokens."""
+        cluster.start()
+        limiter = cluster.limiters["entry-1"]
+        task = asyncio.create_task(limiter.acquire(LARGE))
+        await asyncio.sleep(0)
+        await limiter.close()
+        with pytest.raises(Exception, match="shutting down"):
+            await task
+
+
+class TestGrant:
+    """ShareLimiter.grant and what becomes of its answer."""
+
+    async def test_lost_answer_loses_tokens(self, cluster: Cluster) -> None:
+        """A lost answer must not leave its tokens with the home node."""
+        cluster.fill()
+        cluster.lose_answers = True
+        assert await cluster.count("entry-1", LARGE, most=9) == 8
+        cluster.lose_answers = False
+        admitted = [await cluster.count(name, LARGE) for name in NAMES]
+        assert sum(admitted) < 24
+
+    async def test_late_answer_is_dropped(self, cluster: Cluster) -> None:
+        """Tokens that the home node counts as used must not be used later."""
+        cluster.fill()
+        cluster.answer_delay = ASK_TIMEOUT + 0.01
+        outside = next(n for n in NAMES if n not in cluster.find_homes(SMALL))
+        assert await cluster.count(outside, SMALL, most=1) == 0
+
+    async def test_granted_tokens_occupy_room(self, cluster: Cluster) -> None:
+        """The bucket must not fill again while its tokens travel."""
+        cluster.fill()
+        home = cluster.limiters[cluster.find_homes(SMALL)[0]]
+        assert home.grant("lids", 4.0, 5).amount == 4.0
+        cluster.clock.advance(ASK_TIMEOUT)
+        cluster.clock.advance(0.5)
+        assert home.grant("lids", 4.0, 5).amount == 1.0
+
+    async def test_no_authority(self, cluster: Cluster) -> None:
+        """A removed node must not grant tokens of its old share."""
+        cluster.fill()
+        cluster.without_authority.add("entry-1")
+        with pytest.raises(NoAuthorityError):
+            cluster.limiters["entry-1"].grant("scans", 1.0, 5)
+
+    async def test_fraction_stays(self, cluster: Cluster) -> None:
+        """A fraction that completes nothing must not be taken and lost."""
+        cluster.fill()
+        home = cluster.limiters[cluster.find_homes(SMALL)[0]]
+        home.grant("lids", 3.5, 5)
+        grant = home.grant("lids", 1.0, 5)
+        assert grant.amount == 0.0
+        assert grant.retry_after > 0.0
+
+
+class TestChanges:
+    """ShareLimiter.set_members and set_teams."""
+
+    def test_first_member_starts_full(self, cluster: Cluster) -> None:
+        """A new system must serve its first requests."""
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_teams(TEAMS)
+        limiter.set_members(1, ["entry-1"])
+        assert limiter.grant("scans", 32.0, 1).amount == 32.0
+
+    @pytest.mark.parametrize(("epoch", "names"), [(1, NAMES), (2, NAMES[:1])])
+    def test_others_start_empty(
+        self, cluster: Cluster, epoch: int, names: tuple[str, ...]
+    ) -> None:
+        """A node that restarted must not spend what it spent before."""
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_members(epoch, names)
+        limiter.set_teams(TEAMS)
+        assert limiter.grant("scans", 32.0, 1).amount == 0.0
+        cluster.clock.advance(2.0)
+        assert limiter.grant("scans", 32.0, 1).amount == 0.0
+        cluster.clock.advance(2.0)
+        assert limiter.grant("scans", 32.0, 1).amount > 0.0
+
+    def test_shrinks_at_once(self, cluster: Cluster) -> None:
+        """Tokens above a smaller share must vanish before the others grow."""
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_teams(TEAMS)
+        limiter.set_members(1, ["entry-1"])
+        limiter.set_members(2, NAMES)
+        assert limiter.grant("scans", 32.0, 2).amount == 8.0
+
+    def test_growth_waits(self, cluster: Cluster) -> None:
+        """A share must not grow while a removed node may still spend its own."""
+        cluster.fill()
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_members(6, NAMES[:2])
+        cluster.clock.advance(2.0)
+        assert limiter.grant("scans", 32.0, 6).amount == 8.0
+        cluster.clock.advance(SETTLED)
+        assert limiter.grant("scans", 32.0, 6).amount == 16.0
+
+    def test_untouched_bucket_keeps_its_level(self, cluster: Cluster) -> None:
+        """A change of members must not empty the buckets of idle teams."""
+        cluster.fill()
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_members(6, NAMES[:2])
+        assert limiter.grant("scans", 32.0, 6).amount == 8.0
+
+    def test_missed_epoch_is_assumed_larger(self, cluster: Cluster) -> None:
+        """A node that missed an epoch must not exceed its share in that epoch."""
+        cluster.start()
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_members(6, NAMES[:2])
+        cluster.clock.advance(20.0)
+        limiter.set_members(8, ["entry-1", "entry-3"])
+        assert limiter.grant("scans", 32.0, 8).amount == pytest.approx(10.0)
+
+    def test_older_epoch_is_ignored(self, cluster: Cluster) -> None:
+        """A late message must not bring back a removed member."""
+        cluster.fill()
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_members(4, ["entry-1"])
+        assert limiter.dump()["members"] == sorted(NAMES)
+
+    def test_lower_rate_at_once(self, cluster: Cluster) -> None:
+        """An operator who lowers a burst must see it in force within seconds."""
+        cluster.fill()
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_teams({"scans": Team(name="scans", rate=1.0, burst=16.0)})
+        assert limiter.grant("scans", 32.0, 5).amount <= 8.0
+
+    def test_removed_team(self, cluster: Cluster) -> None:
+        """A removed team has no tokens, and none left when it comes back."""
+        cluster.fill()
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_teams({})
+        assert limiter.grant("scans", 1.0, 5).amount == 0.0
+        limiter.set_teams(TEAMS)
+        assert limiter.grant("scans", 1.0, 5).amount == 0.0
+
+
+class TestDump:
+    """ShareLimiter.dump."""
+
+    async def test_is_json(self, cluster: Cluster) -> None:
+        """A state dump must be writable as JSON in every state."""
+        limiter: ShareLimiter = cluster.limiters["entry-1"]
+        json.dumps(limiter.dump())
+        cluster.fill()
+        await limiter.acquire(LARGE)
+        state = json.loads(json.dumps(limiter.dump()))
+        assert state["teams"]["scans"]["level"] == 7.0
