Run suspects without long waits; clear them once the cause is known

Change: a suspect starts after 3 s beside older requests unless it has crashed two replicas; suspects are placed before others; a conviction clears the requests that were beside it at one crash.

--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -17,6 +17,10 @@
     a request that crashes replicas and is sent many times at once would otherwise
     crash as many replicas.
 
+    A suspect starts when its replica is empty, or after ``patience`` beside requests
+    that were there before. An answer clears it all the same, and most suspects are
+    innocent. One that has crashed two replicas waits until it is alone.
+
     Parameters
     ----------
     quarantine : Quarantine
@@ -24,24 +28,34 @@
         preferred, because two different ones are needed to convict.
     max_fraction : float
         Part of the replicas of a target that may be taken by suspects.
+    patience : float
+        Seconds.
     """
 
-    def __init__(self, quarantine: Quarantine, *, max_fraction: float = 0.34) -> None:
+    def __init__(
+        self,
+        quarantine: Quarantine,
+        *,
+        max_fraction: float = 0.34,
+        patience: float = 3.0,
+    ) -> None:
         self._quarantine = quarantine
         self._max_fraction = max_fraction
-        self._requests: dict[str, str] = {}
+        self._patience = patience
+        self._requests: dict[str, tuple[str, float]] = {}
 
     def place(
-        self, work: Work, state: TargetState, usable: Sequence[ReplicaState]
+        self, work: Work, state: TargetState, usable: Sequence[ReplicaState], now: float
     ) -> ReplicaState | None:
-        """Return an empty replica, or reserve one and return None."""
-        if self._requests.get(work.fingerprint, work.request) != work.request:
+        """Return the replica for a suspect, or reserve one and return None."""
+        request, _ = self._requests.get(work.fingerprint, (work.request, now))
+        if request != work.request:
             return None
         reserved = list(state.iterate_reserved())
         for replica in reserved:
             if replica.reserved_for == work.request:
                 if replica in usable:
-                    return replica if replica.running == 0 else None
+                    return self._check(work, replica, now)
                 replica.reserved_for = None
                 reserved.remove(replica)
                 break
@@ -51,8 +65,19 @@
         if chosen is None:
             return None
         chosen.reserved_for = work.request
-        self._requests[work.fingerprint] = work.request
-        return chosen if chosen.running == 0 else None
+        self._requests[work.fingerprint] = (work.request, now)
+        return self._check(work, chosen, now)
+
+    def _check(
+        self, work: Work, replica: ReplicaState, now: float
+    ) -> ReplicaState | None:
+        if replica.running == 0:
+            return replica
+        _, reserved_at = self._requests[work.fingerprint]
+        is_strict = len(self._quarantine.get_crashed(work.fingerprint)) >= 2
+        if is_strict or now - reserved_at < self._patience:
+            return None
+        return replica if replica.running < replica.concurrency else None
 
     def _choose(
         self, work: Work, state: TargetState, usable: Sequence[ReplicaState]
@@ -70,7 +95,8 @@
 
     def forget(self, work: Work, state: TargetState) -> None:
         """End the reservation of a request that does not wait or run any more."""
-        if self._requests.get(work.fingerprint) != work.request:
+        request, _ = self._requests.get(work.fingerprint, ("", 0.0))
+        if request != work.request:
             return
         del self._requests[work.fingerprint]
         for replica in state.iterate_reserved():
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -53,6 +53,7 @@
 class _Running:
     state: TargetState
     replica: ReplicaState
+    is_isolated: bool
     is_alone: bool
 
 
@@ -229,6 +230,8 @@
         free = state.list_free(usable, max(1, state.target.concurrency // self._nodes))
         if not free and usable and not self.quarantine.has_entries():
             return False
+        if self.quarantine.has_entries() and self._start_suspect(state, usable):
+            return True
         for waiting in islice(state.queue.scan(), _SCAN_LENGTH):
             work = waiting.work
             if waiting.future is None or waiting.future.done():
@@ -238,14 +241,29 @@
             if not allowed:
                 self._refuse(state, waiting)
                 return True
+            if self.quarantine.is_suspect(work.fingerprint):
+                continue
+            replica = self._place(waiting, state, allowed, free)
+            if replica is not None:
+                self._start(state, waiting, replica)
+                return True
+        return False
+
+    def _start_suspect(self, state: TargetState, usable: list[ReplicaState]) -> bool:
+        """Start or refuse a suspected request, before others fill its replica."""
+        now = self._clock.read_monotonic()
+        for waiting in state.queue.scan():
+            work = waiting.work
+            if waiting.future is None or waiting.future.done():
+                continue
             if self.quarantine.is_convicted(work.fingerprint):
                 self._drop(state, waiting)
                 set_error(waiting, make_quarantined(work))
                 return True
-            if self.quarantine.is_suspect(work.fingerprint):
-                replica = self._isolation.place(work, state, allowed)
-            else:
-                replica = self._place(waiting, state, allowed, free)
+            if not self.quarantine.is_suspect(work.fingerprint):
+                continue
+            allowed = [r for r in usable if r.replica.name not in work.excluded]
+            replica = self._isolation.place(work, state, allowed, now)
             if replica is not None:
                 self._start(state, waiting, replica)
                 return True
@@ -278,15 +296,18 @@
         self, state: TargetState, waiting: Waiting, replica: ReplicaState
     ) -> None:
         work, name = waiting.work, replica.replica.name
-        is_alone = replica.reserved_for == work.request
-        if is_alone:
+        is_isolated = replica.reserved_for == work.request
+        is_alone = is_isolated and replica.running == 0
+        if is_isolated:
             replica.reserved_for, replica.alone = None, work.request
         else:
             self._isolation.forget(work, state)
         state.queue.take(waiting)
         state.start(replica, work)
         self.quarantine.start(work.fingerprint, name)
-        self._running[work.request, name] = _Running(state, replica, is_alone)
+        self._running[work.request, name] = _Running(
+            state, replica, is_isolated, is_alone
+        )
         assert waiting.future is not None
         waiting.future.set_result(
             Ticket(
@@ -307,7 +328,7 @@
             )
             return
         self._judge(ticket, run, result)
-        if run.is_alone:
+        if run.is_isolated:
             self._isolation.forget(work, run.state)
         seconds = self._clock.read_monotonic() - ticket.started_at
         run.state.finish(run.replica, work, result, seconds)
@@ -329,7 +350,7 @@
                 shared=run.replica.is_shared(),
             )
         elif result is Result.ANSWERED:
-            self.quarantine.record_answer(fingerprint, alone=run.is_alone)
+            self.quarantine.record_answer(fingerprint, isolated=run.is_isolated)
         self.quarantine.finish(fingerprint, name)
 
     def may_retry(self, work: Work) -> bool:
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -78,6 +78,7 @@
         self._convicted: dict[str, float] = {}
         self._cleared: dict[str, float] = {}
         self._heard: dict[str, tuple[float, frozenset[str]]] = {}
+        self._heard_suspects: frozenset[str] = frozenset()
         self._heard_convicted: dict[str, float] = {}
 
     def start(self, fingerprint: str, replica: str) -> None:
@@ -125,13 +126,14 @@
         fingerprints = frozenset(self._in_flight.get(replica, ())) | {fingerprint}
         alone = alone and len(fingerprints) == 1
         self._crashes.append(_Crash(now, replica, fingerprints))
-        for each in sorted(fingerprints):
+        for each in fingerprints:
             suspect = self._suspect(each, replica, now)
             suspect.alone += alone
             suspect.confirmed |= alone and not shared
             if suspect.is_proven():
                 self._convicted[each] = now + self._ttl
                 del self._suspects[each]
+                self._forgive_explained()
         self._forgive_outage(now)
 
     def _suspect(self, fingerprint: str, replica: str, now: float) -> _Suspect:
@@ -141,6 +143,17 @@
         suspect.replicas.add(replica)
         return suspect
 
+    def _forgive_explained(self) -> None:
+        """Clear what was there at one crash, now that the cause is known.
+
+        Their crash may have had another cause. They are suspected again at the next.
+        """
+        self._suspects = {
+            fingerprint: suspect
+            for fingerprint, suspect in self._suspects.items()
+            if suspect.alone or len(suspect.replicas) > 1
+        }
+
     def _forgive_outage(self, now: float) -> None:
         recent = [c for c in self._crashes if c.at >= now - self._window]
         if len({crash.replica for crash in recent}) < self._mass:
@@ -151,9 +164,13 @@
             if count == 1 and suspect is not None and not suspect.alone:
                 del self._suspects[fingerprint]
 
-    def record_answer(self, fingerprint: str, *, alone: bool) -> None:
-        """Clear a suspect that was answered while alone."""
-        if alone and self.is_suspect(fingerprint):
+    def record_answer(self, fingerprint: str, *, isolated: bool) -> None:
+        """Clear a suspect that was answered in isolation.
+
+        Other answers come from before it was suspected or from a node that does not
+        know of the suspicion.
+        """
+        if isolated and self.is_suspect(fingerprint):
             self._suspects.pop(fingerprint, None)
             self._cleared[fingerprint] = self._clock.read_monotonic() + self._ttl
 
@@ -166,10 +183,16 @@
         the first time it is heard, so nodes do not keep it alive by repeating it.
         """
         now = self._clock.read_monotonic()
+        before = self._heard.get(node)
         self._heard[node] = (now + self._ttl, frozenset(suspects))
+        if before is None or before[1] != self._heard[node][1]:
+            self._join_heard()
         for fingerprint in convicted:
-            if fingerprint not in self._convicted:
-                self._heard_convicted.setdefault(fingerprint, now + self._ttl)
+            if not (
+                fingerprint in self._convicted or fingerprint in self._heard_convicted
+            ):
+                self._heard_convicted[fingerprint] = now + self._ttl
+                self._forgive_explained()
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether the fingerprint must run alone."""
@@ -177,12 +200,9 @@
         suspect = self._suspects.get(fingerprint)
         if suspect is not None and suspect.until > now:
             return True
-        if self._cleared.get(fingerprint, 0.0) > now:
+        if fingerprint not in self._heard_suspects:
             return False
-        return any(
-            until > now and fingerprint in suspects
-            for until, suspects in self._heard.values()
-        )
+        return self._cleared.get(fingerprint, 0.0) <= now
 
     def is_convicted(self, fingerprint: str) -> bool:
         """Return whether the fingerprint must not run."""
@@ -198,7 +218,7 @@
             self._suspects
             or self._convicted
             or self._heard_convicted
-            or any(suspects for _, suspects in self._heard.values())
+            or self._heard_suspects
         )
 
     def get_crashed(self, fingerprint: str) -> frozenset[str]:
@@ -216,12 +236,19 @@
         self._expire()
         return tuple(sorted(self._convicted))
 
+    def _join_heard(self) -> None:
+        self._heard_suspects = frozenset[str]().union(
+            *(suspects for _, suspects in self._heard.values())
+        )
+
     def _expire(self) -> None:
         now = self._clock.read_monotonic()
         self._suspects = {f: s for f, s in self._suspects.items() if s.until > now}
         self._convicted = {f: t for f, t in self._convicted.items() if t > now}
         self._cleared = {f: t for f, t in self._cleared.items() if t > now}
-        self._heard = {n: h for n, h in self._heard.items() if h[0] > now}
+        if any(until <= now for until, _ in self._heard.values()):
+            self._heard = {n: h for n, h in self._heard.items() if h[0] > now}
+            self._join_heard()
         self._heard_convicted = {
             f: t for f, t in self._heard_convicted.items() if t > now
         }
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -239,3 +239,16 @@
         scheduler.release(ticket, Result.ANSWERED)
         await late
         assert not scheduler.quarantine.is_suspect("p")
+
+    @virtually
+    async def test_suspect_waits_for_long_requests_only_so_long(self) -> None:
+        """An innocent request waits for minutes until a replica is empty."""
+        scheduler, target = make_scheduler(), make_target(1, concurrency=4)
+        await scheduler.acquire(make_work("o"), target)
+        scheduler.quarantine.merge("n2", ("p",), ())
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        ticket = await scheduler.acquire(make_work("p"), target)
+        assert 3.0 <= loop.time() - before <= 3.2
+        scheduler.release(ticket, Result.ANSWERED)
+        assert not scheduler.quarantine.is_suspect("p")
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -44,7 +44,7 @@
                 quarantine.start(fingerprint, replica)
             elif action == "answer" and there:
                 ended, _ = there.pop(0)
-                quarantine.record_answer(ended, alone=replica in alone)
+                quarantine.record_answer(ended, isolated=replica in alone)
                 quarantine.finish(ended, replica)
                 alone.discard(replica)
             elif action == "crash":
@@ -92,11 +92,24 @@
         quarantine.merge("n2", ("b",), ())
         quarantine.start("b", "r1")
         quarantine.record_crash("b", "r1", clock.read_monotonic(), alone=False)
-        quarantine.record_answer("b", alone=False)
+        quarantine.record_answer("b", isolated=False)
         assert quarantine.is_suspect("b")
-        quarantine.record_answer("b", alone=True)
+        quarantine.record_answer("b", isolated=True)
         assert not quarantine.is_suspect("b")
 
+    def test_conviction_clears_the_others(self) -> None:
+        """Requests that were beside the cause run alone one after the other."""
+        quarantine = Quarantine(ManualClock())
+        for fingerprint in ("p", "b"):
+            quarantine.start(fingerprint, "r1")
+        quarantine.record_crash("p", "r1", 0.0, alone=False)
+        for fingerprint in ("p", "b"):
+            quarantine.finish(fingerprint, "r1")
+        assert quarantine.suspects() == ("b", "p")
+        quarantine.record_crash("p", "r2", 1e9, alone=True)
+        assert quarantine.suspects() == ()
+        assert quarantine.convicted() == ("p",)
+
     def test_outage_of_a_zone_suspects_nobody(self) -> None:
         """All requests of a lost zone run alone on the capacity that is left."""
         clock = ManualClock()
--- a/tools/bench_policies.py
+++ b/tools/bench_policies.py
@@ -8,6 +8,7 @@
 """
 
 import argparse
+import math
 import random
 import statistics
 import time
@@ -166,7 +167,17 @@
     return ordered[min(len(ordered) - 1, int(part * len(ordered)))]
 
 
-def _format(name: str, rows: Sequence[_Row]) -> str:
+def _compare(values: Sequence[float], whole: Sequence[float]) -> str:
+    """Return the mean ratio over the seeds with its standard error."""
+    logs = [math.log(a / b) for a, b in zip(values, whole, strict=True)]
+    mean = math.exp(statistics.fmean(logs))
+    if len(logs) < 2:
+        return f"{mean:.2f}"
+    error = statistics.stdev(logs) / math.sqrt(len(logs))
+    return f"{mean:.2f} ± {mean * error:.2f}"
+
+
+def _format(name: str, rows: Sequence[_Row], whole: Sequence[_Row]) -> str:
     def mean(values: Sequence[float]) -> float:
         return statistics.fmean(values)
 
@@ -175,9 +186,11 @@
         name,
         f"{mean([r.median for r in rows]):.2f}",
         f"{mean([r.p95 for r in rows]):.1f}",
+        _compare([r.p95 for r in rows], [r.p95 for r in whole]),
         f"{mean([r.interactive for r in rows]):.2f}",
         f"{100 * mean([r.wasted for r in rows]):.1f}",
         f"{mean([r.worst_slowdown for r in rows]):.2f} ({worst.worst_team})",
+        _compare([r.worst_slowdown for r in rows], [r.worst_slowdown for r in whole]),
         f"{mean([r.worst_share for r in rows]):.3f}",
         f"{100 * mean([r.refused for r in rows]):.2f}",
         f"{mean([r.failed for r in rows]):.1f}",
@@ -187,8 +200,9 @@
 
 
 _HEADER = (
-    "| policy | median (s) | p95 (s) | interactive p95 (s) | wasted cache (%) "
-    "| worst team: p95 slowdown | worst team: served/asked "
+    "| policy | median (s) | p95 (s) | p95 to whole | interactive p95 (s) "
+    "| wasted cache (%) "
+    "| worst team: p95 slowdown | the same to whole | worst team: served/asked "
     "| wrongly refused (%) | failed programs | crashes |"
 )
 
@@ -215,10 +229,12 @@
                 ]
                 for row in rows
             }
-            print(f"\n### {deployment}\n\n{_HEADER}\n|" + "---|" * 10)
+            print(f"\n### {deployment}\n\n{_HEADER}\n|" + "---|" * 12)
+            whole: list[_Row] = []
             for row, futures in jobs.items():
                 results = [future.result() for future in futures]
-                print(_format(policies[row].name, results), flush=True)
+                whole = whole or results
+                print(_format(policies[row].name, results, whole), flush=True)
     print(f"\nWall time {time.monotonic() - begun:.0f} s.")
 
 
--- a/tools/policy_replicas.py
+++ b/tools/policy_replicas.py
@@ -1,8 +1,11 @@
 """Simulated replicas for the comparison of policies, in virtual time."""
 
 import asyncio
+import heapq
 import random
-from collections import OrderedDict, deque
+from collections import OrderedDict
+from collections.abc import Iterator
+from itertools import count
 
 from attrs import define, field
 
@@ -13,6 +16,39 @@
 
 # Tokens decoded between two looks at the number of requests on the replica.
 _SLICE_TOKENS = 40
+_CHUNK_TOKENS = 2048
+
+
+class PriorityGate:
+    """Lets one task through at a time, the most urgent one first."""
+
+    def __init__(self) -> None:
+        self._waiters: list[tuple[int, int, asyncio.Future[None]]] = []
+        self._numbers = count()
+        self._is_busy = False
+
+    async def enter(self, priority: int) -> None:
+        """Wait for the turn of this task; a lower number is more urgent."""
+        if not self._is_busy:
+            self._is_busy = True
+            return
+        future = asyncio.get_running_loop().create_future()
+        heapq.heappush(self._waiters, (priority, next(self._numbers), future))
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.leave()
+            raise
+
+    def leave(self) -> None:
+        """Let the next task through."""
+        while self._waiters:
+            _, _, future = heapq.heappop(self._waiters)
+            if not future.done():
+                future.set_result(None)
+                return
+        self._is_busy = False
 
 
 @define
@@ -24,11 +60,12 @@
     slowness: float = 1.0
     is_down: bool = False
     running: int = 0
-    waiters: deque[asyncio.Future[None]] = field(factory=deque)
+    waiters: list[tuple[int, int, asyncio.Future[None]]] = field(factory=list)
+    numbers: Iterator[int] = field(factory=count)
     # A dict, because the order of a set of tasks differs between runs.
     tasks: dict[asyncio.Task[object], None] = field(factory=dict)
 
-    async def enter(self) -> None:
+    async def enter(self, priority: int = 0) -> None:
         """Wait for a place; raises ``TargetUnreachableError`` while down."""
         if self.is_down:
             raise TargetUnreachableError("down")
@@ -36,13 +73,18 @@
             self.running += 1
             return
         future = asyncio.get_running_loop().create_future()
-        self.waiters.append(future)
-        await future
+        heapq.heappush(self.waiters, (priority, next(self.numbers), future))
+        try:
+            await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():
+                self.leave()
+            raise
 
     def leave(self) -> None:
         """Give the place to the next request."""
         while self.waiters:
-            future = self.waiters.popleft()
+            _, _, future = heapq.heappop(self.waiters)
             if not future.done():
                 future.set_result(None)
                 return
@@ -108,14 +150,23 @@
     sessions: OrderedDict[str, int] = field(factory=OrderedDict)
     active: dict[str, int] = field(factory=dict)
     evicted: list[str] = field(factory=list)
-    prefill: asyncio.Lock = field(factory=asyncio.Lock)
+    gate: PriorityGate = field(factory=PriorityGate)
 
     async def answer(
-        self, program: str, prompt: int, prefix: int, completion: int, poison: bool
+        self,
+        program: str,
+        prompt: int,
+        prefix: int,
+        completion: int,
+        *,
+        priority: int = 0,
+        poison: bool = False,
     ) -> int:
         """Answer a turn and return the prompt tokens that were cached."""
         cached = [0]
-        work = self._answer(program, prompt, prefix, completion, poison, cached)
+        work = self._answer(
+            program, prompt, prefix, completion, priority, poison, cached
+        )
         await self._run(work)
         return cached[0]
 
@@ -125,19 +176,18 @@
         prompt: int,
         prefix: int,
         completion: int,
+        priority: int,
         poison: bool,
         cached: list[int],
     ) -> None:
-        await self.enter()
+        await self.enter(priority)
         try:
             held = self.sessions.pop(program, 0)
             cached[0] = min(held, prefix)
             self.used += prompt + completion - held
             self.active[program] = prompt + completion
             self._make_room()
-            async with self.prefill:
-                missing = prompt - cached[0]
-                await asyncio.sleep(missing / self.prefill_rate * self.slowness)
+            await self._compute_prompt(prompt - cached[0], priority)
             if poison:
                 asyncio.get_running_loop().call_soon(self._start_crash)
                 await asyncio.sleep(1e6)
@@ -153,6 +203,16 @@
             self.active.pop(program, None)
             self.leave()
 
+    async def _compute_prompt(self, tokens: int, priority: int) -> None:
+        """Compute a prompt in chunks, between which urgent ones come first."""
+        for begin in range(0, tokens, _CHUNK_TOKENS):
+            chunk = min(_CHUNK_TOKENS, tokens - begin)
+            await self.gate.enter(priority)
+            try:
+                await asyncio.sleep(chunk / self.prefill_rate * self.slowness)
+            finally:
+                self.gate.leave()
+
     def _start_crash(self) -> None:
         task = asyncio.ensure_future(self.crash(10.0))
         self.restart = task
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -203,12 +203,12 @@
             node.scheduler.report_load(name, report)
 
     async def _disturb(self) -> None:
-        """One slow replica, then one crash."""
+        """One slow replica, and one crash of another."""
         await asyncio.sleep(self._seconds * 0.15)
         self._replicas["model-1"].slowness = 5.0
-        await asyncio.sleep(self._seconds * 0.15)
+        await asyncio.sleep(self._seconds * 0.35)
         self._replicas["model-1"].slowness = 1.0
-        await asyncio.sleep(self._seconds * 0.1)
+        await asyncio.sleep(self._seconds * 0.05)
         self.results.crashes += 1
         await self._replicas["model-0"].crash(10.0)
 
@@ -426,7 +426,12 @@
             return 0
         prompt = history + step.new_tokens
         cached = await replica.answer(
-            work.program, prompt, history, step.completion, is_poison
+            work.program,
+            prompt,
+            history,
+            step.completion,
+            priority=0 if step.is_interactive else 1,
+            poison=is_poison,
         )
         self.results.prefix += history
         self.results.recomputed += history - cached
