Keep the bundle feed running after unexpected errors

An exception other than StoreError ended the feed's task, after which withdrawn keys would have stayed in force on the node. Tests also follow rolls through the store's protocol with a lost answer and an outage, check that certificates are verified, and that a roll at a terminal asks first.

--- a/src/fireflyspread/bundle/_feed.py
+++ b/src/fireflyspread/bundle/_feed.py
@@ -95,6 +95,9 @@
                         await self._take(change.entry)
             except StoreError as exc:
                 _LOG.warning("the bundle watch broke: %s", exc)
+            except Exception:
+                # Without its feed a node would keep withdrawn keys in force.
+                _LOG.exception("the bundle watch failed; it starts again")
             await self._pause(delay)
             delay = min(2 * delay, _MAX_DELAY)
 
@@ -116,6 +119,8 @@
                 await self._take(await self._store.read(CURRENT_KEY))
         except (StoreError, TimeoutError) as exc:
             _LOG.warning("no bundle from the store, asking %s: %s", self._peer, exc)
+        except Exception:
+            _LOG.exception("reading the bundle from the store failed")
         if self._holder.version >= self._announced or self._fetch_from_peer is None:
             return
         try:
@@ -123,6 +128,8 @@
                 self._offer(await self._fetch_from_peer(self._peer))
         except (FireflyError, TimeoutError) as exc:
             _LOG.warning("no bundle from node %s: %s", self._peer, exc)
+        except Exception:
+            _LOG.exception("fetching the bundle from node %s failed", self._peer)
 
     async def _take(self, entry: Entry | None) -> None:
         """Offer the bundle that ``entry`` names if it is newer."""
--- a/tests/bundle/test_feed.py
+++ b/tests/bundle/test_feed.py
@@ -3,8 +3,9 @@
 import asyncio
 import random
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -15,8 +16,12 @@
     BundleHolder,
     PeerFetcher,
     Rollout,
+    hash_key,
 )
-from tests.bundle.examples import make_bundle
+from fireflyspread.exceptions import StoreError
+from fireflyspread.platform import EtcdStore
+from standins.store import StoreStandIn
+from tests.bundle.examples import KEY, make_bundle
 from tests.bundle.memory_store import MemoryStore
 from tests.bundle.test_rollout import roll
 
@@ -91,6 +96,56 @@
             await asyncio.sleep(0.05)
             assert holder.version == 2
 
+    async def test_survives_unexpected_errors(
+        self, caplog: pytest.LogCaptureFixture
+    ) -> None:
+        """A fault of the store client or of a peer does not end the feed."""
+        store, holder = MemoryStore(), BundleHolder()
+        answers = [ValueError("fault"), ActiveBundle(version=1, bundle=make_bundle())]
+
+        async def fail(key: str) -> None:
+            raise ValueError("fault")
+
+        async def fetch(peer: str) -> ActiveBundle:
+            answer = answers.pop(0)
+            if isinstance(answer, ValueError):
+                raise answer
+            return answer
+
+        store.read = fail  # type: ignore[assignment]
+        async with run_feed(store, holder, fetch) as feed:
+            feed.announce("entry-2", 1)
+            await wait_version(holder, 1)
+            del store.read
+            await roll(Rollout(store), make_bundle(), 0)
+            await roll(Rollout(store), make_bundle(rate=2.0), 1)
+            await wait_version(holder, 2)
+
+    async def test_follows_etcd_store(self) -> None:
+        """Rolls pass through the store's protocol, lost answers and an outage."""
+        stand_in, holder = StoreStandIn(), BundleHolder()
+        await stand_in.start()
+        store = EtcdStore(stand_in.url)
+        rollout = Rollout(store)
+        async with run_feed(store, holder):
+            digest = await rollout.draft(make_bundle())
+            await rollout.approve(digest, "ana")
+            stand_in.faults.lose_answers = 1
+            assert (await rollout.roll(digest, "ana", 0)).version == 1
+            await wait_version(holder, 1)
+            stand_in.faults.down = "refuse"
+            await asyncio.sleep(0.1)
+            stand_in.faults.down = ""
+            async with asyncio.timeout(10.0):
+                # The store listens again a moment after the switch was set.
+                while holder.version < 2:
+                    with suppress(StoreError):
+                        await rollout.withdraw_key(hash_key(KEY), "ana")
+                        await wait_version(holder, 2)
+        assert hash_key(KEY) not in holder.get_active().keys
+        await store.close()
+        await stand_in.stop()
+
     async def test_asks_peer_while_store_is_down(self) -> None:
         """A node that the store does not answer gets the bundle from a peer."""
         store, holder = MemoryStore(), BundleHolder()
--- a/tests/operators/admin_node.py
+++ b/tests/operators/admin_node.py
@@ -1,5 +1,6 @@
 """An administration API over an in-memory store, on a loopback port."""
 
+import ssl
 from collections.abc import Sequence
 from typing import Any
 
@@ -69,7 +70,7 @@
     state: dict[str, Any] = field(factory=lambda: {"epoch": 3})
     body_bytes: int = 4 << 20
 
-    def make_api(self) -> AdminApi:
+    def make_api(self, *, tls: ssl.SSLContext | None = None) -> AdminApi:
         """Return the API; it listens on any free port."""
         return AdminApi(
             address=Address("127.0.0.1", 0),
@@ -79,4 +80,5 @@
             list_members=lambda: self.members,
             dump_state=lambda: self.state,
             body_bytes=self.body_bytes,
+            tls=tls,
         )
--- a/tests/operators/test_cli.py
+++ b/tests/operators/test_cli.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import json
+import ssl
 from collections.abc import AsyncIterator
 from io import StringIO
 from pathlib import Path
 
 import pytest
+import trustme
 from aiohttp import web
 from attrs import frozen
 from cleo.io.inputs.argv_input import ArgvInput
@@ -37,10 +39,14 @@
 
     folder: Path
 
-    async def run(self, *arguments: str, stdin: str = "") -> Result:
+    async def run(
+        self, *arguments: str, stdin: str = "", is_terminal: bool = False
+    ) -> Result:
         """Run one command in a thread, as its own event loop needs one."""
         source = ArgvInput(["fireflyspread", *arguments])
         source.set_stream(StringIO(stdin))
+        if is_terminal:
+            source.interactive(True)
         output, errors = BufferedOutput(), BufferedOutput()
         code = await asyncio.to_thread(run, source, output=output, errors=errors)
         return Result(int(code), output.fetch(), errors.fetch())
@@ -120,6 +126,19 @@
         result = await shell.run("bundle", "roll", digest)
         assert result.code == 2 and "--expect" in result.errors
 
+    @pytest.mark.parametrize(("answer", "code"), [("yes", 0), ("no", 2), ("", 2)])
+    async def test_roll_asks(self, shell: Shell, answer: str, code: int) -> None:
+        """At a terminal the changes are shown and nothing is rolled unasked."""
+        await shell.roll(make_config(), 0)
+        config = {**make_config(), "routes": []}
+        digest = (await shell.run("bundle", "draft", shell.write("b", config))).output
+        await shell.run("bundle", "approve", digest.strip())
+        result = await shell.run(
+            "bundle", "roll", digest.strip(), stdin=f"{answer}\n", is_terminal=True
+        )
+        assert result.code == code, result.errors
+        assert "removed route order" in result.output
+
     async def test_diff_marks_owner_change(self, shell: Shell) -> None:
         """File, draft and bundle in force give the same differences."""
         old = shell.write("old.json", make_config())
@@ -202,6 +221,20 @@
         result = await shell.run("bundle", "status")
         assert result.code == 3 and DEAD_URL in result.errors
 
+    async def test_verifies_certificates(self, shell: Shell, node: AdminNode) -> None:
+        """A key is only sent to a node whose certificate the authority signed."""
+        authority, path = trustme.CA(), shell.folder / "ca.pem"
+        tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+        authority.issue_cert("127.0.0.1").configure_cert(tls)
+        api = node.make_api(tls=tls)
+        await api.start()
+        for issuer, code in ((authority, 0), (trustme.CA(), 3)):
+            issuer.cert_pem.write_to_path(str(path))
+            nodes = {"entry-1": f"https://{api.address}"}
+            shell.write_client(nodes=nodes, authority=str(path))
+            assert (await shell.run("bundle", "status")).code == code
+        await api.stop()
+
     async def test_reports_wrong_key(self, shell: Shell) -> None:
         """A refused operator key is shown with its code."""
         client = json.loads((shell.folder / "client.json").read_text())
