--- a/src/fireflyspread/bundle/_rollout.py
+++ b/src/fireflyspread/bundle/_rollout.py
@@ -30,6 +30,7 @@
     StoreUncertainError,
 )
 from fireflyspread.recovery import Store
+from fireflyspread.settings import Settings
 
 __all__ = ["MAX_BUNDLE_BYTES", "Rollout", "compute_fences"]
 
@@ -44,6 +45,10 @@
 # always make progress; 20 losses in a row do not happen by chance.
 _WITHDRAW_ATTEMPTS = 20
 
+# With a store that does not respond within its timeout of 1 s, three tries and their
+# reads end before the command line gives up after 10 s.
+_CREATE_ATTEMPTS = 3
+
 
 def compute_fences(
     old: Bundle | None, fences: dict[str, int], new: Bundle, version: int
@@ -99,6 +104,11 @@
         self._attempts = attempts
         self._retry_delay = retry_delay
 
+    @classmethod
+    def from_config(cls, settings: Settings, store: Store) -> "Rollout":
+        """Build the rollout of one node from its settings."""
+        return cls(store, approvals_needed=settings.approvals_needed)
+
     @property
     def approvals_needed(self) -> int:
         """Operators that must approve a bundle before it can be rolled."""
@@ -131,7 +141,7 @@
                 f"{MAX_BUNDLE_BYTES}; remove withdrawn keys and unused routes"
             )
         # The key is the digest of the value, so an existing key has this value.
-        if not await self._store.create_once(make_contents_key(bundle.digest), value):
+        if not await self._create(make_contents_key(bundle.digest), value):
             await read_contents(self._store, bundle.digest)
         return bundle.digest
 
@@ -148,7 +158,7 @@
         value = msgspec.json.encode(
             {"operator": operator, "write_id": self._make_write_id()}
         )
-        await self._store.create_once(key, value)
+        await self._create(key, value)
         return await self.list_approvals(digest)
 
     async def list_approvals(self, digest: str) -> tuple[str, ...]:
@@ -218,7 +228,7 @@
         # mark has read an older bundle, so its compare-and-swap fails after ours.
         # For the same reason a version is rolled even when the key is gone already.
         value = {"operator": require_operator(operator), "id": self._make_write_id()}
-        await self._store.create_once(mark, msgspec.json.encode(value))
+        await self._create(mark, msgspec.json.encode(value))
         for _ in range(_WITHDRAW_ATTEMPTS):
             try:
                 return await self._roll_without(digest, operator)
@@ -305,6 +315,15 @@
             await self._pause()
         raise _make_uncertain(document)
 
+    async def _create(self, key: str, value: bytes) -> bool:
+        """Create a key, again when the request was lost; see ``create_once``."""
+        for _ in range(_CREATE_ATTEMPTS - 1):
+            try:
+                return await self._store.create_once(key, value)
+            except StoreError:
+                await self._pause()
+        return await self._store.create_once(key, value)
+
     async def _pause(self) -> None:
         await asyncio.sleep(self._rng.uniform(0.0, self._retry_delay))
 
--- a/tests/bundle/test_rollout.py
+++ b/tests/bundle/test_rollout.py
@@ -130,6 +130,14 @@
         store.lost_responses = [False, False]
         assert (await rollout.roll(digest, "ana", 0)).version == 1
 
+    async def test_draft_repeats_lost_request(
+        self, store: MemoryStore, rollout: Rollout
+    ) -> None:
+        """One lost request does not fail a withdrawal or a draft."""
+        await roll(rollout, make_bundle(), 0)
+        store.lost_responses = [False, True, False, False, True]
+        assert (await rollout.withdraw_key(hash_key(KEY), "ana")).version == 2
+
     async def test_reports_unknown_outcome(
         self, store: MemoryStore, rollout: Rollout
     ) -> None:
