--- a/src/fireflyspread/operators/_commands/__init__.py
+++ b/src/fireflyspread/operators/_commands/__init__.py
@@ -10,6 +10,7 @@
     RollCommand,
     StatusCommand,
 )
+from fireflyspread.operators._commands._bundle import ShowCommand as ShowBundleCommand
 from fireflyspread.operators._commands._call import CallCommand
 from fireflyspread.operators._commands._config import ConfigCheckCommand
 from fireflyspread.operators._commands._key import HashCommand, WithdrawCommand
@@ -26,6 +27,7 @@
 __all__ = ["COMMANDS"]
 
 COMMANDS: tuple[type[Command], ...] = (
+    ShowBundleCommand,
     CheckCommand,
     DiffCommand,
     DraftCommand,
--- a/src/fireflyspread/operators/_commands/_bundle.py
+++ b/src/fireflyspread/operators/_commands/_bundle.py
@@ -29,6 +29,7 @@
     "DiffCommand",
     "DraftCommand",
     "RollCommand",
+    "ShowCommand",
     "StatusCommand",
 ]
 
@@ -147,6 +148,27 @@
         return ExitCode.OK
 
 
+class ShowCommand(AdminCommand):
+    """Print a bundle, for example to change the one in force."""
+
+    name = "bundle show"
+    description = "Prints the bundle in force, or a draft, as JSON."
+    arguments = [
+        argument("digest", "Digest of a draft; the bundle in force.", optional=True)
+    ]
+
+    async def perform(self) -> int:
+        digest = self.argument("digest")
+        name = "current" if digest is None else _require_digest(digest)
+        async with self.open_admin() as admin:
+            found = await admin.call("GET", f"/bundles/{name}")
+        self.print_json(found["bundle"])
+        # Standard output is only the bundle, so that it can go into a file.
+        if digest is None:
+            self.warn(f"version {found['version']}, digest {found['digest']}")
+        return ExitCode.OK
+
+
 class DraftCommand(_BundleCommand):
     """Store a bundle so that it can be approved."""
 
--- a/tests/operators/test_cli.py
+++ b/tests/operators/test_cli.py
@@ -114,6 +114,15 @@
         result = await shell.run("bundle", "status", "--json")
         assert json.loads(result.output)["current"]["digest"] == digest
 
+    async def test_show_prints_what_can_be_rolled(self, shell: Shell) -> None:
+        """The printed bundle is the one in force, ready to be changed."""
+        digest = await shell.roll(make_config(), 0)
+        for arguments in ([], [digest]):
+            shown = await shell.run("bundle", "show", *arguments)
+            path = shell.write("shown.json", json.loads(shown.output))
+            checked = await shell.run("bundle", "check", path)
+            assert checked.output.strip() == digest
+
     async def test_roll_shows_conflict(self, shell: Shell) -> None:
         """The loser of a race gets its own exit code and the winner's name."""
         digest = await shell.roll(make_config(), 0)
