--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -75,6 +75,18 @@
         for slot in slots:
             assert cluster.find_owner(slot).state.numbers[slot] == [slot]
 
+    async def test_new_owner_killed_at_once(self, cluster) -> None:
+        """A slot must not be taken over before its records are in the new journal."""
+        node = cluster.nodes["b"]
+        slot = max(node.membership._slots.adopted)
+        await cluster.time.drive(node.commit(slot, 7))
+        await cluster.kill("b")
+        while (owner := cluster.find_owner(slot)) is None:
+            await cluster.time.run_for(0.005)
+        await cluster.kill(owner.name)
+        await cluster.time.run_for(20.0)
+        assert cluster.find_owner(slot).state.numbers[slot] == [7]
+
     async def test_two_nodes_killed_together(self, cluster) -> None:
         """The monitor of a removed monitor takes over its duties."""
         node = cluster.nodes["a"]
@@ -167,13 +179,15 @@
     async def test_held_records_survive_their_owner(self, cluster) -> None:
         """A record acknowledged as pending must be replayed by the new owner."""
         node = cluster.nodes["b"]
-        slot = min(node.membership._slots.adopted)
+        slots = sorted(node.membership._slots.adopted)
         cluster.store.is_down = True
-        await cluster.time.drive(node.commit(slot, 7, may_pend=True))
+        work = [node.commit(slot, 7, may_pend=True) for slot in slots]
+        await cluster.time.drive(asyncio.gather(*work))
         await cluster.kill("b")
         cluster.store.is_down = False
         await cluster.time.run_for(20.0)
-        assert cluster.find_owner(slot).state.numbers[slot] == [7]
+        for slot in slots:
+            assert cluster.find_owner(slot).state.numbers[slot] == [7]
 
 
 class TestLeave:
--- a/tests/recovery/test_takeover_machine.py
+++ b/tests/recovery/test_takeover_machine.py
@@ -105,6 +105,36 @@
         for node in self.cluster.nodes.values():
             node.is_paused = False
 
+    @rule(slot=SLOTS)
+    def pause_over_takeover(self, slot: int) -> None:
+        """Pause an owner with commits under way until others have its slots."""
+        owner = self.cluster.find_owner(slot)
+        self.commit(slot, 1, False)
+        self.commit(slot, 1, True)
+        if owner is not None:
+            self.failures += 1
+            owner.is_paused = True
+            self.wait(12.0)
+            owner.is_paused = False
+        self.wait(0.3)
+
+    @precondition(lambda self: len(self.cluster.nodes) > 2)
+    @rule(slot=SLOTS, is_stored=st.booleans())
+    def kill_with_pending(self, slot: int, is_stored: bool) -> None:
+        """Kill an owner whose last records are held by another node."""
+        owner = self.cluster.find_owner(slot)
+        self.switch_store(True)
+        self.commit(slot, 2, True)
+        self.wait(1.2)
+        self.switch_store(False)
+        if is_stored:
+            # The responses are lost, so the owner does not release what is held.
+            self.lose_responses(4)
+            self.wait(1.0)
+        if owner is not None and owner.name in self.cluster.nodes:
+            self.failures += 1
+            self.run(self.cluster.kill(owner.name))
+
     @precondition(lambda self: len(self.cluster.nodes) > 2)
     @rule(number=PICKS)
     def kill(self, number: int) -> None:
