Run nodes on real membership, journals and rate shares

Cause: the provisional membership had no takeover. Change: Recovery joins Membership, StoreJournal, held records and ShareLimiter; reservations are given back on a planned release; nodes without slots let another one open programs.

--- a/src/fireflyspread/callers/_api.py
+++ b/src/fireflyspread/callers/_api.py
@@ -1,6 +1,7 @@
 """The routes of the caller API, for callers and for nodes that relay."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
 
@@ -16,7 +17,7 @@
 from fireflyspread.callers._turn_handlers import TurnHandlers
 from fireflyspread.exceptions import AuthenticationError, NoAuthorityError
 from fireflyspread.nodes import Identity
-from fireflyspread.recovery import find_slot
+from fireflyspread.recovery import SLOT_COUNT, find_slot
 
 __all__ = ["CallerApi"]
 
@@ -75,7 +76,7 @@
         app = web.Application(middlewares=[handle_errors], client_max_size=limit)
         programs, turns, calls = self._programs, self._turns, self._calls
         routes: list[tuple[str, str, Handle, FindSlot]] = [
-            ("POST", "/v1/programs", programs.open, _find_none),
+            ("POST", "/v1/programs", programs.open, self._find_open),
             ("GET", "/v1/programs/{id}", programs.show, _find_program),
             ("DELETE", "/v1/programs/{id}", programs.end, _find_program),
             ("GET", "/v1/programs/{id}/history", programs.read_history, _find_program),
@@ -94,7 +95,7 @@
                 _find_program,
             ),
             ("POST", "/v1/services/{route}", calls.call, self._find_intent),
-            ("POST", "/v1/chat/completions", self._run_chat, _find_program),
+            ("POST", "/v1/chat/completions", self._run_chat, self._find_chat),
         ]
         for method, path, handle, find in routes:
             app.router.add_route(
@@ -156,6 +157,16 @@
             raise AuthenticationError("the key belongs to another team now")
         return relayed
 
+    def _find_open(self, request: web.Request, identity: Identity) -> int | None:
+        if self._context.ownership.owned_slots():
+            return None
+        # A node that has joined but owns no slot yet lets any other one open it.
+        return random.randrange(SLOT_COUNT)
+
+    def _find_chat(self, request: web.Request, identity: Identity) -> int | None:
+        slot = _find_program(request, identity)
+        return self._find_open(request, identity) if slot is None else slot
+
     def _find_intent(self, request: web.Request, identity: Identity) -> int | None:
         route = self._context.bundles.get_active().routes.get(
             request.match_info["route"]
@@ -184,10 +195,6 @@
         return make_json_response({"ready": True, "running": self._running})
 
 
-def _find_none(request: web.Request, identity: Identity) -> int | None:
-    return None
-
-
 def _find_program(request: web.Request, identity: Identity) -> int | None:
     program_id = request.match_info.get("id") or request.headers.get("X-Program-Id")
     return find_slot(program_id) if program_id else None
--- a/src/fireflyspread/daemon/_dump.py
+++ b/src/fireflyspread/daemon/_dump.py
@@ -15,13 +15,13 @@
 
 
 def list_member_versions(
-    membership: Recovery, greeter: Greeter, bundles: BundleHolder
+    recovery: Recovery, greeter: Greeter, bundles: BundleHolder
 ) -> Sequence[MemberVersion]:
     """Return each member with the bundle version it was last heard to have in force."""
     heard = greeter.get_heard()
     rows = []
-    for member in membership.members():
-        if member.name == membership.name:
+    for member in recovery.membership.members():
+        if member.name == recovery.name:
             version, age = bundles.version, 0.0
         elif member.name in heard:
             age, hello = heard[member.name]
--- a/src/fireflyspread/daemon/_exchange.py
+++ b/src/fireflyspread/daemon/_exchange.py
@@ -4,7 +4,6 @@
 
 from fireflyspread.bundle import ActiveBundle, Bundle, BundleFeed, BundleHolder
 from fireflyspread.clock import Clock
-from fireflyspread.daemon._recovery import Recovery
 from fireflyspread.exceptions import PeerError
 from fireflyspread.nodes import (
     BundleFetched,
@@ -18,7 +17,7 @@
     PeerServer,
 )
 from fireflyspread.platform import LeavingVms
-from fireflyspread.recovery import Member
+from fireflyspread.recovery import Member, Membership
 from fireflyspread.routing import Quarantine
 from fireflyspread.settings import Settings
 
@@ -35,7 +34,7 @@
         settings: Settings,
         *,
         client: PeerClient,
-        membership: Recovery,
+        membership: Membership,
         bundles: BundleHolder,
         feed: BundleFeed,
         leaving: LeavingVms,
@@ -117,6 +116,7 @@
         )
 
     def _take_hello(self, hello: Hello) -> None:
+        self._membership.note_epoch(hello.epoch)
         self._feed.announce(hello.node, hello.bundle_version)
         self._leaving.merge(hello.leaving)
         self._quarantine.merge(
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -21,6 +21,7 @@
 from fireflyspread.nodes import FenceGuard, PeerClient, PeerServer, make_ssl_context
 from fireflyspread.operators import AdminApi
 from fireflyspread.platform import EtcdStore, LeavingVms, VmList
+from fireflyspread.recovery import Member
 from fireflyspread.settings import Address, Settings
 
 __all__ = ["NodeDaemon"]
@@ -43,6 +44,7 @@
         self._runners: list[web.AppRunner] = []
         self._tasks: list[asyncio.Task[None]] = []
         self._failed = asyncio.Event()
+        self._members: tuple[Member, ...] = ()
 
     @classmethod
     def from_config(cls, settings: Settings) -> "NodeDaemon":
@@ -61,7 +63,7 @@
             await self._listen(app, address, is_internal=tls)
         self._spawn(self._feed.run())
         self._spawn(self._leaving.run())
-        self._spawn(self._recovery.run())
+        self._spawn(self._recovery.membership.run())
         self._spawn(expire_programs(self._context, self._api))
         self._spawn(self._watch_authority())
         _LOG.info("node started", extra={"node": self._settings.node.name})
@@ -93,7 +95,7 @@
     async def _drain(self) -> None:
         # Listeners stay open: calls of programs that this node still owns arrive
         # through other nodes until the slots have changed hands.
-        await self._recovery.leave()
+        await self._recovery.membership.leave()
         await self._api.wait_idle()
 
     async def _close(self) -> None:
@@ -101,6 +103,7 @@
         await self._exchange.greeter.close()
         await self._admin.stop()
         await self._server.stop()
+        await self._recovery.limiter.close()
         await self._context.engines.close()
         await self._context.relay.close()
         await self._client.close()
@@ -117,7 +120,11 @@
         )
         self._leaving = self._build_leaving()
         self._recovery = Recovery(
-            base, self._store, self._client, is_vm_listed=self._leaving.is_listed
+            base,
+            self._store,
+            self._client,
+            on_lost=self._end_requests,
+            on_version=lambda node, version: self._feed.announce(node, version),
         )
         self._feed = BundleFeed(
             self._store,
@@ -125,7 +132,6 @@
             rng=base.rng,
             fetch_from_peer=lambda node: self._exchange.fetch_bundle(node),
         )
-        limiter = self._recovery.build_limiter()
         fences = FenceGuard(
             self._client,
             own=settings.node.name,
@@ -145,7 +151,7 @@
         self._context = build_context(
             base,
             ownership=self._recovery,
-            limiter=limiter,
+            limiter=self._recovery.limiter,
             fences=fences,
             engines=engines,
             services=services,
@@ -166,7 +172,7 @@
         )
         self._exchange.register(self._server, fences)
         self._recovery.register(self._server)
-        self._recovery.add_listener(self._exchange.greeter.set_members)
+        self._recovery.membership.add_listener(self._follow_members)
         self._admin = self._build_admin()
         base.bundles.add_listener(self._context.guard.apply)
         base.bundles.add_listener(self._replicas.apply)
@@ -178,6 +184,7 @@
             clock=self._clock,
             interval=self._settings.timing.vm_poll_interval,
             on_change=self._set_leaving,
+            on_list=lambda vms: self._recovery.membership.set_vms(vms),
         )
 
     def _build_admin(self) -> AdminApi:
@@ -186,7 +193,7 @@
             rollout=Rollout(self._store),
             programs=NodePrograms(self._context, self._api),
             list_members=lambda: list_member_versions(
-                self._recovery.membership, self._exchange.greeter, self._base.bundles
+                self._recovery, self._exchange.greeter, self._base.bundles
             ),
             dump_state=lambda: dump_state(
                 self._context,
@@ -197,6 +204,19 @@
             ),
         )
 
+    def _follow_members(self, epoch: int, members: tuple[Member, ...]) -> None:
+        self._exchange.greeter.set_members(members)
+        present = {member.incarnation for member in members}
+        for member in self._members:
+            if member.incarnation not in present:
+                self._context.relay.abandon(member)
+        self._members = members
+
+    async def _end_requests(self) -> None:
+        """End what runs here, because other nodes own its programs now."""
+        self._context.guard.stop_all()
+        await self._api.wait_idle()
+
     def _set_leaving(self, vms: frozenset[str]) -> None:
         self._context.scheduler.set_leaving(vms)
 
--- /dev/null
+++ b/src/fireflyspread/daemon/_peers.py
@@ -0,0 +1,138 @@
+"""What recovery and rate limits ask of other nodes, over pynng."""
+
+from collections.abc import Callable
+
+from fireflyspread.exceptions import PeerError
+from fireflyspread.limits import ASK_TIMEOUT, TokenGrant, TokenPeers
+from fireflyspread.nodes import (
+    AcquireTokens,
+    AuthorityRenewed,
+    HoldRecords,
+    PeerClient,
+    RecordsTaken,
+    RenewAuthority,
+    TakeRecords,
+    TokensGranted,
+)
+from fireflyspread.recovery import Member, Peers, Promise
+
+__all__ = ["NodePeers", "RecordHolder"]
+
+# Seconds. A second attempt fits into the authority of 2 s.
+_RENEW_TIMEOUT = 0.4
+_TAKE_TIMEOUT = 2.0
+_HOLD_TIMEOUT = 1.0
+
+
+class NodePeers(Peers, TokenPeers):
+    """Asks members by their addresses in the members document."""
+
+    def __init__(
+        self, client: PeerClient, get_member: Callable[[str], Member | None]
+    ) -> None:
+        self._client = client
+        self._get_member = get_member
+        self.own: Callable[[], Member] | None = None
+
+    async def renew_authority(
+        self, member: Member, epoch: int, bundle_version: int
+    ) -> Promise:
+        own = self._read_own()
+        message = RenewAuthority(
+            node=own.name,
+            incarnation=own.incarnation,
+            epoch=epoch,
+            bundle_version=bundle_version,
+        )
+        answer = await self._client.ask(member.peers, message, timeout=_RENEW_TIMEOUT)
+        if not isinstance(answer, AuthorityRenewed):
+            raise PeerError(f"{member.name} did not answer RenewAuthority")
+        return Promise(
+            granted=answer.granted,
+            seconds=answer.seconds,
+            epoch=answer.epoch,
+            bundle_version=answer.bundle_version,
+        )
+
+    async def take_held_records(
+        self, member: Member, journal: str
+    ) -> tuple[bytes, ...]:
+        message = TakeRecords(journal=journal)
+        answer = await self._client.ask(member.peers, message, timeout=_TAKE_TIMEOUT)
+        if not isinstance(answer, RecordsTaken):
+            raise PeerError(f"{member.name} did not answer TakeRecords")
+        return answer.records
+
+    async def acquire(
+        self, member: str, team: str, amount: float, epoch: int
+    ) -> TokenGrant:
+        found = self._get_member(member)
+        if found is None:
+            raise PeerError(f"{member} is no member")
+        own = self._read_own()
+        message = AcquireTokens(
+            node=own.name,
+            incarnation=own.incarnation,
+            team=team,
+            amount=amount,
+            epoch=epoch,
+        )
+        answer = await self._client.ask(found.peers, message, timeout=ASK_TIMEOUT)
+        if not isinstance(answer, TokensGranted):
+            raise PeerError(f"{member} did not answer AcquireTokens")
+        return TokenGrant(answer.amount, answer.retry_after)
+
+    def _read_own(self) -> Member:
+        if self.own is None:
+            raise PeerError("this node has not joined yet")
+        return self.own()
+
+
+class RecordHolder:
+    """Has other nodes hold journal records while the store does not answer.
+
+    Parameters
+    ----------
+    get_members : callable
+        Returns all members.
+    """
+
+    def __init__(
+        self,
+        client: PeerClient,
+        *,
+        name: str,
+        zone: str,
+        get_members: Callable[[], tuple[Member, ...]],
+    ) -> None:
+        self._client = client
+        self._name = name
+        self._zone = zone
+        self._get_members = get_members
+
+    async def hold(self, journal: str, position: int, records: bytes) -> None:
+        """Send records to one node, in another zone if there is one.
+
+        Empty records release what any node holds.
+
+        Raises
+        ------
+        PeerError
+            No node holds the records.
+        SealedError
+            A node has handed earlier records to a new owner.
+        """
+        message = HoldRecords(journal=journal, position=position, records=records)
+        others = [m for m in self._get_members() if m.name != self._name]
+        others.sort(key=lambda member: (member.zone == self._zone, member.name))
+        last: PeerError | None = None
+        for member in others:
+            try:
+                await self._client.ask(member.peers, message, timeout=_HOLD_TIMEOUT)
+            except PeerError as exc:
+                last = exc
+                continue
+            if records:
+                return
+        if records:
+            raise last or PeerError("there is no other node to hold the records")
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -1,38 +1,48 @@
-"""Membership and journal of one node, as the request handlers see them."""
+"""Membership, journal and rates of one node, as the request handlers see them."""
 
-import asyncio
-import uuid
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
+from typing import Any
 
-import msgspec
-
-from fireflyspread.bundle import Team
+from fireflyspread.bundle import ActiveBundle
 from fireflyspread.daemon._build import Base
-from fireflyspread.exceptions import NoAuthorityError, StoreError
-from fireflyspread.limits import RateLimiter
-from fireflyspread.nodes import PeerClient, PeerServer
+from fireflyspread.daemon._peers import NodePeers, RecordHolder
+from fireflyspread.limits import ShareLimiter
+from fireflyspread.nodes import (
+    AcquireTokens,
+    AuthorityRenewed,
+    HoldRecords,
+    Message,
+    PeerClient,
+    PeerServer,
+    RecordsHeld,
+    RecordsTaken,
+    RenewAuthority,
+    TakeRecords,
+    TokensGranted,
+)
+from fireflyspread.programs import CombinedState
 from fireflyspread.recovery import (
-    SLOT_COUNT,
     Durability,
     Member,
-    MembersDocument,
+    Membership,
     Ownership,
     Record,
-    SlotRow,
     Store,
-    StoreJournal,
 )
 
-MEMBERS_KEY = "members"
-
-
-class _Unlimited(RateLimiter):
-    async def acquire(self, team: Team, amount: float = 1.0) -> None:
-        return
+__all__ = ["Recovery"]
 
 
 class Recovery(Ownership):
-    """First cut: joins the members document and splits the slots evenly."""
+    """Which slots this node owns, its journal, and its share of the rates.
+
+    Parameters
+    ----------
+    on_lost : async callable
+        Ends every running request; called when this node was removed.
+    on_version : callable
+        Takes the name of the monitor and the bundle version it knows.
+    """
 
     def __init__(
         self,
@@ -40,108 +50,101 @@
         store: Store,
         client: PeerClient,
         *,
-        is_vm_listed: Callable[[str], bool | None],
+        on_lost: Callable[[], Awaitable[None]],
+        on_version: Callable[[str, int], None],
     ) -> None:
-        settings = base.settings
-        self._base = base
-        self._store = store
-        self.name = settings.node.name
-        self._member = Member(
-            name=settings.node.name,
-            incarnation=uuid.uuid4().hex,
-            zone=settings.node.zone,
-            vm=settings.node.vm,
-            internal=str(settings.internal_address),
-            peers=str(settings.peers_address),
+        self.name = base.settings.node.name
+        peers = NodePeers(client, self._find_member)
+        holder = RecordHolder(
+            client,
+            name=self.name,
+            zone=base.settings.node.zone,
+            get_members=lambda: self.membership.members(),
         )
-        self._journal = StoreJournal.from_config(
-            settings.timing, store, self._member, clock=base.clock, rng=base.rng
+        self.membership: Membership = Membership.from_config(
+            base.settings,
+            store,
+            peers,
+            clock=base.clock,
+            rng=base.rng,
+            holder=holder.hold,
+            on_lost=on_lost,
+            on_version=lambda v: on_version(self.membership.member.monitor, v),
+            read_version=lambda: base.bundles.version,
         )
-        self._document: MembersDocument | None = None
-        self._listeners: list[Callable[[tuple[Member, ...]], None]] = []
-        self.membership = self
-
-    @property
-    def epoch(self) -> int:
-        return 0 if self._document is None else self._document.epoch
-
-    def members(self) -> tuple[Member, ...]:
-        return () if self._document is None else self._document.members
-
-    def add_listener(self, listener: Callable[[tuple[Member, ...]], None]) -> None:
-        self._listeners.append(listener)
+        peers.own = lambda: self.membership.member
+        self.membership.add_state(CombinedState(base.programs, base.intents))
+        self.limiter = ShareLimiter.from_config(
+            base.settings,
+            peers,
+            clock=base.clock,
+            rng=base.rng,
+            check_authority=self.check_authority,
+        )
+        self.membership.add_listener(self._set_members)
+        base.bundles.add_listener(self._set_teams)
 
     def register(self, server: PeerServer) -> None:
-        return
+        """Answer what other nodes ask about authority, records and rates."""
+        server.register(RenewAuthority, self._renew_authority)
+        server.register(HoldRecords, self._hold_records)
+        server.register(TakeRecords, self._take_records)
+        server.register(AcquireTokens, self._grant_tokens)
 
     def owned_slots(self) -> frozenset[int]:
-        if self._document is None:
-            return frozenset()
-        rows = enumerate(self._document.slots)
-        return frozenset(i for i, row in rows if row.owner == self.name)
+        return self.membership.owned_slots()
 
     def owns(self, slot: int) -> bool:
-        return slot in self.owned_slots()
+        return self.membership.owns(slot)
 
     def find_owner(self, slot: int) -> Member | None:
-        if self._document is None:
-            return None
-        return self._document.find_member(self._document.slots[slot].owner)
+        return self.membership.find_owner(slot)
 
     def check_authority(self) -> None:
-        if self._document is None:
-            raise NoAuthorityError("this node has not joined yet; try another")
+        self.membership.authority.check()
 
     async def commit(self, *records: Record, may_pend: bool = False) -> Durability:
-        return await self._journal.commit(*records, may_pend=may_pend)
+        return await self.membership.journal.commit(*records, may_pend=may_pend)
 
     def enqueue(self, *records: Record) -> None:
-        self._journal.enqueue(*records)
-
-    def dump(self) -> dict[str, object]:
-        return {"epoch": self.epoch, "slots": len(self.owned_slots())}
-
-    async def run(self) -> None:
-        joined = False
-        while True:
-            try:
-                joined = joined or await self._join()
-                await self._read()
-            except StoreError:
-                pass
-            await asyncio.sleep(0.3)
-
-    def build_limiter(self) -> RateLimiter:
-        return _Unlimited()
-
-    async def leave(self) -> None:
-        return
-
-    async def _read(self) -> int:
-        entry = await self._store.read(MEMBERS_KEY)
-        if entry is None:
-            return 0
-        document = msgspec.json.decode(entry.value, type=MembersDocument)
-        if document.epoch != self.epoch:
-            self._document = document
-            for listener in self._listeners:
-                listener(document.members)
-        return entry.revision
-
-    async def _join(self) -> bool:
-        revision = await self._read()
-        members = [m for m in self.members() if m.name != self.name]
-        members = sorted([*members, self._member], key=lambda m: m.name)
-        rows = tuple(
-            SlotRow(owner=members[i % len(members)].name) for i in range(SLOT_COUNT)
-        )
-        document = MembersDocument(
-            epoch=self.epoch + 1,
-            write_id=uuid.uuid4().hex,
-            members=tuple(members),
-            slots=rows,
+        self.membership.journal.enqueue(*records)
+
+    def dump(self) -> dict[str, Any]:
+        """Return the state for a dump of the process."""
+        return {**self.membership.dump(), "rates": self.limiter.dump()}
+
+    def _find_member(self, name: str) -> Member | None:
+        members = self.membership.members()
+        return next((member for member in members if member.name == name), None)
+
+    def _set_members(self, epoch: int, members: tuple[Member, ...]) -> None:
+        self.limiter.set_members(epoch, [member.name for member in members])
+
+    def _set_teams(self, active: ActiveBundle) -> None:
+        self.limiter.set_teams(active.teams)
+
+    async def _renew_authority(self, message: RenewAuthority) -> Message:
+        self.membership.note_epoch(message.epoch)
+        promise = self.membership.grant_authority(message.node, message.incarnation)
+        return AuthorityRenewed(
+            granted=promise.granted,
+            seconds=promise.seconds,
+            epoch=promise.epoch,
+            bundle_version=promise.bundle_version,
         )
-        value = msgspec.json.encode(document)
-        return (
-            await self._store.replace(MEMBERS_KEY, value, revision=revision) is not None
+
+    async def _hold_records(self, message: HoldRecords) -> Message:
+        self.membership.hold_records(message.journal, message.position, message.records)
+        return RecordsHeld(position=message.position)
+
+    async def _take_records(self, message: TakeRecords) -> Message:
+        return RecordsTaken(records=self.membership.take_held_records(message.journal))
+
+    async def _grant_tokens(self, message: AcquireTokens) -> Message:
+        grant = self.limiter.grant(
+            message.team,
+            message.amount,
+            message.epoch,
+            asker=f"{message.node}/{message.incarnation}",
         )
+        return TokensGranted(amount=grant.amount, retry_after=grant.retry_after)
--- a/src/fireflyspread/nodes/_peers.py
+++ b/src/fireflyspread/nodes/_peers.py
@@ -8,7 +8,12 @@
 
 import pynng
 
-from fireflyspread.exceptions import FireflyError, PeerError, UnsupportedVersionError
+from fireflyspread.exceptions import (
+    FireflyError,
+    PeerError,
+    SealedError,
+    UnsupportedVersionError,
+)
 from fireflyspread.nodes._messages import (
     Failed,
     Message,
@@ -194,6 +199,8 @@
         ------
         UnsupportedVersionError
             One of the two nodes does not know the version of the other.
+        SealedError
+            The other node has handed this node's records to a new owner.
         PeerError
             The node did not answer in time, or could not do what was asked.
         """
@@ -253,8 +260,10 @@
         return socket
 
 
-def _make_error(address: str, answer: Failed) -> PeerError:
+def _make_error(address: str, answer: Failed) -> FireflyError:
     text = f"{address} answered {answer.code}: {answer.reason}"
+    if answer.code == SealedError.code:
+        return SealedError(text)
     if answer.code == UnsupportedVersionError.code:
         return UnsupportedVersionError(text)
     return PeerError(text)
--- a/src/fireflyspread/platform/_leaving.py
+++ b/src/fireflyspread/platform/_leaving.py
@@ -29,6 +29,8 @@
         Seconds between two polls.
     on_change : callable
         Takes the names of all VMs that are leaving.
+    on_list : callable
+        Takes the names of all VMs in each list.
     """
 
     def __init__(
@@ -38,13 +40,14 @@
         clock: Clock,
         interval: float,
         on_change: Callable[[frozenset[str]], None],
+        on_list: Callable[[frozenset[str]], None],
     ) -> None:
         self._vm_list = vm_list
         self._clock = clock
         self._interval = interval
         self._on_change = on_change
+        self._on_list = on_list
         self._seen: frozenset[str] = frozenset()
-        self._listed: frozenset[str] | None = None
         self._hearsay: dict[str, float] = {}
         self._current: frozenset[str] = frozenset()
 
@@ -52,14 +55,6 @@
         """Return the VMs that this node itself has seen leaving."""
         return tuple(sorted(self._seen))
 
-    def get_listed(self) -> frozenset[str] | None:
-        """Return all VMs of the last list, or None before the first."""
-        return self._listed
-
-    def is_listed(self, vm: str) -> bool | None:
-        """Return whether the last list had ``vm``; None before the first list."""
-        return None if self._listed is None else vm in self._listed
-
     def merge(self, vms: Iterable[str]) -> None:
         """Take note of VMs that another node has seen leaving."""
         until = self._clock.read_monotonic() + _HEARSAY_TTL
@@ -81,7 +76,7 @@
         except VmListError as exc:
             _LOG.warning("%s", exc.message)
             return
-        self._listed = frozenset(vm.name for vm in vms)
+        self._on_list(frozenset(vm.name for vm in vms))
         self._seen = frozenset(vm.name for vm in vms if vm.state is VmState.LEAVING)
 
     def _publish(self) -> None:
--- a/src/fireflyspread/programs/_table.py
+++ b/src/fireflyspread/programs/_table.py
@@ -128,11 +128,15 @@
         )
 
     def settle(self, slots: frozenset[int]) -> tuple[Record, ...]:
-        return tuple(
-            BudgetReserved(slot=program.slot, subject=program.id, reserved=0)
-            for program in self._iterate(slots)
-            if program.budget.reserved and program.running is None
-        )
+        records = []
+        for program in self._iterate(slots):
+            if program.budget.reserved and program.running is None:
+                # Also here, in case the release fails and the program goes on.
+                program.budget.reserved = 0
+                records.append(
+                    BudgetReserved(slot=program.slot, subject=program.id, reserved=0)
+                )
+        return tuple(records)
 
     def drop(self, slots: frozenset[int]) -> None:
         for slot in slots:
--- a/src/fireflyspread/recovery/_membership.py
+++ b/src/fireflyspread/recovery/_membership.py
@@ -86,6 +86,7 @@
         self._read_version = read_version
         self._member = member
         self._vms: frozenset[str] | None = None
+        self._listeners: list[Callable[[int, tuple[Member, ...]], None]] = []
         self._is_joined = False
         self._is_leaving = False
         self._lost = asyncio.Event()
@@ -158,11 +159,21 @@
             incarnation="",
             zone=settings.node.zone,
             vm=settings.node.vm,
-            internal=str(settings.listen.internal),
-            peers=str(settings.listen.peers),
+            internal=str(settings.internal_address),
+            peers=str(settings.peers_address),
         )
         return cls(store, peers, member, timing=settings.timing, **options)
 
+    def add_listener(self, listener: Callable[[int, tuple[Member, ...]], None]) -> None:
+        """Call ``listener`` with the epoch and the members of each new document."""
+        self._listeners.append(listener)
+
+    def owned_slots(self) -> frozenset[int]:
+        """Return the slots whose requests may be admitted here now."""
+        if not self.authority.is_held:
+            return frozenset()
+        return frozenset(self._slots.adopted - self._slots.draining)
+
     def add_state(self, state: SlotState) -> None:
         """Restore, snapshot and drop ``state`` with the slots; call before ``run``."""
         self._slots.states.append(state)
@@ -292,6 +303,8 @@
 
     def _follow_document(self, document: MembersDocument) -> None:
         self._monitor.follow(document)
+        for listener in self._listeners:
+            listener(document.epoch, document.members)
         self.held.retain(list_journals(document))
         self._slots.notify()
         if not self._is_joined:
--- a/src/fireflyspread/recovery/_slot_keeper.py
+++ b/src/fireflyspread/recovery/_slot_keeper.py
@@ -162,6 +162,8 @@
     async def release(self, member: Member, receivers: dict[int, str]) -> bool:
         """Give idle slots, which admit nothing any more, to other members."""
         slots = frozenset(receivers)
+        for state in self.states:
+            self._journal.enqueue(*state.settle(slots))
         flush = asyncio.ensure_future(self._journal.flush())
         timer = asyncio.ensure_future(self._sleep(self._store_timeout))
         try:
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -1,6 +1,6 @@
 """One node's caller API in this process, against in-process stand-ins."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable, Mapping
 
 import aiohttp
 import pytest_asyncio
@@ -55,6 +55,15 @@
     async def acquire(self, team: Team, amount: float = 1.0) -> None:
         return
 
+    def set_members(self, epoch: int, names: Iterable[str]) -> None:
+        return
+
+    def set_teams(self, teams: Mapping[str, Team]) -> None:
+        return
+
+    def dump(self) -> dict[str, object]:
+        return {}
+
 
 @define
 class Node:
--- a/tests/recovery/cluster.py
+++ b/tests/recovery/cluster.py
@@ -49,6 +49,9 @@
             for number in self.numbers.get(slot, [])
         )
 
+    def settle(self, slots: frozenset[int]) -> tuple[Record, ...]:
+        return ()
+
     def drop(self, slots: frozenset[int]) -> None:
         for slot in slots:
             self.numbers.pop(slot, None)
