Wait up to a second for a planned change of owner

Cause: right after a node joined, calls were refused while slots changed hands. Change: a request for a slot that this node is taking over waits up to 1 s.

--- a/src/fireflyspread/callers/_owners.py
+++ b/src/fireflyspread/callers/_owners.py
@@ -8,6 +8,8 @@
 
 __all__ = ["relay_unless_owned"]
 
+_CHANGE_TIMEOUT = 1.0
+
 
 async def relay_unless_owned(
     context: Context,
@@ -32,6 +34,10 @@
         return None
     owner = context.ownership.find_owner(slot)
     if owner is None or owner.name == context.settings.node.name:
+        # A planned change of owner takes less than a second, a refusal and a new
+        # request take longer.
+        if await context.ownership.wait_owned(slot, timeout=_CHANGE_TIMEOUT):
+            return None
         raise NoAuthorityError(
             "the program is changing its node; send the request again",
             retry_after=0.5,
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -1,11 +1,13 @@
 """Membership, journal and rates of one node, as the request handlers see them."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from fireflyspread.bundle import ActiveBundle
 from fireflyspread.daemon._build import Base
 from fireflyspread.daemon._peers import NodePeers, RecordHolder
+from fireflyspread.exceptions import NoAuthorityError
 from fireflyspread.limits import ShareLimiter
 from fireflyspread.nodes import (
     AcquireTokens,
@@ -97,6 +99,14 @@
     def owns(self, slot: int) -> bool:
         return self.membership.owns(slot)
 
+    async def wait_owned(self, slot: int, *, timeout: float) -> bool:
+        try:
+            async with asyncio.timeout(timeout):
+                await self.membership.wait_owned(slot)
+        except (NoAuthorityError, TimeoutError):
+            return False
+        return True
+
     def find_owner(self, slot: int) -> Member | None:
         return self.membership.find_owner(slot)
 
--- a/src/fireflyspread/recovery/_ownership.py
+++ b/src/fireflyspread/recovery/_ownership.py
@@ -20,6 +20,16 @@
     def owns(self, slot: int) -> bool:
         """Return whether this node may act for ``slot`` now."""
 
+    @abc.abstractmethod
+    async def wait_owned(self, slot: int, *, timeout: float) -> bool:
+        """Wait while this node takes over ``slot``; return whether it owns it now.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds to wait at most.
+        """
+
     @abc.abstractmethod
     def find_owner(self, slot: int) -> Member | None:
         """Return the member that owns ``slot`` as far as this node knows."""
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -35,6 +35,9 @@
     def owns(self, slot: int) -> bool:
         return True
 
+    async def wait_owned(self, slot: int, *, timeout: float) -> bool:
+        return True
+
     def find_owner(self, slot: int) -> Member | None:
         return None
 
