Tell the scheduler the targets and the number of nodes

Cause: concurrency of a replica was counted as if each node had it alone. Change: set_targets on each bundle, set_nodes on each members document. Conclusion: nodes share the places of replicas.

--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -176,6 +176,9 @@
         self._admin = self._build_admin()
         base.bundles.add_listener(self._context.guard.apply)
         base.bundles.add_listener(self._replicas.apply)
+        base.bundles.add_listener(
+            lambda active: self._context.scheduler.set_targets(active.bundle.targets)
+        )
 
     def _build_leaving(self) -> LeavingVms:
         url = self._settings.platform.vm_list
@@ -206,6 +209,7 @@
 
     def _follow_members(self, epoch: int, members: tuple[Member, ...]) -> None:
         self._exchange.greeter.set_members(members)
+        self._context.scheduler.set_nodes(max(1, len(members)))
         present = {member.incarnation for member in members}
         for member in self._members:
             if member.incarnation not in present:
