Keep refusals after a dispatch true, count repeated dispatches, drain relayed streams

Cause: found by review. Change: outcome corrected to may_have_run after a dispatch; one token for each dispatch; the authority watch ends with draining; release waits until all slots are idle.

--- a/src/fireflyspread/callers/_calls.py
+++ b/src/fireflyspread/callers/_calls.py
@@ -9,6 +9,7 @@
 from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
+from fireflyspread.callers._outcomes import correct_outcome
 from fireflyspread.exceptions import (
     DeadlineError,
     FireflyError,
@@ -116,16 +117,26 @@
 
     async def _call_repeatable(self, call: Call) -> ServiceAnswer:
         excluded: set[str] = set()
-        while True:
-            work = self._make_work(call, frozenset(excluded))
-            ticket = await self._context.scheduler.acquire(work, call.target)
-            try:
-                return await self._dispatch(call, ticket)
-            except TargetError as exc:
-                excluded.add(ticket.replica.name)
-                if not self._context.scheduler.may_retry(work):
-                    raise
-                _LOGGER.info("call retried after %s", exc.code, extra=_fields(call))
+        is_dispatched = False
+        try:
+            while True:
+                work = self._make_work(call, frozenset(excluded))
+                ticket = await self._context.scheduler.acquire(work, call.target)
+                try:
+                    return await self._dispatch(call, ticket)
+                except TargetError as exc:
+                    is_dispatched |= exc.outcome is not Outcome.NOT_RUN
+                    excluded.add(ticket.replica.name)
+                    if not self._context.scheduler.may_retry(work):
+                        raise
+                    _LOGGER.info("call retried: %s", exc.code, extra=_fields(call))
+                if is_dispatched:
+                    # Each dispatch counts against the rate, also a repeated one.
+                    await self._admit(call)
+        except FireflyError as exc:
+            if is_dispatched:
+                correct_outcome(exc)
+            raise
 
     async def _call_once(self, call: Call) -> ServiceAnswer:
         intents = self._context.intents
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -9,6 +9,7 @@
 from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
+from fireflyspread.callers._outcomes import correct_outcome
 from fireflyspread.callers._responses import EventWriter
 from fireflyspread.engines import EngineRequest, Usage, extract_answer
 from fireflyspread.exceptions import (
@@ -16,6 +17,7 @@
     DeadlineError,
     FireflyError,
     NotFoundError,
+    Outcome,
     ReplicaCrashedError,
     RequestError,
     TargetError,
@@ -98,6 +100,8 @@
             return await complete(attempt.record(text, usage))
         except BaseException as exc:
             attempt.give_up(exc)
+            if attempt.is_dispatched and isinstance(exc, FireflyError):
+                correct_outcome(exc)
             raise
 
 
@@ -122,7 +126,7 @@
         self._max_tokens = 0
         self._events: list[bytes] = []
         self._text = ""
-        self._is_dispatched = False
+        self.is_dispatched = False
 
     async def reserve(self) -> None:
         """Take the worst case from the budget and one request from the rate."""
@@ -156,7 +160,7 @@
             except TargetError as exc:
                 result = _classify(exc)
                 excluded.add(ticket.replica.name)
-                if not self._context.scheduler.may_retry(work):
+                if not await self._may_retry(work):
                     raise
                 _LOGGER.info(
                     "turn retried after %s", exc.code, extra=self._log_fields()
@@ -165,6 +169,19 @@
                 used = 0 if usage is None else usage.completion
                 self._context.scheduler.release(ticket, result, tokens=used)
 
+    async def _may_retry(self, work: Work) -> bool:
+        if not self._context.scheduler.may_retry(work):
+            return False
+        if not self.is_dispatched:
+            return True
+        # Each dispatch counts against the team's rate, also a repeated one.
+        try:
+            team = self._active.teams[self._program.team]
+            await self._context.limiter.acquire(team)
+        except FireflyError:
+            return False
+        return True
+
     async def record(self, text: str, usage: Usage) -> TurnResult:
         """Make the turn durable and settle its budget."""
         program, context = self._program, self._context
@@ -205,7 +222,7 @@
         program = self._program
         if program.running is not self._running:
             return
-        if self._is_dispatched:
+        if self.is_dispatched:
             bound = len(self._spec.messages) + len(self._text.encode())
             record = TurnFailed(
                 slot=program.slot,
@@ -224,13 +241,15 @@
         request = self._make_request()
         events: list[bytes] = []
         self._hold_session(replica)
-        self._is_dispatched = True
+        was_dispatched, self.is_dispatched = self.is_dispatched, True
         try:
             async for chunk in self._context.engines.get(url).stream(request):
                 events.append(chunk)
                 await self._pass_on(chunk)
         except TargetError as exc:
             self._text += extract_answer(b"".join(events))[0]
+            if exc.outcome is Outcome.NOT_RUN and not events:
+                self.is_dispatched = was_dispatched
             if isinstance(exc, CrossedAnswerError | ReplicaCrashedError):
                 self._program.holder = None
             raise
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -45,6 +45,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._failed = asyncio.Event()
         self._members: tuple[Member, ...] = ()
+        self._is_draining = False
 
     @classmethod
     def from_config(cls, settings: Settings) -> "NodeDaemon":
@@ -79,6 +80,7 @@
         """Finish what is running, hand the slots over and close everything."""
         _LOG.info("node drains", extra={"node": self._settings.node.name})
         self._api.start_draining()
+        self._is_draining = True
         try:
             async with asyncio.timeout(self._settings.timing.drain_timeout):
                 await self._drain()
@@ -245,7 +247,9 @@
     async def _watch_authority(self) -> None:
         """End open streams once withdrawn keys can no longer be heard of."""
         lost_at: float | None = None
-        while True:
+        # A node that drains loses its authority as planned; what it still relays ends
+        # at the owner when a key is withdrawn.
+        while not self._is_draining:
             await asyncio.sleep(_WATCH_INTERVAL)
             try:
                 self._recovery.check_authority()
--- a/src/fireflyspread/recovery/_slot_keeper.py
+++ b/src/fireflyspread/recovery/_slot_keeper.py
@@ -206,7 +206,7 @@
             if receivers:
                 await self.release(member, receivers)
                 self.draining |= self.adopted
-            elif idle:
+            elif len(idle) == len(self.adopted):
                 return
             await self._sleep(_DRAIN_POLL)
 
