Follow the epoch without the store and compact without losing records

A node cut off from the store kept an old epoch, so rate shares could add up to too much: the monitor now sends the document along, and the store renews the authority only together with a read of the document.

--- a/src/fireflyspread/recovery/_compaction.py
+++ b/src/fireflyspread/recovery/_compaction.py
@@ -10,7 +10,7 @@
     Record,
 )
 from fireflyspread.recovery._slots import SlotState
-from fireflyspread.recovery._store_journal import StoreJournal
+from fireflyspread.recovery._store_journal import Sleep, StoreJournal
 
 __all__ = ["KEEP_SECONDS", "Compactor", "drop_expired"]
 
@@ -19,6 +19,9 @@
 # Snapshots queue before the commits of requests, so one step appends few of them.
 _STEP_SLOTS = 4
 
+# How often and how long to wait for a moment without a commit of a slot.
+_QUIET_ATTEMPTS, _QUIET_POLL = 100, 0.01
+
 
 def drop_expired(records: Iterable[Record], now: float) -> tuple[Record, ...]:
     """Leave out finished programs and intents that are older than 7 days."""
@@ -52,48 +55,62 @@
     """
 
     def __init__(
-        self, journal: StoreJournal, *, clock: Clock, max_entries: int = 1_000
+        self,
+        journal: StoreJournal,
+        *,
+        clock: Clock,
+        sleep: Sleep,
+        max_entries: int = 1_000,
     ) -> None:
         self._journal = journal
         self._clock = clock
+        self._sleep = sleep
         self._max_entries = max_entries
         self._covers: dict[int, int] = {}
-        self._applied = 0
 
     def reset(self) -> None:
         """Begin anew for an empty journal."""
         self._covers.clear()
-        self._applied = 0
 
     async def step(self, slots: frozenset[int], states: list[SlotState]) -> None:
         """Append some snapshots and delete what they made superfluous.
 
-        Called at most twice a second. A record that was in the store at the last
-        call has been applied to the state by now, because whoever commits a record
-        applies it right after the commit; later ones are replayed after the
-        snapshot.
-
         Raises
         ------
         StoreError
             The store does not answer; a later step continues.
         """
-        applied, self._applied = self._applied, self._journal.stored
         self._covers = {slot: self._covers.get(slot, 0) for slot in slots}
         if self._journal.entry_count <= self._max_entries or self._journal.is_failing:
             return
         oldest = sorted(slots, key=lambda slot: self._covers[slot])[:_STEP_SLOTS]
+        taken: dict[int, int] = {}
         for slot in oldest:
-            self._append_snapshot(slot, states, applied)
+            if await self._wait_quiet(slot):
+                taken[slot] = self._journal.end
+                self._append_snapshot(slot, states)
         await self._journal.flush()
-        for slot in oldest:
-            self._covers[slot] = applied
-        await self._journal.trim(min(self._covers.values(), default=applied))
+        self._covers.update(taken)
+        end = min(self._covers.values(), default=self._journal.stored)
+        await self._journal.trim(end)
 
-    def _append_snapshot(
-        self, slot: int, states: list[SlotState], applied: int
-    ) -> None:
+    async def _wait_quiet(self, slot: int) -> bool:
+        """Wait until every record of the slot has been applied to its state.
+
+        A record is written first and applied after its commit, so a snapshot taken
+        in between would lose it.
+        """
+        for _ in range(_QUIET_ATTEMPTS):
+            if self._journal.is_quiet(slot):
+                # The tasks whose commits have just returned run first.
+                await self._sleep(0)
+                if self._journal.is_quiet(slot):
+                    return True
+            await self._sleep(_QUIET_POLL)
+        return False
+
+    def _append_snapshot(self, slot: int, states: list[SlotState]) -> None:
         slots = frozenset({slot})
         records = [r for state in states for r in state.snapshot(slots)]
         kept = drop_expired(records, self._clock.read_wall())
-        self._journal.enqueue_snapshot(slot, kept, covers=applied)
+        self._journal.enqueue_snapshot(slot, kept)
--- a/src/fireflyspread/recovery/_document.py
+++ b/src/fireflyspread/recovery/_document.py
@@ -73,6 +73,19 @@
             self.document = document
             self._on_change(document)
 
+    def export(self, epoch: int) -> tuple[bytes, int]:
+        """Return document and revision for a node that knows ``epoch``.
+
+        Nothing is returned when the node's copy is as new as this one.
+        """
+        if epoch >= self.document.epoch:
+            return b"", 0
+        return msgspec.json.encode(self.document), self._revision
+
+    def offer(self, data: bytes, revision: int) -> None:
+        """Accept a document that another node has read."""
+        self._accept(_DECODER.decode(data), revision)
+
     async def try_change(self, edit: Edit) -> bool:
         """Apply ``edit`` to the present copy only.
 
--- a/src/fireflyspread/recovery/_membership.py
+++ b/src/fireflyspread/recovery/_membership.py
@@ -82,14 +82,12 @@
         self._timing = timing
         self._sleep = sleep
         self._on_lost = on_lost
-        self._on_version = on_version
         self._read_version = read_version
         self._member = member
         self._vms: frozenset[str] | None = None
         self._is_joined = False
         self._is_leaving = False
         self._lost = asyncio.Event()
-        self._news = asyncio.Event()
         self.authority = Authority(clock, timing.authority_ttl)
         self.held = HeldRecords()
         self._monitor = Monitor(member.name, clock=clock, authority=self.authority)
@@ -126,7 +124,7 @@
             sleep=sleep,
             store_timeout=timing.store_timeout,
         )
-        self._compactor = Compactor(self.journal, clock=clock)
+        self._compactor = Compactor(self.journal, clock=clock, sleep=sleep)
         self._renewal = Renewal(
             store,
             peers,
@@ -138,7 +136,7 @@
             read_version=read_version,
             on_renewed=self._slots.notify,
             on_lost=self._lose,
-            on_promise=self._note_promise,
+            on_version=on_version or (lambda version: None),
         )
 
     @classmethod
@@ -210,19 +208,17 @@
         """Take note of the platform's list of VMs."""
         self._vms = vms
 
-    def note_epoch(self, epoch: int) -> None:
-        """Read the document soon when another node knows a newer epoch."""
-        if epoch > self.epoch:
-            self._news.set()
-
-    def grant_authority(self, node: str, incarnation: str) -> Promise:
+    def grant_authority(self, node: str, incarnation: str, epoch: int) -> Promise:
         """Answer a node that asks this one, its monitor, not to remove it."""
         granted = self._monitor.promise(self._keeper.document, node, incarnation)
+        document, revision = self._keeper.export(epoch)
         return Promise(
             granted=granted,
             seconds=self.authority.ttl if granted else 0.0,
             epoch=self.epoch,
             bundle_version=self._read_version(),
+            document=document,
+            revision=revision,
         )
 
     def hold_records(self, journal: str, position: int, records: bytes) -> None:
@@ -254,7 +250,6 @@
             loops = (
                 self._renewal.renew_by_store,
                 self._renewal.renew_by_monitor,
-                self._read_document,
                 self._manage_members,
                 self._manage_slots,
             )
@@ -280,11 +275,6 @@
                 logger.exception("%s failed", step.__name__)
             await self._sleep(self._timing.renew_interval)
 
-    def _note_promise(self, promise: Promise) -> None:
-        self.note_epoch(promise.epoch)
-        if self._on_version is not None:
-            self._on_version(promise.bundle_version)
-
     def _lose(self) -> None:
         """Stop acting at once; ``run`` does the rest."""
         self.authority.revoke()
@@ -339,10 +329,6 @@
         self._follow_document(self._keeper.document)
         logger.info("joined as %s", member.journal)
 
-    async def _read_document(self) -> None:
-        self._news.clear()
-        await self._keeper.refresh()
-
     async def _manage_members(self) -> None:
         self.authority.check()
         await self._renewal.name_monitor()
@@ -358,7 +344,8 @@
         await self._slots.rebalance(self._member)
         document = self._keeper.document
         # Another node may be reading this journal for slots that were released.
-        if all(self.journal.prefix not in row.sources for row in document.slots):
+        is_read = any(self.journal.prefix in row.sources for row in document.slots)
+        if not is_read and not self._slots.replaying:
             slots = frozenset(self._slots.adopted)
             await self._compactor.step(slots, self._slots.states)
 
@@ -397,14 +384,7 @@
             "authority_seconds": self.authority.remaining,
             "is_joined": self._is_joined,
             "is_leaving": self._is_leaving,
-            "adopted": sorted(self._slots.adopted),
-            "draining": sorted(self._slots.draining),
-            "replaying": sorted(self._slots.replaying),
-            "journal": {
-                "next_sequence": self.journal.next_sequence,
-                "entries": self.journal.entry_count,
-                "queued": self.journal.queued,
-                "is_sealed": self.journal.is_sealed,
-            },
+            "slots": self._slots.dump(),
+            "journal": self.journal.dump(),
             "held": self.held.dump(),
         }
--- a/src/fireflyspread/recovery/_peers.py
+++ b/src/fireflyspread/recovery/_peers.py
@@ -19,12 +19,17 @@
         Whether the monitor will not remove the node for ``seconds``.
     epoch, bundle_version : int
         The newest that the monitor knows.
+    document : bytes
+        The members document at ``revision`` of the store when the node knew an older
+        epoch, so that a node without contact to the store follows it too.
     """
 
     granted: bool
     seconds: float
     epoch: int
     bundle_version: int
+    document: bytes = b""
+    revision: int = 0
 
 
 class Peers(abc.ABC):
--- a/src/fireflyspread/recovery/_records.py
+++ b/src/fireflyspread/recovery/_records.py
@@ -156,18 +156,9 @@
 
 
 class SnapshotTaken(Record, frozen=True, kw_only=True):
-    """The next ``count`` records of the journal are the whole state of the slot.
-
-    Attributes
-    ----------
-    covers : int
-        Records of the slot with a lower number are contained in the snapshot; those
-        between ``covers`` and this record may have been in flight and are replayed
-        after it.
-    """
+    """The next ``count`` records of the journal are the whole state of the slot."""
 
     count: int
-    covers: int
 
 
 AnyRecord = (
--- a/src/fireflyspread/recovery/_renewal.py
+++ b/src/fireflyspread/recovery/_renewal.py
@@ -10,7 +10,7 @@
 from fireflyspread.recovery._document import DocumentKeeper
 from fireflyspread.recovery._lease import grant_member_lease, name_member_lease
 from fireflyspread.recovery._members import Member, MembersDocument
-from fireflyspread.recovery._peers import Peers, Promise
+from fireflyspread.recovery._peers import Peers
 from fireflyspread.recovery._slot_keeper import is_member
 from fireflyspread.recovery._store import Store
 from fireflyspread.settings import Timing
@@ -33,8 +33,8 @@
         Called when authority has come back.
     on_lost : callable
         Called when this incarnation is no longer a member.
-    on_promise : callable
-        Called with each answer of the monitor.
+    on_version : callable
+        Called with the bundle version that the monitor knows.
     """
 
     def __init__(
@@ -50,7 +50,7 @@
         read_version: Callable[[], int],
         on_renewed: Callable[[], None],
         on_lost: Callable[[], None],
-        on_promise: Callable[[Promise], None],
+        on_version: Callable[[int], None],
     ) -> None:
         self._store = store
         self._peers = peers
@@ -62,7 +62,7 @@
         self._read_version = read_version
         self._on_renewed = on_renewed
         self._on_lost = on_lost
-        self._on_promise = on_promise
+        self._on_version = on_version
         self._is_renaming = False
 
     def reset(self) -> None:
@@ -70,7 +70,10 @@
         self._is_renaming = False
 
     async def renew_by_store(self) -> None:
-        """Renew the lease, and the authority with it.
+        """Renew the lease and read the document, and renew the authority with both.
+
+        Rate shares move with the epoch, so a node that reads no newer epoch for the
+        ttl of the authority must stop.
 
         Raises
         ------
@@ -79,7 +82,9 @@
         """
         member = self._read_member()
         sent_at = self._clock.read_monotonic()
-        if await self._store.keep_lease(member.lease):
+        is_kept = await self._store.keep_lease(member.lease)
+        await self._keeper.refresh()
+        if is_kept:
             self._renew(member, sent_at)
             return
         renewed = await grant_member_lease(self._store, member, self._timing.lease_ttl)
@@ -117,13 +122,24 @@
         promise = await self._peers.renew_authority(
             monitor, document.epoch, self._read_version()
         )
-        self._on_promise(promise)
-        is_valid = self._read_member().monitor == monitor.name
+        self._on_version(promise.bundle_version)
+        if promise.document:
+            self._keeper.offer(promise.document, promise.revision)
+        is_valid = (
+            self._read_member().monitor == monitor.name
+            and self._keeper.document.epoch >= promise.epoch
+        )
         if promise.granted and is_valid and not self._is_renaming:
             self._renew(member, sent_at, promise.seconds)
 
     async def name_monitor(self) -> None:
-        """Name the next member on the ring as this node's monitor."""
+        """Name the next member on the ring as this node's monitor.
+
+        Raises
+        ------
+        StoreError
+            The store does not answer; the monitor stays.
+        """
         member = self._read_member()
 
         def edit(document: MembersDocument) -> MembersDocument | None:
@@ -137,6 +153,8 @@
 
         if choose_monitor(self._keeper.document, member.name) == member.monitor:
             return
+        # While the store is silent, the present monitor stays the one to ask.
+        await self._keeper.refresh()
         self._is_renaming = True
         await self._keeper.change(edit)
         self._is_renaming = False
--- a/src/fireflyspread/recovery/_slot_keeper.py
+++ b/src/fireflyspread/recovery/_slot_keeper.py
@@ -87,6 +87,14 @@
             state.drop(slots)
         self.notify()
 
+    def dump(self) -> dict[str, list[int]]:
+        """Return the slots by state."""
+        return {
+            "adopted": sorted(self.adopted),
+            "draining": sorted(self.draining),
+            "replaying": sorted(self.replaying),
+        }
+
     def _find_unadopted(self, member: Member) -> dict[str, set[int]]:
         groups: dict[str, set[int]] = {}
         for slot, row in enumerate(self._keeper.document.slots):
--- a/src/fireflyspread/recovery/_store_journal.py
+++ b/src/fireflyspread/recovery/_store_journal.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from itertools import islice
@@ -94,6 +94,7 @@
         self._sleep = sleep
         self._writer: asyncio.Task[None] | None = None
         self._releases: set[asyncio.Task[None]] = set()
+        self._committing: Counter[int] = Counter()
         self._last_flush = float("-inf")
         self._reset(prefix)
 
@@ -152,6 +153,11 @@
         """Whether the last write has failed and is being repeated."""
         return self._failing_since is not None
 
+    @property
+    def end(self) -> int:
+        """Number of the next record."""
+        return self._queue.end
+
     @property
     def stored(self) -> int:
         """Number of records that are in the store."""
@@ -170,6 +176,14 @@
         self._raise_if_sealed()
         if self._queue.nbytes > _MAX_QUEUED_BYTES:
             raise StoreError("too many records wait for the store; retry later")
+        slots = [record.slot for record in records]
+        self._committing.update(slots)
+        try:
+            return await self._commit(records, may_pend)
+        finally:
+            self._committing.subtract(slots)
+
+    async def _commit(self, records: tuple[Record, ...], may_pend: bool) -> Durability:
         queue, start = self._queue, self._queue.end
         end = self._append(records)
         if await self._wait_stored(end):
@@ -185,25 +199,15 @@
     def enqueue(self, *records: Record) -> None:
         self._append(records)
 
-    def enqueue_snapshot(
-        self, slot: int, records: tuple[Record, ...], *, covers: int | None = None
-    ) -> None:
-        """Append the whole state of ``slot``; earlier records of it are superseded.
-
-        Parameters
-        ----------
-        covers : int or None
-            Records of the slot before this number are contained in ``records``;
-            None means all.
-        """
-        marker = SnapshotTaken(
-            slot=slot,
-            subject="",
-            count=len(records),
-            covers=self._queue.end if covers is None else covers,
-        )
+    def enqueue_snapshot(self, slot: int, records: tuple[Record, ...]) -> None:
+        """Append the whole state of ``slot``; it replaces all earlier records."""
+        marker = SnapshotTaken(slot=slot, subject="", count=len(records))
         self._append((marker, *records))
 
+    def is_quiet(self, slot: int) -> bool:
+        """Whether no commit of ``slot`` is under way."""
+        return self._committing[slot] == 0
+
     async def flush(self) -> None:
         """Return once all records appended so far are in the store.
 
@@ -248,6 +252,18 @@
             for _ in keys:
                 entries.popleft()
 
+    def dump(self) -> dict[str, int | bool | str]:
+        """Return the state for a dump of the process."""
+        return {
+            "prefix": self.prefix,
+            "next_sequence": self._sequence,
+            "entries": len(self._entries),
+            "queued": len(self._queue),
+            "queued_bytes": self._queue.nbytes,
+            "is_failing": self.is_failing,
+            "is_sealed": self.is_sealed,
+        }
+
     def _raise_if_sealed(self) -> None:
         if self.is_sealed:
             raise SealedError(
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -176,6 +176,21 @@
         await cluster.time.run_for(5.0)
         assert node.losses == 0
 
+    async def test_partitioned_node_follows_the_epoch(self, cluster) -> None:
+        """Rate shares would add up to too much if a node kept an old epoch."""
+        node = cluster.nodes["a"]
+        node.store.is_cut = True
+        await cluster.time.run_for(3.0)
+        monitor = cluster.nodes[node.membership.member.monitor].membership
+        victim = next(n for n in NAMES if n not in ("a", monitor.member.name))
+        await cluster.kill(victim)
+        await cluster.time.run_for(15.0)
+        assert cluster.nodes["a"].membership.epoch == monitor.epoch
+        assert len(node.membership.members()) == 3
+        # The ring changes while the node cannot name another monitor.
+        await cluster.start("a1", "a2", "b1", seconds=20.0)
+        assert node.membership.authority.is_held
+
     async def test_held_records_survive_their_owner(self, cluster) -> None:
         """A record acknowledged as pending must be replayed by the new owner."""
         node = cluster.nodes["b"]
