Remove nodes that left the VM list in the takeover tests

A longer trial of the state machine found slots without an owner: nodes that monitor each other and are killed together can be removed only by rule (b), the VM list. The machine now tells the nodes the VM list before its final check, and a test of its own covers the rule.

--- a/tests/recovery/cluster.py
+++ b/tests/recovery/cluster.py
@@ -222,6 +222,11 @@
         await asyncio.gather(node.task, return_exceptions=True)
         await node.membership.journal.close()
 
+    def set_vms(self) -> None:
+        """Tell all nodes which VMs exist."""
+        for node in self.nodes.values():
+            node.membership.set_vms(frozenset(self.nodes))
+
     async def stop(self) -> None:
         """End all nodes."""
         for name in list(self.nodes):
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -96,6 +96,21 @@
         await cluster.time.run_for(25.0)
         assert sum(cluster.count_slots().values()) == 256
 
+    async def test_all_others_killed(self, cluster) -> None:
+        """Dead nodes that monitor each other leave the VM list and are removed."""
+        node = cluster.nodes["b"]
+        slots = sorted(node.membership._slots.adopted)
+        for slot in slots:
+            await cluster.time.drive(node.commit(slot, slot))
+        for name in ("a", "b", "c", "d"):
+            await cluster.kill(name)
+        await cluster.start("e", seconds=20.0)
+        assert sum(cluster.count_slots().values()) == 0
+        cluster.set_vms()
+        await cluster.time.run_for(10.0)
+        for slot in slots:
+            assert cluster.find_owner(slot).state.numbers[slot] == [slot]
+
     async def test_paused_node_acknowledges_nothing(self, cluster) -> None:
         """A node that wakes after its takeover must not act or acknowledge."""
         node = cluster.nodes["c"]
--- a/tests/recovery/test_takeover_machine.py
+++ b/tests/recovery/test_takeover_machine.py
@@ -151,7 +151,8 @@
             if self.cluster is not None:
                 self.run(self.finish())
         finally:
-            self.run(self.loop.shutdown_asyncgens())
+            if self.cluster is not None:
+                self.run(self.cluster.stop())
             self.loop.close()
 
     async def finish(self) -> None:
@@ -159,13 +160,15 @@
         cluster.store.is_down = False
         cluster.store.lose_responses = 0
         self.resume()
+        # Nodes that were killed together with their monitors in turn can be removed
+        # only because their VMs are gone from the platform's list.
+        cluster.set_vms()
         await cluster.time.run_for(40.0)
         await asyncio.gather(*self.running)
         for slot in range(8):
             owner = cluster.find_owner(slot)
             assert owner is not None, f"slot {slot} has no owner"
             self.check_slot(slot, owner.state.numbers.get(slot, []))
-        await cluster.stop()
 
     def check_slot(self, slot: int, found: list[int]) -> None:
         assert len(found) == len(set(found)), f"recorded twice: {found}"
