--- a/src/fireflyspread/engines/__init__.py
+++ b/src/fireflyspread/engines/__init__.py
@@ -5,7 +5,26 @@
     EngineLoad,
     EngineRequest,
     Order,
+    SessionReleaser,
     Usage,
 )
+from fireflyspread.engines._http import HttpEngine
+from fireflyspread.engines._poll import ReplicaPoller
+from fireflyspread.engines._sse import DONE_EVENT, extract_answer
+from fireflyspread.engines._sweep import SessionSweeper
+from fireflyspread.engines._tasks import ReplicaTasks
 
-__all__ = ["Engine", "EngineLoad", "EngineRequest", "Order", "Usage"]
+__all__ = [
+    "DONE_EVENT",
+    "Engine",
+    "EngineLoad",
+    "EngineRequest",
+    "HttpEngine",
+    "Order",
+    "ReplicaPoller",
+    "ReplicaTasks",
+    "SessionSweeper",
+    "SessionReleaser",
+    "Usage",
+    "extract_answer",
+]
--- a/src/fireflyspread/engines/_engine.py
+++ b/src/fireflyspread/engines/_engine.py
@@ -6,7 +6,7 @@
 import msgspec
 from attrs import frozen
 
-__all__ = ["Engine", "EngineLoad", "EngineRequest", "Order", "Usage"]
+__all__ = ["Engine", "EngineLoad", "EngineRequest", "Order", "SessionReleaser", "Usage"]
 
 
 @frozen(kw_only=True)
@@ -25,6 +25,8 @@
         Lower runs first.
     timeout : float
         Seconds for the whole answer.
+    is_continuation : bool
+        Whether the last message is an unfinished answer that the engine continues.
     """
 
     request: str
@@ -35,6 +37,7 @@
     priority: int
     timeout: float
     fence: int = 0
+    is_continuation: bool = False
 
 
 @frozen(kw_only=True)
@@ -133,3 +136,19 @@
     @abc.abstractmethod
     async def close(self) -> None:
         """Close all connections."""
+
+
+class SessionReleaser(abc.ABC):
+    """Gives back the engine memory of programs."""
+
+    @abc.abstractmethod
+    def begin_turn(self, program: str, replica: str) -> None:
+        """Take note that a program runs on ``replica`` now."""
+
+    @abc.abstractmethod
+    def end_turn(self, program: str, replica: str, tokens: int) -> None:
+        """Take note that a program pauses and ``replica`` holds ``tokens`` for it."""
+
+    @abc.abstractmethod
+    def release(self, program: str, replicas: frozenset[str]) -> None:
+        """Release what ``replicas`` hold for an ended program, until they confirm."""
--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -5,6 +5,7 @@
 from fireflyspread.recovery._journal import Durability, Journal
 from fireflyspread.recovery._members import Member, MembersDocument, SlotRow
 from fireflyspread.recovery._membership import Membership
+from fireflyspread.recovery._ownership import Ownership
 from fireflyspread.recovery._peers import Peers, Promise
 from fireflyspread.recovery._records import (
     BudgetReserved,
@@ -18,6 +19,7 @@
     SessionHeld,
     SessionReleased,
     SnapshotTaken,
+    TurnFailed,
     TurnRecorded,
     decode_records,
     encode_records,
@@ -42,6 +44,7 @@
     "MembersDocument",
     "Membership",
     "OutcomeRecorded",
+    "Ownership",
     "Peers",
     "ProgramEnded",
     "ProgramOpened",
@@ -55,6 +58,7 @@
     "SnapshotTaken",
     "Store",
     "StoreJournal",
+    "TurnFailed",
     "TurnRecorded",
     "decode_records",
     "encode_records",
--- a/src/fireflyspread/recovery/_records.py
+++ b/src/fireflyspread/recovery/_records.py
@@ -17,6 +17,7 @@
     "Record",
     "SessionHeld",
     "SessionReleased",
+    "TurnFailed",
     "SnapshotTaken",
     "TurnRecorded",
     "decode_records",
@@ -92,6 +93,13 @@
     status: int = 200
 
 
+class TurnFailed(Record, frozen=True, kw_only=True):
+    """A turn ended without an answer; ``spent`` tokens are charged for it."""
+
+    turn: int
+    spent: int
+
+
 class BudgetReserved(Record, frozen=True, kw_only=True):
     """Tokens were reserved for the next turn beyond what the last record reserved."""
 
@@ -164,6 +172,7 @@
 AnyRecord = (
     ProgramOpened
     | TurnRecorded
+    | TurnFailed
     | BudgetReserved
     | SessionHeld
     | SessionReleased
--- a/src/fireflyspread/recovery/_slot_keeper.py
+++ b/src/fireflyspread/recovery/_slot_keeper.py
@@ -170,6 +170,8 @@
     async def release(self, member: Member, receivers: dict[int, str]) -> bool:
         """Give idle slots, which admit nothing any more, to other members."""
         slots = frozenset(receivers)
+        for state in self.states:
+            self._journal.enqueue(*state.settle(slots))
         flush = asyncio.ensure_future(self._journal.flush())
         timer = asyncio.ensure_future(self._sleep(self._store_timeout))
         try:
@@ -212,7 +214,7 @@
             if receivers:
                 await self.release(member, receivers)
                 self.draining |= self.adopted
-            elif idle:
+            elif len(idle) == len(self.adopted):
                 return
             await self._sleep(_DRAIN_POLL)
 
