Continue a broken answer where it stopped

A replica that broke in mid-stream left an answer without usage, and reading its text raised an error before the text was kept. The next replica started again, so a streaming caller got the beginning twice and the record held another text than the caller. Partial answers are now read without a usage, counted by their text events, and also kept (and so charged) when the turn is cancelled. An answer whose replica breaks after the last token that was asked for is ended by the node; before, one token more was asked for.

--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -10,7 +10,12 @@
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._responses import EventWriter
-from fireflyspread.engines import EngineRequest, Usage, extract_answer
+from fireflyspread.engines import (
+    EngineRequest,
+    Usage,
+    extract_answer,
+    extract_partial,
+)
 from fireflyspread.exceptions import (
     CrossedAnswerError,
     DeadlineError,
@@ -122,6 +127,7 @@
         self._max_tokens = 0
         self._events: list[bytes] = []
         self._text = ""
+        self._tokens = 0
         self._is_dispatched = False
 
     async def reserve(self) -> None:
@@ -156,6 +162,9 @@
             except TargetError as exc:
                 result = _classify(exc)
                 excluded.add(ticket.replica.name)
+                if self._tokens >= self._max_tokens:
+                    usage = await self._end_at_limit()
+                    return self._text, usage
                 if not self._context.scheduler.may_retry(work):
                     raise
                 _LOGGER.info(
@@ -229,19 +238,35 @@
             async for chunk in self._context.engines.get(url).stream(request):
                 events.append(chunk)
                 await self._pass_on(chunk)
-        except TargetError as exc:
-            self._text += extract_answer(b"".join(events))[0]
+            text, usage = extract_answer(b"".join(events))
+        except BaseException as exc:
+            # What the caller has received stays part of the answer and is charged.
+            text, tokens = extract_partial(b"".join(events))
+            self._text += text
+            self._tokens += tokens
             if isinstance(exc, CrossedAnswerError | ReplicaCrashedError):
                 self._program.holder = None
             raise
-        text, usage = extract_answer(b"".join(events))
-        if usage is None:
-            self._text += text
-            raise ReplicaCrashedError("the engine ended its answer without a usage")
         self._text += text
         self._program.holder = replica
         return usage
 
+    async def _end_at_limit(self) -> Usage:
+        """End an answer whose replica broke after the last token it was asked for."""
+        # Only an engine counts a prompt exactly, so the reserved bound is charged.
+        usage = Usage(
+            prompt=self._program.context_tokens + len(self._spec.messages),
+            cached=0,
+            completion=self._tokens,
+        )
+        end = {
+            "object": "chat.completion.chunk",
+            "choices": [{"index": 0, "delta": {}, "finish_reason": "length"}],
+            "usage": _make_usage(usage),
+        }
+        await self._pass_on(b"data: " + msgspec.json.encode(end) + b"\n\n")
+        return usage
+
     async def _pass_on(self, chunk: bytes) -> None:
         framed = []
         for event in chunk.split(b"\n\n")[:-1]:
@@ -296,7 +321,7 @@
             model=spec.model,
             session=self._program.id,
             messages=msgspec.Raw(self._program.history.render(messages)),
-            max_tokens=max(1, self._max_tokens - len(self._events)),
+            max_tokens=self._max_tokens - self._tokens,
             priority=(
                 _PRIORITY_INTERACTIVE if self._route.interactive else _PRIORITY_NORMAL
             ),
--- a/src/fireflyspread/engines/__init__.py
+++ b/src/fireflyspread/engines/__init__.py
@@ -10,7 +10,7 @@
 )
 from fireflyspread.engines._http import HttpEngine
 from fireflyspread.engines._poll import ReplicaPoller
-from fireflyspread.engines._sse import DONE_EVENT, extract_answer
+from fireflyspread.engines._sse import DONE_EVENT, extract_answer, extract_partial
 from fireflyspread.engines._sweep import SessionSweeper
 from fireflyspread.engines._tasks import ReplicaTasks
 
@@ -27,4 +27,5 @@
     "SessionReleaser",
     "Usage",
     "extract_answer",
+    "extract_partial",
 ]
--- a/src/fireflyspread/engines/_sse.py
+++ b/src/fireflyspread/engines/_sse.py
@@ -5,7 +5,7 @@
 from fireflyspread.engines._engine import Usage
 from fireflyspread.exceptions import CrossedAnswerError, TargetError
 
-__all__ = ["DONE_EVENT", "EventSplitter", "extract_answer"]
+__all__ = ["DONE_EVENT", "EventSplitter", "extract_answer", "extract_partial"]
 
 DONE_EVENT = b"data: [DONE]\n\n"
 _END = b"\n\n"
@@ -105,6 +105,24 @@
 _DECODER = msgspec.json.Decoder(_Chunk)
 
 
+def extract_partial(events: bytes) -> tuple[str, int]:
+    """Return the text of an answer that broke off and the number of its text events.
+
+    A malformed event ends the text, because what follows cannot be trusted.
+    """
+    parts: list[str] = []
+    for event in events.split(_END):
+        if not event.startswith(b"data: {"):
+            continue
+        try:
+            chunk = _DECODER.decode(memoryview(event)[6:])
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            break
+        if chunk.choices and chunk.choices[0].delta.content:
+            parts.append(chunk.choices[0].delta.content)
+    return "".join(parts), len(parts)
+
+
 def extract_answer(events: bytes) -> tuple[str, Usage]:
     """Return the text and the usage of a whole answer.
 
--- /dev/null
+++ b/tests/callers/test_continuation.py
@@ -0,0 +1,106 @@
+"""A turn whose replica breaks in mid-stream goes on elsewhere."""
+
+from collections.abc import AsyncIterator
+
+import msgspec
+import pytest
+import pytest_asyncio
+
+from standins._answers import verify_answer
+from standins.engine import EngineStandIn
+from tests.callers.conftest import Node, make_bundle
+from tests.callers.test_api import make_turn, open_program
+
+LENGTH = 12
+
+
+@pytest_asyncio.fixture
+async def second(node: Node) -> AsyncIterator[EngineStandIn]:
+    """Yield a second replica; the answers of both have at least ``LENGTH`` words."""
+    async with EngineStandIn(shortest=40) as engine:
+        node.engine.shortest = 40
+        active = make_bundle(node.engine.url, node.service.url, version=2)
+        config = msgspec.json.decode(active.bundle.to_json())
+        replica = {"name": "m2", "url": engine.url, "zone": "a", "vm": "e3"}
+        config["targets"][0]["replicas"].append(replica)
+        bundle = type(active.bundle).from_config(config)
+        node.context.bundles.offer(type(active)(version=2, bundle=bundle))
+        yield engine
+
+
+def cut_first(node: Node, second: EngineStandIn, after: int) -> None:
+    """Break the first stream, at whichever replica it starts."""
+
+    def cut(this: EngineStandIn, other: EngineStandIn) -> None:
+        this.faults.cut_after = after
+        this.faults.cut_next = 1
+        take = this._take_limit
+
+        def take_once(is_poison: bool) -> int:
+            other.faults.cut_next = 0
+            return take(is_poison)
+
+        this._take_limit = take_once  # type: ignore[method-assign]
+
+    cut(node.engine, second)
+    cut(second, node.engine)
+
+
+def read_events(text: str) -> tuple[str, list[int], dict[str, int]]:
+    """Return the text, the event ids and the usage of a stream."""
+    parts, numbers, usage = [], [], {}
+    for event in text.split("\n\n"):
+        for line in event.splitlines():
+            if line.startswith("id: "):
+                numbers.append(int(line[4:]))
+            if line.startswith("data: {"):
+                chunk = msgspec.json.decode(line[6:])
+                for choice in chunk["choices"]:
+                    parts.append(choice["delta"].get("content") or "")
+                usage = chunk.get("usage") or usage
+    return "".join(parts), numbers, usage
+
+
+def list_runs(node: Node, second: EngineStandIn) -> list[tuple[str, int]]:
+    runs = sorted([*node.engine.runs, *second.runs], key=lambda run: run.time)
+    return [(run.state, run.offset) for run in runs]
+
+
+@pytest.mark.parametrize("after", [0, 1, 5, LENGTH - 1, LENGTH])
+class TestContinuation:
+    """A stream that breaks after some events at the first replica."""
+
+    async def test_streamed(
+        self, node: Node, second: EngineStandIn, after: int
+    ) -> None:
+        """A streaming caller gets neither a gap nor a repetition."""
+        program = await open_program(node)
+        cut_first(node, second, after)
+        path = f"/v1/programs/{program}/turns"
+        body = make_turn(1, stream=True, max_tokens=LENGTH)
+        async with node.request("POST", path, json=body) as answer:
+            whole = await answer.text()
+        assert whole.endswith("data: [DONE]\n\n")
+        text, numbers, _ = read_events(whole)
+        assert verify_answer(["hello"], text) is None
+        assert len(text.split()) == LENGTH
+        assert numbers == list(range(len(numbers)))
+        rest = [] if after == LENGTH else [("done", after)]
+        assert list_runs(node, second) == [("broken", 0), *rest]
+
+    async def test_not_streamed(
+        self, node: Node, second: EngineStandIn, after: int
+    ) -> None:
+        """A caller without a stream gets the joined answer, as the history has it."""
+        program = await open_program(node)
+        cut_first(node, second, after)
+        path = f"/v1/programs/{program}/turns"
+        body = make_turn(1, max_tokens=LENGTH)
+        async with node.request("POST", path, json=body) as answer:
+            assert answer.status == 200, await answer.text()
+            content = (await answer.json())["choices"][0]["message"]["content"]
+        assert verify_answer(["hello"], content) is None
+        assert len(content.split()) == LENGTH
+        async with node.request("GET", f"/v1/programs/{program}/history") as answer:
+            messages = (await answer.json())["messages"]
+        assert messages[1:] == [{"role": "assistant", "content": content}]
