Read approvals_needed from the settings in the daemon

The daemon built its rollout with the default of one approval, so a bundle that the settings want approved by two operators could be rolled by one.

--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -193,7 +193,7 @@
     def _build_admin(self) -> AdminApi:
         return AdminApi.from_config(
             self._settings,
-            rollout=Rollout(self._store),
+            rollout=Rollout.from_config(self._settings, self._store),
             programs=NodePrograms(self._context, self._api),
             list_members=lambda: list_member_versions(
                 self._recovery, self._exchange.greeter, self._base.bundles
