End an engine stream that falls silent for 5 s

A replica that stopped sending in mid-answer held its turn until the deadline of the route (60 s by default), when no time was left to go on elsewhere. The engine client now gives up on a stream after 5 s without data; the first event may still take as long as the deadline, because it waits for the queue and the prompt. The stand-in gets stall_next and stall_after to show it.

--- a/src/fireflyspread/engines/_http.py
+++ b/src/fireflyspread/engines/_http.py
@@ -29,6 +29,9 @@
 # Time for the end of the HTTP body after the last event; a connection that is not
 # at its end cannot be used again.
 _BODY_END_SECONDS = 0.05
+# Tokens are at most 68 ms apart at the 95th percentile; an engine that is silent for
+# much longer has stalled, and waiting for the deadline would leave no time elsewhere.
+_STALL_SECONDS = 5.0
 
 
 class _Load(msgspec.Struct):
@@ -62,6 +65,9 @@
         Seconds for each call that is not an answer or a cache transfer.
     transfer_timeout : float
         Seconds for the export or import of a KV cache.
+    stall_timeout : float
+        Seconds without data, after the first event of an answer, until the replica
+        counts as stalled.
     """
 
     def __init__(
@@ -72,12 +78,14 @@
         name: str = "",
         control_timeout: float = 2.0,
         transfer_timeout: float = 30.0,
+        stall_timeout: float = _STALL_SECONDS,
     ) -> None:
         self._url = url.rstrip("/")
         self._session = session
         self._name = name or url
         self._control_timeout = control_timeout
         self._transfer_timeout = transfer_timeout
+        self._stall_timeout = stall_timeout
         self._answers = join_url(self._url, "v1", "chat", "completions")
         self._cancels: set[asyncio.Task[None]] = set()
 
@@ -97,8 +105,12 @@
                     may_run = response.status < 400
                     await check_status(response, self._name)
                     content = response.content
+                    # The first event waits for the engine's queue and the prompt.
+                    limit = None
                     while not splitter.is_done:
-                        data = await content.readany()
+                        async with asyncio.timeout(limit):
+                            data = await content.readany()
+                        limit = self._stall_timeout
                         if not data:
                             raise ReplicaCrashedError(
                                 f"replica {self._name} ended its answer early; "
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -37,6 +37,8 @@
         Seconds until the process is back, with an empty cache.
     cut_next, cut_after : int
         Number of streams that break, and the events sent before.
+    stall_next, stall_after : int
+        Number of streams that fall silent, and the events sent before.
     hang_next : int
         Number of requests that get no answer.
     refuse_next : int
@@ -60,6 +62,8 @@
     crash_seconds: float = 1.0
     cut_next: int = 0
     cut_after: int = 0
+    stall_next: int = 0
+    stall_after: int = 0
     hang_next: int = 0
     refuse_next: int = 0
     cross_answers: int = 0
@@ -249,12 +253,16 @@
         is_poison: bool,
     ) -> bool:
         limit = self._take_limit(is_poison)
+        stall = self._take_stall()
         head, tail = make_frame(run)
         texts = run.texts
-        group = 1 if self.token_seconds or limit >= 0 else EVENTS_PER_WRITE
+        is_slow = bool(self.token_seconds) or max(limit, stall) >= 0
+        group = 1 if is_slow else EVENTS_PER_WRITE
         for start in range(0, len(texts), group):
             if start == limit:
                 return self._break(request, run, is_poison)
+            if start == stall:
+                await asyncio.Event().wait()
             await self._wait(self.token_seconds)
             part = texts[start : start + group]
             await response.write(
@@ -273,6 +281,12 @@
             return int(self.faults.cut_after)
         return -1
 
+    def _take_stall(self) -> int:
+        if self.faults.stall_next <= 0:
+            return -1
+        self.faults.stall_next -= 1
+        return int(self.faults.stall_after)
+
     def _break(self, request: web.Request, run: Run, is_poison: bool) -> bool:
         run.state = "broken"
         if is_poison:
--- a/tests/engines/test_http.py
+++ b/tests/engines/test_http.py
@@ -141,6 +141,24 @@
             await asyncio.wait_for(fake.cancel_arrived.wait(), 30)
         assert fake.cancelled == ["r1"]
 
+    async def test_silence_ends_a_stream(self) -> None:
+        """A replica that stalls in mid-answer holds the turn until its deadline."""
+        fake = FakeEngine()
+        fake.answer, fake.hangs = make_event("r1", "a"), True
+        got = []
+        async with serve(fake) as engine:
+            stalled = HttpEngine(
+                engine._url, session=engine._session, stall_timeout=0.05
+            )
+            with pytest.raises(TargetError) as caught:
+                async with asyncio.timeout(20):
+                    async for part in stalled.stream(make_request(timeout=1000.0)):
+                        got.append(part)
+            await asyncio.wait_for(fake.cancel_arrived.wait(), 30)
+            await stalled.close()
+        assert got == [make_event("r1", "a")]
+        assert caught.value.code == "target_failed"
+
     async def test_timeout_may_have_run(self) -> None:
         """A timed out request is reported as not run."""
         fake = FakeEngine()
