Report not_run only if no replica has begun the request

A turn or an idempotent call whose first replica failed after the dispatch and whose second attempt was refused was answered with the outcome of that refusal, not_run. It is may_have_run now.

--- a/src/fireflyspread/callers/_calls.py
+++ b/src/fireflyspread/callers/_calls.py
@@ -116,16 +116,25 @@
 
     async def _call_repeatable(self, call: Call) -> ServiceAnswer:
         excluded: set[str] = set()
+        has_run = False
         while True:
-            work = self._make_work(call, frozenset(excluded))
-            ticket = await self._context.scheduler.acquire(work, call.target)
             try:
+                work = self._make_work(call, frozenset(excluded))
+                ticket = await self._context.scheduler.acquire(work, call.target)
                 return await self._dispatch(call, ticket)
-            except TargetError as exc:
-                excluded.add(ticket.replica.name)
-                if not self._context.scheduler.may_retry(work):
-                    raise
-                _LOGGER.info("call retried after %s", exc.code, extra=_fields(call))
+            except FireflyError as exc:
+                has_run |= exc.outcome is not Outcome.NOT_RUN
+                if isinstance(exc, TargetError):
+                    excluded.add(ticket.replica.name)
+                    if self._context.scheduler.may_retry(work):
+                        _LOGGER.info(
+                            "call retried after %s", exc.code, extra=_fields(call)
+                        )
+                        continue
+                if has_run:
+                    # The last refusal says nothing about the replicas tried before.
+                    exc.outcome = Outcome.MAY_HAVE_RUN
+                raise
 
     async def _call_once(self, call: Call) -> ServiceAnswer:
         intents = self._context.intents
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -21,6 +21,7 @@
     DeadlineError,
     FireflyError,
     NotFoundError,
+    Outcome,
     ReplicaCrashedError,
     RequestError,
     TargetError,
@@ -129,6 +130,7 @@
         self._text = ""
         self._tokens = 0
         self._is_dispatched = False
+        self._has_run = False
 
     async def reserve(self) -> None:
         """Take the worst case from the budget and one request from the rate."""
@@ -161,6 +163,7 @@
                 return self._text, usage
             except TargetError as exc:
                 result = _classify(exc)
+                self._has_run |= exc.outcome is not Outcome.NOT_RUN
                 excluded.add(ticket.replica.name)
                 if self._tokens >= self._max_tokens:
                     usage = await self._end_at_limit()
@@ -211,6 +214,9 @@
 
     def give_up(self, error: BaseException) -> None:
         """Charge what was used and let the caller send the turn again."""
+        if self._has_run and isinstance(error, FireflyError):
+            # The last refusal says nothing about the replicas tried before.
+            error.outcome = Outcome.MAY_HAVE_RUN
         program = self._program
         if program.running is not self._running:
             return
--- a/tests/callers/test_continuation.py
+++ b/tests/callers/test_continuation.py
@@ -1,5 +1,6 @@
 """A turn whose replica breaks in mid-stream goes on elsewhere."""
 
+import asyncio
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -104,3 +105,53 @@
         async with node.request("GET", f"/v1/programs/{program}/history") as answer:
             messages = (await answer.json())["messages"]
         assert messages[1:] == [{"role": "assistant", "content": content}]
+
+
+def stall_first(node: Node, second: EngineStandIn) -> None:
+    """Let the first stream fall silent, at whichever replica it starts."""
+    engines = (node.engine, second)
+    for engine in engines:
+        engine.faults.stall_after, engine.faults.stall_next = 5, 1
+
+        def take(this: EngineStandIn = engine) -> int:
+            for other in engines:
+                other.faults.stall_next -= other is not this
+            return EngineStandIn._take_stall(this)
+
+        engine._take_stall = take  # type: ignore[method-assign]
+
+
+class TestStall:
+    """A stream that falls silent at its first replica."""
+
+    async def test_goes_on_elsewhere(self, node: Node, second: EngineStandIn) -> None:
+        """A stalled replica holds the turn until its deadline, or repeats events."""
+        for engine in (node.engine, second):
+            node.context.engines.get(engine.url)._stall_timeout = 0.2  # type: ignore[attr-defined]
+        stall_first(node, second)
+        program = await open_program(node)
+        path = f"/v1/programs/{program}/turns"
+        body = make_turn(1, stream=True, max_tokens=LENGTH)
+        async with asyncio.timeout(20), node.request("POST", path, json=body) as answer:
+            text, numbers, _ = read_events(await answer.text())
+        assert verify_answer(["hello"], text) is None
+        assert len(text.split()) == LENGTH
+        assert numbers == list(range(len(numbers)))
+
+    async def test_refusal_after_a_part_is_not_called_not_run(
+        self, node: Node, second: EngineStandIn
+    ) -> None:
+        """A turn that a replica began is reported as not run."""
+        cut_first(node, second, 5)
+        program = await open_program(node)
+        path = f"/v1/programs/{program}/turns"
+        config = msgspec.json.decode(node.context.bundles.get_active().bundle.to_json())
+        config["targets"][0]["replicas"].pop()
+        active = node.context.bundles.get_active()
+        bundle = type(active.bundle).from_config(config)
+        node.context.bundles.offer(type(active)(version=3, bundle=bundle))
+        body = make_turn(1, stream=True, max_tokens=LENGTH)
+        async with node.request("POST", path, json=body) as answer:
+            text = await answer.text()
+        error = msgspec.json.decode(text.rpartition("data: ")[2])["error"]
+        assert (error["code"], error["outcome"]) == ("overloaded", "may_have_run")
