--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -9,6 +9,7 @@
 from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
+from fireflyspread.callers._outcomes import correct_outcome
 from fireflyspread.callers._responses import EventWriter
 from fireflyspread.engines import (
     EngineRequest,
@@ -104,6 +105,8 @@
             return await complete(attempt.record(text, usage))
         except BaseException as exc:
             attempt.give_up(exc)
+            if attempt.is_dispatched and isinstance(exc, FireflyError):
+                correct_outcome(exc)
             raise
 
 
@@ -129,8 +132,7 @@
         self._events: list[bytes] = []
         self._text = ""
         self._tokens = 0
-        self._is_dispatched = False
-        self._has_run = False
+        self.is_dispatched = False
 
     async def reserve(self) -> None:
         """Take the worst case from the budget and one request from the rate."""
@@ -163,12 +165,11 @@
                 return self._text, usage
             except TargetError as exc:
                 result = _classify(exc)
-                self._has_run |= exc.outcome is not Outcome.NOT_RUN
                 excluded.add(ticket.replica.name)
                 if self._tokens >= self._max_tokens:
                     usage = await self._end_at_limit()
                     return self._text, usage
-                if not self._context.scheduler.may_retry(work):
+                if not await self._may_retry(work):
                     raise
                 _LOGGER.info(
                     "turn retried after %s", exc.code, extra=self._log_fields()
@@ -177,6 +178,19 @@
                 used = 0 if usage is None else usage.completion
                 self._context.scheduler.release(ticket, result, tokens=used)
 
+    async def _may_retry(self, work: Work) -> bool:
+        if not self._context.scheduler.may_retry(work):
+            return False
+        if not self.is_dispatched:
+            return True
+        # Each dispatch counts against the team's rate, also a repeated one.
+        try:
+            team = self._active.teams[self._program.team]
+            await self._context.limiter.acquire(team)
+        except FireflyError:
+            return False
+        return True
+
     async def record(self, text: str, usage: Usage) -> TurnResult:
         """Make the turn durable and settle its budget."""
         program, context = self._program, self._context
@@ -214,13 +228,10 @@
 
     def give_up(self, error: BaseException) -> None:
         """Charge what was used and let the caller send the turn again."""
-        if self._has_run and isinstance(error, FireflyError):
-            # The last refusal says nothing about the replicas tried before.
-            error.outcome = Outcome.MAY_HAVE_RUN
         program = self._program
         if program.running is not self._running:
             return
-        if self._is_dispatched:
+        if self.is_dispatched:
             bound = len(self._spec.messages) + len(self._text.encode())
             record = TurnFailed(
                 slot=program.slot,
@@ -239,7 +250,7 @@
         request = self._make_request()
         events: list[bytes] = []
         self._hold_session(replica)
-        self._is_dispatched = True
+        was_dispatched, self.is_dispatched = self.is_dispatched, True
         try:
             async for chunk in self._context.engines.get(url).stream(request):
                 events.append(chunk)
@@ -250,6 +261,8 @@
             text, tokens = extract_partial(b"".join(events))
             self._text += text
             self._tokens += tokens
+            if isinstance(exc, TargetError) and exc.outcome is Outcome.NOT_RUN:
+                self.is_dispatched = was_dispatched or bool(events)
             if isinstance(exc, CrossedAnswerError | ReplicaCrashedError):
                 self._program.holder = None
             raise
