--- a/src/fireflyspread/callers/_call_handlers.py
+++ b/src/fireflyspread/callers/_call_handlers.py
@@ -8,8 +8,11 @@
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._deadlines import read_deadline
+from fireflyspread.callers._outcomes import correct_outcome
+from fireflyspread.callers._recording import commit_turn
 from fireflyspread.callers._remote import call_through_owner
 from fireflyspread.callers._turn_handlers import find_program
+from fireflyspread.exceptions import FireflyError
 from fireflyspread.nodes import Identity
 from fireflyspread.programs import Program, RunningTurn, StepKind, compute_digest
 from fireflyspread.recovery import TurnRecorded
@@ -72,7 +75,14 @@
                 program.stop_running(exc if isinstance(exc, Exception) else None)
             raise
         record = self._make_record(program, running, answer, digest)
-        await complete(self._record_call(program, running, record))
+        try:
+            await complete(commit_turn(self._context, program, record))
+        except FireflyError as exc:
+            if program.running is running:
+                program.budget.settle(0)
+                program.stop_running(exc)
+            correct_outcome(exc)
+            raise
         return _make_recorded_response(record)
 
     async def _make_answer(self, call: Call) -> ServiceAnswer:
@@ -104,16 +114,6 @@
             context_tokens=program.context_tokens,
         )
 
-    async def _record_call(
-        self, program: Program, running: RunningTurn, record: TurnRecorded
-    ) -> None:
-        try:
-            await self._context.ownership.commit(record, may_pend=True)
-        finally:
-            self._context.programs.apply(record)
-            running.answer.close()
-            program.running = None
-
     def _make_call(
         self,
         request: web.Request,
--- a/src/fireflyspread/callers/_calls.py
+++ b/src/fireflyspread/callers/_calls.py
@@ -10,6 +10,7 @@
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._outcomes import correct_outcome
+from fireflyspread.callers._results import classify_failure
 from fireflyspread.exceptions import (
     DeadlineError,
     FireflyError,
@@ -20,7 +21,6 @@
     RequestError,
     StaleFenceError,
     TargetError,
-    TargetUnreachableError,
 )
 from fireflyspread.nodes import Identity
 from fireflyspread.programs import compute_digest
@@ -187,7 +187,7 @@
             progress.is_dispatched = False
             raise
         except TargetError as exc:
-            result = _classify(exc)
+            result = await classify_failure(exc, ticket.replica.url)
             if exc.outcome is Outcome.NOT_RUN:
                 progress.is_dispatched = False
                 raise
@@ -238,7 +238,7 @@
             result = Result.ANSWERED
             return answer
         except TargetError as exc:
-            result = _classify(exc)
+            result = await classify_failure(exc, ticket.replica.url)
             raise
         finally:
             self._context.scheduler.release(ticket, result)
@@ -292,11 +292,5 @@
         self.is_dispatched = False
 
 
-def _classify(error: TargetError) -> Result:
-    if isinstance(error, TargetUnreachableError):
-        return Result.UNREACHABLE
-    return Result.CRASHED if error.code == "replica_crashed" else Result.TIMED_OUT
-
-
 def _fields(call: Call) -> dict[str, str]:
     return {"team": call.identity.team, "target": call.target.name}
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -10,7 +10,9 @@
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._outcomes import correct_outcome
+from fireflyspread.callers._recording import commit_turn
 from fireflyspread.callers._responses import EventWriter
+from fireflyspread.callers._results import classify_failure
 from fireflyspread.engines import (
     EngineRequest,
     Usage,
@@ -26,7 +28,6 @@
     ReplicaCrashedError,
     RequestError,
     TargetError,
-    TargetUnreachableError,
 )
 from fireflyspread.programs import Program, RunningTurn, compute_digest
 from fireflyspread.recovery import (
@@ -164,7 +165,7 @@
                 result = Result.ANSWERED
                 return self._text, usage
             except TargetError as exc:
-                result = _classify(exc)
+                result = await classify_failure(exc, ticket.replica.url)
                 excluded.add(ticket.replica.name)
                 if self._tokens >= self._max_tokens:
                     usage = await self._end_at_limit()
@@ -211,14 +212,7 @@
             chain=program.history.preview(added),
             context_tokens=usage.prompt + usage.completion,
         )
-        try:
-            durability = await context.ownership.commit(record, may_pend=True)
-        finally:
-            # Also after an error the record stays queued in its order, so the state
-            # in memory must follow; a repeated turn waits for it to be kept.
-            context.programs.apply(record)
-            self._running.answer.close()
-            program.running = None
+        durability = await commit_turn(context, program, record)
         if durability is Durability.PENDING:
             context.ownership.check_authority()
         if program.holder is not None:
@@ -363,18 +357,6 @@
     return route, target
 
 
-def _classify(error: FireflyError) -> Result:
-    match error:
-        case TargetUnreachableError():
-            return Result.UNREACHABLE
-        case ReplicaCrashedError():
-            return Result.CRASHED
-        case CrossedAnswerError():
-            return Result.REFUSED
-        case _:
-            return Result.TIMED_OUT
-
-
 def _append(array: bytes, item: bytes) -> bytes:
     inner = array.strip()[1:-1].strip()
     return b"[" + inner + (b"," if inner else b"") + item + b"]"
--- a/src/fireflyspread/routing/_health.py
+++ b/src/fireflyspread/routing/_health.py
@@ -11,7 +11,7 @@
 
 __all__ = ["ReplicaHealth"]
 
-_FAILURES = frozenset({Result.CRASHED, Result.UNREACHABLE})
+_FAILURES = frozenset({Result.BROKEN, Result.CRASHED, Result.UNREACHABLE})
 # Weight of the newest request in the means.
 _SMOOTHING = 0.2
 # A mean with that weight varies like one of this many samples.
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -78,11 +78,15 @@
 
 
 class Result(enum.StrEnum):
-    """How a request on a replica ended."""
+    """How a request on a replica ended.
+
+    CRASHED means that the replica went down, BROKEN that only the connection did.
+    """
 
     ANSWERED = "answered"
     REFUSED = "refused"
     CRASHED = "crashed"
+    BROKEN = "broken"
     UNREACHABLE = "unreachable"
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
