--- a/src/fireflyspread/daemon/_peers.py
+++ b/src/fireflyspread/daemon/_peers.py
@@ -52,6 +52,8 @@
             seconds=answer.seconds,
             epoch=answer.epoch,
             bundle_version=answer.bundle_version,
+            document=answer.document,
+            revision=answer.revision,
         )
 
     async def take_held_records(
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -135,12 +135,16 @@
 
     async def _renew_authority(self, message: RenewAuthority) -> Message:
         self.membership.note_epoch(message.epoch)
-        promise = self.membership.grant_authority(message.node, message.incarnation)
+        promise = self.membership.grant_authority(
+            message.node, message.incarnation, message.epoch
+        )
         return AuthorityRenewed(
             granted=promise.granted,
             seconds=promise.seconds,
             epoch=promise.epoch,
             bundle_version=promise.bundle_version,
+            document=promise.document,
+            revision=promise.revision,
         )
 
     async def _hold_records(self, message: HoldRecords) -> Message:
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -82,12 +82,16 @@
     ----------
     granted : bool
         Whether the monitor will not remove the node for ``seconds``.
+    document : bytes
+        Members document at ``revision`` of the store if the asker knew an older epoch.
     """
 
     granted: bool
     seconds: float
     epoch: int
     bundle_version: int
+    document: bytes = b""
+    revision: int = 0
 
 
 class AcquireTokens(Message, frozen=True, kw_only=True):
--- a/src/fireflyspread/recovery/_membership.py
+++ b/src/fireflyspread/recovery/_membership.py
@@ -89,6 +89,7 @@
         self._is_joined = False
         self._is_leaving = False
         self._lost = asyncio.Event()
+        self._news = asyncio.Event()
         self.authority = Authority(clock, timing.authority_ttl)
         self.held = HeldRecords()
         self._monitor = Monitor(member.name, clock=clock, authority=self.authority)
@@ -219,6 +220,11 @@
         """Take note of the platform's list of VMs."""
         self._vms = vms
 
+    def note_epoch(self, epoch: int) -> None:
+        """Read the document at once when another node knows a newer epoch."""
+        if epoch > self.epoch:
+            self._news.set()
+
     def grant_authority(self, node: str, incarnation: str, epoch: int) -> Promise:
         """Answer a node that asks this one, its monitor, not to remove it."""
         granted = self._monitor.promise(self._keeper.document, node, incarnation)
@@ -263,6 +269,7 @@
                 self._renewal.renew_by_monitor,
                 self._manage_members,
                 self._manage_slots,
+                self._follow_news,
             )
             tasks = [asyncio.create_task(self._repeat(loop)) for loop in loops]
             try:
@@ -342,6 +349,11 @@
         self._follow_document(self._keeper.document)
         logger.info("joined as %s", member.journal)
 
+    async def _follow_news(self) -> None:
+        await self._news.wait()
+        self._news.clear()
+        await self._keeper.refresh()
+
     async def _manage_members(self) -> None:
         self.authority.check()
         await self._renewal.name_monitor()
--- a/tests/recovery/fakes.py
+++ b/tests/recovery/fakes.py
@@ -71,6 +71,8 @@
     ----------
     is_down : bool
         Calls fail without effect.
+    blocked : tuple of str
+        Prefixes of keys that cannot be written.
     lose_responses : int
         Number of writes that take effect and then fail.
     writes, reads : int
@@ -85,6 +87,7 @@
         self.revision = 0
         self.is_down = False
         self.delay = 0.0
+        self.blocked: tuple[str, ...] = ()
         self.lose_responses = 0
         self.writes = 0
         self.reads = 0
@@ -142,6 +145,8 @@
     ) -> int | None:
         self.writes += 1
         await self._begin()
+        if key.startswith(self.blocked):
+            raise StoreError(f"{key} cannot be written")
         row = self.rows.get(key)
         if (row.revision if row else 0) != revision:
             return None
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -75,16 +75,18 @@
         for slot in slots:
             assert cluster.find_owner(slot).state.numbers[slot] == [slot]
 
-    async def test_new_owner_killed_at_once(self, cluster) -> None:
+    async def test_waits_for_its_own_journal(self, cluster) -> None:
         """A slot must not be taken over before its records are in the new journal."""
         node = cluster.nodes["b"]
-        slot = max(node.membership._slots.adopted)
+        slot = min(node.membership._slots.adopted)
         await cluster.time.drive(node.commit(slot, 7))
         await cluster.kill("b")
-        while (owner := cluster.find_owner(slot)) is None:
-            await cluster.time.run_for(0.005)
-        await cluster.kill(owner.name)
-        await cluster.time.run_for(20.0)
+        members = [other.membership.member for other in cluster.nodes.values()]
+        cluster.store.blocked = tuple(member.journal for member in members)
+        await cluster.time.run_for(15.0)
+        assert cluster.find_owner(slot) is None
+        cluster.store.blocked = ()
+        await cluster.time.run_for(5.0)
         assert cluster.find_owner(slot).state.numbers[slot] == [7]
 
     async def test_two_nodes_killed_together(self, cluster) -> None:
