--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -134,7 +134,6 @@
         self.limiter.set_teams(active.teams)
 
     async def _renew_authority(self, message: RenewAuthority) -> Message:
-        self.membership.note_epoch(message.epoch)
         promise = self.membership.grant_authority(
             message.node, message.incarnation, message.epoch
         )
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -83,7 +83,9 @@
     granted : bool
         Whether the monitor will not remove the node for ``seconds``.
     document : bytes
-        Members document at ``revision`` of the store if the asker knew an older epoch.
+        The members document when it is newer than the asking node's, else empty.
+    revision : int
+        Store revision of ``document``.
     """
 
     granted: bool
