--- a/tools/bench.py
+++ b/tools/bench.py
@@ -190,6 +190,8 @@
         len(result["total"]) / seconds,
         result["tokens"] / seconds,
         100 * result["cpu"] / seconds,
+        len(result["total"]) / max(0.01, result["cpu"]),
+        result["tokens"] / max(0.01, result["cpu"]),
         1000 * _find_quantile(result["total"], 0.5),
         1000 * _find_quantile(result["gaps"], 0.95),
         _show_errors(result),
@@ -197,6 +199,8 @@
 
 
 _RATE_HEAD = ["path", "at once", "requests/s", "tokens/s", "CPU of the process (%)"]
+# Rates for each CPU second depend less on what else the machine does.
+_RATE_HEAD += ["requests per CPU s", "tokens per CPU s"]
 _RATE_HEAD += ["whole answer p50 (ms)", "between reads p95 (ms)", "errors"]
 
 
