--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -17,7 +17,7 @@
 from fireflyspread.daemon._programs import NodePrograms, expire_programs
 from fireflyspread.daemon._recovery import Recovery
 from fireflyspread.daemon._targets import ReplicaTasks
-from fireflyspread.exceptions import FireflyError
+from fireflyspread.exceptions import FireflyError, SettingsError
 from fireflyspread.nodes import FenceGuard, PeerClient, PeerServer, make_ssl_context
 from fireflyspread.operators import AdminApi
 from fireflyspread.platform import EtcdStore, LeavingVms, VmList
@@ -45,6 +45,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._failed = asyncio.Event()
         self._members: tuple[Member, ...] = ()
+        self._is_draining = False
 
     @classmethod
     def from_config(cls, settings: Settings) -> "NodeDaemon":
@@ -79,18 +80,23 @@
         """Finish what is running, hand the slots over and close everything."""
         _LOG.info("node drains", extra={"node": self._settings.node.name})
         self._api.start_draining()
+        self._is_draining = True
         try:
             async with asyncio.timeout(self._settings.timing.drain_timeout):
                 await self._drain()
         except TimeoutError:
             _LOG.warning("drain timeout passed; requests are cut off")
+        await self.close()
+        _LOG.info("node stopped", extra={"node": self._settings.node.name})
+
+    async def close(self) -> None:
+        """Close everything at once, without draining."""
         for runner in self._runners:
             await runner.cleanup()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._close()
-        _LOG.info("node stopped", extra={"node": self._settings.node.name})
 
     async def _drain(self) -> None:
         # Listeners stay open: calls of programs that this node still owns arrive
@@ -176,6 +182,9 @@
         self._admin = self._build_admin()
         base.bundles.add_listener(self._context.guard.apply)
         base.bundles.add_listener(self._replicas.apply)
+        base.bundles.add_listener(
+            lambda active: self._context.scheduler.set_targets(active.bundle.targets)
+        )
 
     def _build_leaving(self) -> LeavingVms:
         url = self._settings.platform.vm_list
@@ -190,7 +199,7 @@
     def _build_admin(self) -> AdminApi:
         return AdminApi.from_config(
             self._settings,
-            rollout=Rollout(self._store),
+            rollout=Rollout.from_config(self._settings, self._store),
             programs=NodePrograms(self._context, self._api),
             list_members=lambda: list_member_versions(
                 self._recovery, self._exchange.greeter, self._base.bundles
@@ -206,6 +215,7 @@
 
     def _follow_members(self, epoch: int, members: tuple[Member, ...]) -> None:
         self._exchange.greeter.set_members(members)
+        self._context.scheduler.set_nodes(max(1, len(members)))
         present = {member.incarnation for member in members}
         for member in self._members:
             if member.incarnation not in present:
@@ -236,12 +246,20 @@
             if not is_internal:
                 context.verify_mode = ssl.CERT_NONE
         site = web.TCPSite(runner, address.host, address.port, ssl_context=context)
-        await site.start()
+        try:
+            await site.start()
+        except OSError as exc:
+            raise SettingsError(
+                f"cannot listen on {address}: {exc.strerror}; free the port or change "
+                "it under 'listen'"
+            ) from exc
 
     async def _watch_authority(self) -> None:
         """End open streams once withdrawn keys can no longer be heard of."""
         lost_at: float | None = None
-        while True:
+        # A node that drains loses its authority as planned; what it still relays ends
+        # at the owner when a key is withdrawn.
+        while not self._is_draining:
             await asyncio.sleep(_WATCH_INTERVAL)
             try:
                 self._recovery.check_authority()
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -1,11 +1,13 @@
 """Membership, journal and rates of one node, as the request handlers see them."""
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from typing import Any
 
 from fireflyspread.bundle import ActiveBundle
 from fireflyspread.daemon._build import Base
 from fireflyspread.daemon._peers import NodePeers, RecordHolder
+from fireflyspread.exceptions import NoAuthorityError
 from fireflyspread.limits import ShareLimiter
 from fireflyspread.nodes import (
     AcquireTokens,
@@ -97,6 +99,14 @@
     def owns(self, slot: int) -> bool:
         return self.membership.owns(slot)
 
+    async def wait_owned(self, slot: int, *, timeout: float) -> bool:
+        try:
+            async with asyncio.timeout(timeout):
+                await self.membership.wait_owned(slot)
+        except (NoAuthorityError, TimeoutError):
+            return False
+        return True
+
     def find_owner(self, slot: int) -> Member | None:
         return self.membership.find_owner(slot)
 
@@ -124,13 +134,16 @@
         self.limiter.set_teams(active.teams)
 
     async def _renew_authority(self, message: RenewAuthority) -> Message:
-        self.membership.note_epoch(message.epoch)
-        promise = self.membership.grant_authority(message.node, message.incarnation)
+        promise = self.membership.grant_authority(
+            message.node, message.incarnation, message.epoch
+        )
         return AuthorityRenewed(
             granted=promise.granted,
             seconds=promise.seconds,
             epoch=promise.epoch,
             bundle_version=promise.bundle_version,
+            document=promise.document,
+            revision=promise.revision,
         )
 
     async def _hold_records(self, message: HoldRecords) -> Message:
--- a/tests/recovery/cluster.py
+++ b/tests/recovery/cluster.py
@@ -181,7 +181,9 @@
         self, member: Member, epoch: int, bundle_version: int
     ) -> Promise:
         own = self.membership.member
-        return self._reach(member.name).grant_authority(own.name, own.incarnation)
+        return self._reach(member.name).grant_authority(
+            own.name, own.incarnation, epoch
+        )
 
     async def take_held_records(
         self, member: Member, journal: str
@@ -223,6 +225,11 @@
         await asyncio.gather(node.task, return_exceptions=True)
         await node.membership.journal.close()
 
+    def set_vms(self) -> None:
+        """Tell all nodes which VMs exist."""
+        for node in self.nodes.values():
+            node.membership.set_vms(frozenset(self.nodes))
+
     async def stop(self) -> None:
         """End all nodes."""
         for name in list(self.nodes):
