--- a/tests/harness/test_cluster.py
+++ b/tests/harness/test_cluster.py
@@ -89,13 +89,20 @@
     async def test_cut_stream_is_continued(self) -> None:
         """The part of an answer that a caller has seen is lost or sent twice."""
         async with LocalCluster(nodes=1, engine=ENGINE) as cluster:
-            for engine in cluster.deployment.engines.values():
-                engine.faults.update({"cut_next": 1, "cut_after": 3})
+            engines = cluster.deployment.engines.values()
             async with cluster.open_client("sourcing") as client:
                 talk = await open_conversation(client)
-                for number in range(8):
+                await talk.say("first")
+                for number in range(4):
+                    # Only the holder cuts, so that another replica can continue.
+                    for engine in engines:
+                        holds = talk.program in engine.cache.sessions
+                        engine.faults.cut_next = int(holds)
+                        engine.faults.cut_after = 3 + number
                     await talk.say(f"turn {number}")
                 await talk.check_history()
+            runs = [run for engine in engines for run in engine.runs]
+            assert {run.offset for run in runs if run.state == "done"} > {0}
 
     async def test_workload_finishes(self) -> None:
         """A mixed load over all nodes mixes up answers or repeats an action."""
