--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -1,5 +1,6 @@
 """Messages between nodes."""
 
+from fireflyspread.nodes._fences import FenceGuard
 from fireflyspread.nodes._messages import (
     MESSAGE_VERSION,
     AcquireTokens,
@@ -23,6 +24,7 @@
 from fireflyspread.nodes._peers import PeerClient, PeerServer
 from fireflyspread.nodes._relay import Relay, make_ssl_context
 from fireflyspread.nodes._signature import HOPS_HEADER, Identity, RequestSigner
+from fireflyspread.nodes._tokens import NodeTokenPeers, register_tokens
 
 __all__ = [
     "MESSAGE_VERSION",
@@ -32,12 +34,14 @@
     "ConfirmFence",
     "Failed",
     "FenceConfirmed",
+    "FenceGuard",
     "FetchBundle",
     "Hello",
     "HOPS_HEADER",
     "HoldRecords",
     "Identity",
     "Message",
+    "NodeTokenPeers",
     "PeerClient",
     "PeerServer",
     "RecordsHeld",
@@ -50,4 +54,5 @@
     "decode_message",
     "encode_message",
     "make_ssl_context",
+    "register_tokens",
 ]
--- /dev/null
+++ b/src/fireflyspread/nodes/_tokens.py
@@ -0,0 +1,73 @@
+"""Rate tokens asked of and granted to other nodes."""
+
+from collections.abc import Callable
+
+from fireflyspread.exceptions import PeerError
+from fireflyspread.limits import ASK_TIMEOUT, ShareLimiter, TokenGrant, TokenPeers
+from fireflyspread.nodes._messages import AcquireTokens, Message, TokensGranted
+from fireflyspread.nodes._peers import PeerClient, PeerServer
+from fireflyspread.recovery import Member
+
+__all__ = ["NodeTokenPeers", "register_tokens"]
+
+
+class NodeTokenPeers(TokenPeers):
+    """Asks the home nodes of a team by messages.
+
+    Parameters
+    ----------
+    node, incarnation : str
+        This node.
+    find_member : callable
+        Returns the member of a name, or None when it has left.
+    """
+
+    def __init__(
+        self,
+        client: PeerClient,
+        *,
+        node: str,
+        incarnation: str,
+        find_member: Callable[[str], Member | None],
+    ) -> None:
+        self._client = client
+        self._node = node
+        self._incarnation = incarnation
+        self._find_member = find_member
+
+    async def acquire(
+        self, member: str, team: str, amount: float, epoch: int
+    ) -> TokenGrant:
+        found = self._find_member(member)
+        if found is None:
+            raise PeerError(f"{member} is no longer a member; ask another home node")
+        question = AcquireTokens(
+            node=self._node,
+            incarnation=self._incarnation,
+            team=team,
+            amount=amount,
+            epoch=epoch,
+        )
+        answer = await self._client.ask(found.peers, question, timeout=ASK_TIMEOUT)
+        if not isinstance(answer, TokensGranted):
+            raise PeerError(f"{member} answered {type(answer).__name__}")
+        return TokenGrant(answer.amount, answer.retry_after)
+
+
+def register_tokens(
+    server: PeerServer, limiter: ShareLimiter, *, node: str, incarnation: str
+) -> None:
+    """Answer the questions of other nodes from the share of this node."""
+
+    async def answer(message: AcquireTokens) -> Message:
+        grant = limiter.grant(
+            message.team, message.amount, message.epoch, asker=message.incarnation
+        )
+        return TokensGranted(
+            node=node,
+            incarnation=incarnation,
+            amount=grant.amount,
+            retry_after=grant.retry_after,
+        )
+
+    server.register(AcquireTokens, answer)
--- /dev/null
+++ b/tests/nodes/test_fences.py
@@ -0,0 +1,142 @@
+"""No action of an old owner half follows one of the new half."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+import pytest_asyncio
+
+from fireflyspread.clock import ManualClock
+from fireflyspread.exceptions import StaleFenceError
+from fireflyspread.nodes import FenceGuard, PeerClient, PeerServer
+from fireflyspread.recovery import Member
+from fireflyspread.settings import Address
+
+TARGET = "charges"
+
+
+class Node:
+    """A member whose guard answers over a real connection."""
+
+    def __init__(self, name: str, clock: ManualClock) -> None:
+        self.name = name
+        self.version = 1
+        self.clock = clock
+        self.waits = 0
+        self.on_wait = lambda: None
+        self.client = PeerClient()
+        self.server = PeerServer(Address(host="127.0.0.1", port=0))
+        self.guard = FenceGuard(
+            self.client,
+            node=name,
+            incarnation=f"{name}.1",
+            get_version=lambda: self.version,
+            clock=clock,
+            sleep=self.wait,
+        )
+
+    async def wait(self, seconds: float) -> None:
+        self.waits += 1
+        self.clock.advance(seconds)
+        self.on_wait()
+        await asyncio.sleep(0)
+
+    async def start(self) -> None:
+        self.guard.register(self.server)
+        address = await self.server.start()
+        self.member = Member(
+            name=self.name,
+            incarnation=f"{self.name}.1",
+            zone="a",
+            vm=self.name,
+            internal="",
+            peers=str(address),
+        )
+
+    async def stop(self) -> None:
+        await self.client.close()
+        await self.server.stop()
+
+
+@pytest_asyncio.fixture
+async def nodes() -> AsyncIterator[tuple[Node, Node]]:
+    clock = ManualClock()
+    pair = Node("entry-1", clock), Node("entry-2", clock)
+    for node in pair:
+        await node.start()
+    yield pair
+    for node in pair:
+        await node.stop()
+
+
+class TestFenceGuard:
+    """FenceGuard.wait_clear, begin and end."""
+
+    async def test_waits_for_action_of_other_node(
+        self, nodes: tuple[Node, Node]
+    ) -> None:
+        """A charge of the old half must end before one of the new half starts."""
+        mine, other = nodes
+        mine.version = other.version = 2
+        other.guard.begin(TARGET, 1)
+        ended: list[int] = []
+
+        def end() -> None:
+            if not ended:
+                other.guard.end(TARGET, 1)
+                ended.append(mine.waits)
+
+        mine.on_wait = end
+        members = [node.member for node in nodes]
+        await mine.guard.wait_clear(TARGET, 2, lambda: members, timeout=5.0)
+        assert ended == [1]
+
+    async def test_own_action_counts(self, nodes: tuple[Node, Node]) -> None:
+        """An old action of this node must end too."""
+        mine, other = nodes
+        mine.version = other.version = 2
+        mine.guard.begin(TARGET, 1)
+        members = [node.member for node in nodes]
+        with pytest.raises(StaleFenceError, match="entry-1"):
+            await mine.guard.wait_clear(TARGET, 2, lambda: members, timeout=1.0)
+
+    async def test_waits_for_version(self, nodes: tuple[Node, Node]) -> None:
+        """A node that still has the old bundle may yet act for the old half."""
+        mine, _ = nodes
+        mine.version = 2
+        members = [node.member for node in nodes]
+        with pytest.raises(StaleFenceError, match="entry-2"):
+            await mine.guard.wait_clear(TARGET, 2, lambda: members, timeout=1.0)
+
+    async def test_confirmed_node_starts_no_old_action(
+        self, nodes: tuple[Node, Node]
+    ) -> None:
+        """A request admitted under the old bundle must not start after a promise."""
+        mine, other = nodes
+        mine.version = other.version = 2
+        members = [node.member for node in nodes]
+        await mine.guard.wait_clear(TARGET, 2, lambda: members, timeout=5.0)
+        with pytest.raises(StaleFenceError):
+            other.guard.begin(TARGET, 1)
+        with other.guard.act(TARGET, 2):
+            assert other.guard.confirm(TARGET, 2) == 0
+
+    async def test_removed_member_is_not_waited_for(
+        self, nodes: tuple[Node, Node]
+    ) -> None:
+        """A lost node must not hold a target for ever."""
+        mine, other = nodes
+        mine.version = 2
+        await other.stop()
+        members = [node.member for node in nodes]
+        mine.on_wait = lambda: members.remove(other.member) if members[1:] else None
+        await mine.guard.wait_clear(TARGET, 2, lambda: members, timeout=30.0)
+
+    async def test_other_targets_go_on(self, nodes: tuple[Node, Node]) -> None:
+        """The move of one target must not stop the actions on others."""
+        mine, other = nodes
+        mine.version = other.version = 2
+        other.guard.begin("labels", 1)
+        members = [node.member for node in nodes]
+        await mine.guard.wait_clear(TARGET, 2, lambda: members, timeout=5.0)
+        other.guard.begin("labels", 1)
