--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -140,9 +140,9 @@
         )
         fences = FenceGuard(
             self._client,
-            own=settings.node.name,
-            get_bundle=base.bundles.get_active,
-            get_members=self._recovery.membership.members,
+            node=settings.node.name,
+            get_incarnation=lambda: self._recovery.membership.member.incarnation,
+            get_version=lambda: base.bundles.version,
             clock=clock,
         )
         engines, services = build_pools()
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -1,6 +1,7 @@
 """Membership, journal and rates of one node, as the request handlers see them."""
 
 import asyncio
+import uuid
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -10,17 +11,17 @@
 from fireflyspread.exceptions import NoAuthorityError
 from fireflyspread.limits import ShareLimiter
 from fireflyspread.nodes import (
-    AcquireTokens,
     AuthorityRenewed,
     HoldRecords,
     Message,
+    NodeTokenPeers,
     PeerClient,
     PeerServer,
     RecordsHeld,
     RecordsTaken,
     RenewAuthority,
     TakeRecords,
-    TokensGranted,
+    register_tokens,
 )
 from fireflyspread.programs import CombinedState
 from fireflyspread.recovery import (
@@ -56,7 +57,7 @@
         on_version: Callable[[str, int], None],
     ) -> None:
         self.name = base.settings.node.name
-        peers = NodePeers(client, self._find_member)
+        peers = NodePeers(client)
         holder = RecordHolder(
             client,
             name=self.name,
@@ -76,9 +77,17 @@
         )
         peers.own = lambda: self.membership.member
         self.membership.add_state(CombinedState(base.programs, base.intents))
+        # Tells the grants of this process from those of an earlier one.
+        self._process = uuid.uuid4().hex
+        tokens = NodeTokenPeers(
+            client,
+            node=self.name,
+            incarnation=self._process,
+            find_member=self._find_member,
+        )
         self.limiter = ShareLimiter.from_config(
             base.settings,
-            peers,
+            tokens,
             clock=base.clock,
             rng=base.rng,
             check_authority=self.check_authority,
@@ -91,7 +100,7 @@
         server.register(RenewAuthority, self._renew_authority)
         server.register(HoldRecords, self._hold_records)
         server.register(TakeRecords, self._take_records)
-        server.register(AcquireTokens, self._grant_tokens)
+        register_tokens(server, self.limiter, node=self.name, incarnation=self._process)
 
     def owned_slots(self) -> frozenset[int]:
         return self.membership.owned_slots()
@@ -110,6 +119,9 @@
     def find_owner(self, slot: int) -> Member | None:
         return self.membership.find_owner(slot)
 
+    def members(self) -> tuple[Member, ...]:
+        return self.membership.members()
+
     def check_authority(self) -> None:
         self.membership.authority.check()
 
@@ -152,12 +164,3 @@
 
     async def _take_records(self, message: TakeRecords) -> Message:
         return RecordsTaken(records=self.membership.take_held_records(message.journal))
-
-    async def _grant_tokens(self, message: AcquireTokens) -> Message:
-        grant = self.limiter.grant(
-            message.team,
-            message.amount,
-            message.epoch,
-            asker=f"{message.node}/{message.incarnation}",
-        )
-        return TokensGranted(amount=grant.amount, retry_after=grant.retry_after)
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -41,6 +41,9 @@
     def find_owner(self, slot: int) -> Member | None:
         return None
 
+    def members(self) -> tuple[Member, ...]:
+        return ()
+
     def check_authority(self) -> None:
         return
 
@@ -157,9 +160,9 @@
     ownership, client = AllSlots(), PeerClient()
     fences = FenceGuard(
         client,
-        own="entry-1",
-        get_bundle=base.bundles.get_active,
-        get_members=lambda: (),
+        node="entry-1",
+        get_incarnation=lambda: "1",
+        get_version=lambda: base.bundles.version,
         clock=base.clock,
     )
     engines, services = build_pools()
