--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: env check format test run bench load
+.PHONY: env check format test run bench load slopes
 
 env: $(VENV)/.installed
 
@@ -36,3 +36,6 @@
 
 bench:
 	$(PYTHON) -m tools.bench $(BENCH_ARGS)
+
+slopes:
+	$(PYTHON) -m tools.slopes
--- a/src/fireflyspread/programs/_history.py
+++ b/src/fireflyspread/programs/_history.py
@@ -17,7 +17,9 @@
 
 
 class History:
-    """Messages of a program, as JSON fragments without the enclosing brackets.
+    """Messages of a program, as the JSON arrays that its turns added.
+
+    The arrays are the very objects of the turn records, so they are in memory once.
 
     Parameters
     ----------
@@ -27,7 +29,7 @@
     """
 
     def __init__(self, program: str) -> None:
-        self._fragments: list[bytes] = []
+        self._arrays: list[bytes] = []
         self._chain = compute_digest(program.encode())
 
     @property
@@ -53,17 +55,9 @@
                 "the history is not served"
             )
         self._chain = chain
-        inner = added.strip()[1:-1].strip()
-        if inner:
-            self._fragments.append(inner)
+        self._arrays.append(added)
 
     def render(self, new: bytes = b"[]") -> bytes:
         """Return the JSON array of all messages followed by those in ``new``."""
-        inner = new.strip()[1:-1].strip()
-        parts = [*self._fragments, inner] if inner else self._fragments
-        return b"[" + b",".join(parts) + b"]"
-
-    @property
-    def size(self) -> int:
-        """Bytes of all fragments."""
-        return sum(map(len, self._fragments))
+        parts = (array.strip()[1:-1].strip() for array in (*self._arrays, new))
+        return b"[" + b",".join(part for part in parts if part) + b"]"
