--- a/src/fireflyspread/recovery/_compaction.py
+++ b/src/fireflyspread/recovery/_compaction.py
@@ -102,10 +102,7 @@
         """
         for _ in range(_QUIET_ATTEMPTS):
             if self._journal.is_quiet(slot):
-                # The tasks whose commits have just returned run first.
-                await self._sleep(0)
-                if self._journal.is_quiet(slot):
-                    return True
+                return True
             await self._sleep(_QUIET_POLL)
         return False
 
--- a/src/fireflyspread/recovery/_document.py
+++ b/src/fireflyspread/recovery/_document.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from fireflyspread.exceptions import StoreError
-from fireflyspread.recovery._members import MembersDocument
+from fireflyspread.recovery._members import Member, MembersDocument
 from fireflyspread.recovery._store import Store
 from fireflyspread.recovery._store_journal import Sleep
 
@@ -73,6 +73,12 @@
             self.document = document
             self._on_change(document)
 
+    def find_owner(self, slot: int) -> Member | None:
+        """Return the member that the row of ``slot`` names."""
+        if not self.document.slots:
+            return None
+        return self.document.find_member(self.document.slots[slot].owner)
+
     def export(self, epoch: int) -> tuple[bytes, int]:
         """Return document and revision for a node that knows ``epoch``.
 
--- a/src/fireflyspread/recovery/_membership.py
+++ b/src/fireflyspread/recovery/_membership.py
@@ -192,10 +192,7 @@
 
     def find_owner(self, slot: int) -> Member | None:
         """Return the member whose row ``slot`` is, whether it has adopted it or not."""
-        document = self._keeper.document
-        if not document.slots:
-            return None
-        return document.find_member(document.slots[slot].owner)
+        return self._keeper.find_owner(slot)
 
     def owns(self, slot: int) -> bool:
         """Whether requests of ``slot`` may be admitted here now."""
@@ -364,8 +361,7 @@
 
     async def leave(self) -> None:
         """Release all slots and end the membership within ``drain_timeout``."""
-        self._is_leaving = True
-        self._monitor.is_leaving = True
+        self._is_leaving = self._monitor.is_leaving = True
         end = self._clock.read_monotonic() + self._timing.drain_timeout
         work = asyncio.ensure_future(self._leave(end))
         timer = asyncio.ensure_future(self._sleep(self._timing.drain_timeout))
@@ -384,7 +380,8 @@
         await leave_members(self._keeper, self._member)
         self.authority.revoke()
         if self.journal.prefix not in list_journals(self._keeper.document):
-            await self.journal.trim(self.journal.stored)
+            await self.journal.close()
+            await self.journal.trim(self.journal.stored, keep=0)
         await self._store.revoke_lease(self._member.lease)
 
     def dump(self) -> dict[str, Any]:
--- a/src/fireflyspread/recovery/_store_journal.py
+++ b/src/fireflyspread/recovery/_store_journal.py
@@ -44,6 +44,10 @@
 # A transaction of the store takes at most 128 operations.
 _DELETE_BATCH = 100
 
+# Whoever commits a record applies it to the state after the commit has returned,
+# some rounds of the event loop later when the commit runs in a task of its own.
+_APPLY_SECONDS = 0.02
+
 _RETRY_MIN, _RETRY_MAX = 0.1, 1.0
 
 # Records wait in memory while the store is down; new ones are refused beyond this.
@@ -95,6 +99,7 @@
         self._writer: asyncio.Task[None] | None = None
         self._releases: set[asyncio.Task[None]] = set()
         self._committing: Counter[int] = Counter()
+        self._returned_at: dict[int, float] = {}
         self._last_flush = float("-inf")
         self._reset(prefix)
 
@@ -174,7 +179,8 @@
 
     async def commit(self, *records: Record, may_pend: bool = False) -> Durability:
         self._raise_if_sealed()
-        if self._queue.nbytes > _MAX_QUEUED_BYTES:
+        # A record that may pend belongs to work that is done, so it is always queued.
+        if not may_pend and self._queue.nbytes > _MAX_QUEUED_BYTES:
             raise StoreError("too many records wait for the store; retry later")
         slots = [record.slot for record in records]
         self._committing.update(slots)
@@ -182,6 +188,8 @@
             return await self._commit(records, may_pend)
         finally:
             self._committing.subtract(slots)
+            now = self._clock.read_monotonic()
+            self._returned_at.update(dict.fromkeys(slots, now))
 
     async def _commit(self, records: tuple[Record, ...], may_pend: bool) -> Durability:
         queue, start = self._queue, self._queue.end
@@ -205,8 +213,10 @@
         self._append((marker, *records))
 
     def is_quiet(self, slot: int) -> bool:
-        """Whether no commit of ``slot`` is under way."""
-        return self._committing[slot] == 0
+        """Whether no commit of ``slot`` is under way or has returned just now."""
+        returned = self._returned_at.get(slot, float("-inf"))
+        passed = self._clock.read_monotonic() - returned
+        return self._committing[slot] == 0 and passed >= _APPLY_SECONDS
 
     async def flush(self) -> None:
         """Return once all records appended so far are in the store.
@@ -232,10 +242,11 @@
         await self.close()
         self._reset(prefix)
 
-    async def trim(self, position: int) -> None:
+    async def trim(self, position: int, *, keep: int = 1) -> None:
         """Delete the oldest entries that contain only records before ``position``.
 
-        The newest entry stays, because the next number is found from it.
+        The newest entry of a journal in use is kept, because another node finds the
+        next number from it.
 
         Raises
         ------
@@ -244,7 +255,7 @@
         """
         entries = self._entries
         while True:
-            count = max(0, min(len(entries) - 1, _DELETE_BATCH))
+            count = max(0, min(len(entries) - keep, _DELETE_BATCH))
             keys = [key for key, end in islice(entries, count) if end <= position]
             if not keys:
                 return
--- a/tests/recovery/test_compaction.py
+++ b/tests/recovery/test_compaction.py
@@ -71,7 +71,7 @@
 
         async def commit(number: int) -> None:
             record = make_record(0, number)
-            await journal.commit(record)
+            await asyncio.shield(asyncio.ensure_future(journal.commit(record)))
             state.apply(record)
 
         for number in range(4):
--- a/tests/recovery/test_membership.py
+++ b/tests/recovery/test_membership.py
@@ -230,9 +230,13 @@
         node = cluster.nodes["a"]
         slot = min(node.membership._slots.adopted)
         await cluster.time.drive(node.commit(slot, 3))
+        prefix = node.membership.member.journal
         await cluster.time.drive(node.membership.leave())
         await cluster.time.run_for(2.0)
         assert node.task.done()
+        # Only a seal may be left, which expires with its lease.
+        left = [key for key in cluster.store.rows if key.startswith(prefix)]
+        assert all(key in cluster.store.key_leases for key in left)
         assert sum(cluster.count_slots().values()) == 256
         assert cluster.find_owner(slot).state.numbers[slot] == [3]
 
