--- a/src/fireflyspread/recovery/_assignment.py
+++ b/src/fireflyspread/recovery/_assignment.py
@@ -14,6 +14,7 @@
     "choose_monitor",
     "drop_source",
     "find_transfers",
+    "forget_journal",
     "list_journals",
     "list_takers",
     "move_slots",
@@ -114,7 +115,21 @@
             member = msgspec.structs.replace(member, monitor=monitor)
         members.append(member)
     rows = tuple(_orphan_row(row, removed) for row in document.slots)
-    return msgspec.structs.replace(document, members=tuple(members), slots=rows)
+    changed = msgspec.structs.replace(document, members=tuple(members), slots=rows)
+    return _discard(changed, {member.journal for member in removed.values()})
+
+
+def _discard(document: MembersDocument, journals: Set[str]) -> MembersDocument:
+    """Note those of ``journals`` that nobody needs any more for deletion."""
+    unnamed = sorted(journals - list_journals(document) - set(document.discarded))
+    discarded = (*document.discarded, *unnamed)
+    return msgspec.structs.replace(document, discarded=discarded)
+
+
+def forget_journal(document: MembersDocument, journal: str) -> MembersDocument:
+    """Note that ``journal`` has been deleted."""
+    discarded = tuple(other for other in document.discarded if other != journal)
+    return msgspec.structs.replace(document, discarded=discarded)
 
 
 def drop_source(
@@ -127,7 +142,9 @@
         else row
         for index, row in enumerate(document.slots)
     )
-    return msgspec.structs.replace(document, slots=rows)
+    if rows == document.slots:
+        return document
+    return _discard(msgspec.structs.replace(document, slots=rows), {source})
 
 
 def move_slots(
--- a/src/fireflyspread/recovery/_members.py
+++ b/src/fireflyspread/recovery/_members.py
@@ -56,12 +56,15 @@
         Unique to one write, so that a lost answer can be resolved.
     slots : tuple of SlotRow
         One row for each slot.
+    discarded : tuple of str
+        Journals that no row names and that are to be deleted.
     """
 
     epoch: int
     write_id: str
     members: tuple[Member, ...]
     slots: tuple[SlotRow, ...]
+    discarded: tuple[str, ...] = ()
 
     def find_member(self, name: str) -> Member | None:
         """Return the member called ``name`` or None."""
--- a/src/fireflyspread/recovery/_membership.py
+++ b/src/fireflyspread/recovery/_membership.py
@@ -349,6 +349,7 @@
     async def _manage_slots(self) -> None:
         self.authority.check()
         await self._slots.adopt(self._member)
+        await self._slots.discard(self._member)
         if self._is_leaving:
             return
         await self._slots.rebalance(self._member)
@@ -379,9 +380,6 @@
         await self.journal.flush()
         await leave_members(self._keeper, self._member)
         self.authority.revoke()
-        if self.journal.prefix not in list_journals(self._keeper.document):
-            await self.journal.close()
-            await self.journal.trim(self.journal.stored, keep=0)
         await self._store.revoke_lease(self._member.lease)
 
     def dump(self) -> dict[str, Any]:
--- a/src/fireflyspread/recovery/_slot_keeper.py
+++ b/src/fireflyspread/recovery/_slot_keeper.py
@@ -3,13 +3,14 @@
 import asyncio
 import logging
 from collections.abc import Iterable
+from functools import partial
 
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import StoreError
 from fireflyspread.recovery._assignment import (
     drop_source,
     find_transfers,
-    list_journals,
+    forget_journal,
+    list_takers,
     move_slots,
     spread_slots,
 )
@@ -114,16 +115,26 @@
                 self._open(slots)
                 continue
             self.replaying |= slots
-            stored = await self._takeover.replay(member, source, slots, self.states)
+            await self._takeover.replay(member, source, slots, self.states)
             if not await self._keeper.change(self._make_drop(member, source, slots)):
                 return
             self.replaying -= slots
             self._open(slots)
-            if source not in list_journals(self._keeper.document):
-                try:
-                    await self._takeover.delete(stored)
-                except StoreError as exc:
-                    logger.warning("%s was not deleted: %s", source, exc)
+
+    async def discard(self, member: Member) -> None:
+        """Delete the journals that no row names; the first member does it for all.
+
+        Raises
+        ------
+        StoreError
+            The store does not answer; the journals stay noted for deletion.
+        """
+        document = self._keeper.document
+        if member.name != min(list_takers(document), default=""):
+            return
+        for source in document.discarded:
+            await self._takeover.delete(member, source)
+            await self._keeper.change(partial(forget_journal, journal=source))
 
     def _make_drop(self, member: Member, source: str, slots: frozenset[int]) -> Edit:
         def edit(document: MembersDocument) -> MembersDocument | None:
--- a/src/fireflyspread/recovery/_store_journal.py
+++ b/src/fireflyspread/recovery/_store_journal.py
@@ -242,11 +242,10 @@
         await self.close()
         self._reset(prefix)
 
-    async def trim(self, position: int, *, keep: int = 1) -> None:
+    async def trim(self, position: int) -> None:
         """Delete the oldest entries that contain only records before ``position``.
 
-        The newest entry of a journal in use is kept, because another node finds the
-        next number from it.
+        The newest entry stays, because another node finds the next number from it.
 
         Raises
         ------
@@ -255,7 +254,7 @@
         """
         entries = self._entries
         while True:
-            count = max(0, min(len(entries) - keep, _DELETE_BATCH))
+            count = max(0, min(len(entries) - 1, _DELETE_BATCH))
             keys = [key for key, end in islice(entries, count) if end <= position]
             if not keys:
                 return
--- a/src/fireflyspread/recovery/_takeover.py
+++ b/src/fireflyspread/recovery/_takeover.py
@@ -73,7 +73,7 @@
         source: str,
         slots: frozenset[int],
         states: list[SlotState],
-    ) -> StoredJournal:
+    ) -> None:
         """Restore ``slots`` from ``source`` and snapshot them to the own journal.
 
         Returns once the snapshots are in the store; repeats while the store or
@@ -98,7 +98,6 @@
             self._journal.enqueue_snapshot(slot, kept)
         await self._journal.flush()
         logger.info("replayed %d records of %s", len(mine), source)
-        return stored
 
     async def _read_source(
         self, member: Member, source: str
@@ -161,14 +160,14 @@
             if not is_complete:
                 await self._sleep(self._rng.uniform(0.1, 0.3))
 
-    async def delete(self, stored: StoredJournal) -> None:
-        """Delete a sealed journal except its seal.
+    async def delete(self, member: Member, source: str) -> None:
+        """Delete a journal that nobody needs, except its seal.
 
         Raises
         ------
         StoreError
             The store does not answer; some entries may be left.
         """
-        keys = stored.keys[:-1]
+        keys = (await self._seal(member, source)).keys[:-1]
         for start in range(0, len(keys), _DELETE_BATCH):
             await self._store.delete(*keys[start : start + _DELETE_BATCH])
