--- a/src/fireflyspread/nodes/_fences.py
+++ b/src/fireflyspread/nodes/_fences.py
@@ -1,122 +1,195 @@
-"""Keeps two halves from acting on one target at the same time.
-
-A target that checks fencing numbers refuses calls of the former owner by itself. For
-one that does not, a node acts under the new owner only once no node acts under the
-former one any more.
-"""
+"""Change of the half that owns a target which ignores fencing numbers."""
 
 import asyncio
-from collections import Counter
-from collections.abc import Callable, Iterator
-from contextlib import contextmanager
+import contextlib
+from collections.abc import Awaitable, Callable, Iterable, Iterator
 
-from fireflyspread.bundle import ActiveBundle
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import NoAuthorityError, PeerError
-from fireflyspread.nodes._messages import ConfirmFence, FenceConfirmed
-from fireflyspread.nodes._peers import PeerClient
+from fireflyspread.exceptions import PeerError, StaleFenceError
+from fireflyspread.nodes._messages import ConfirmFence, FenceConfirmed, Message
+from fireflyspread.nodes._peers import PeerClient, PeerServer
 from fireflyspread.recovery import Member
 
 __all__ = ["FenceGuard"]
 
-_ASK_TIMEOUT = 1.0
+# Seconds between questions to a member that has not confirmed.
 _ASK_INTERVAL = 0.1
 
+# Seconds for one question.
+_ASK_TIMEOUT = 0.5
+
 
 class FenceGuard:
-    """Counts own actions on targets and asks the other nodes for theirs.
+    """Counts the actions on each target and knows when old ones have ended.
+
+    A target that ignores fencing numbers would execute an action of the old owner
+    half after one of the new half. A node therefore acts under the new owner only
+    when every member has the version in force and has no older action in flight.
 
     Parameters
     ----------
-    get_bundle : callable
-        Returns the bundle in force.
-    get_members : callable
-        Returns all members.
+    node : str
+        This node.
+    get_incarnation : callable
+        Returns the present incarnation of this node.
+    get_version : callable
+        Returns the bundle version in force on this node.
+    sleep : callable
+        Waits for a number of seconds.
     """
 
     def __init__(
         self,
         client: PeerClient,
         *,
-        own: str,
-        get_bundle: Callable[[], ActiveBundle],
-        get_members: Callable[[], tuple[Member, ...]],
+        node: str,
+        get_incarnation: Callable[[], str],
+        get_version: Callable[[], int],
         clock: Clock,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._client = client
-        self._own = own
-        self._get_bundle = get_bundle
-        self._get_members = get_members
+        self._node = node
+        self._get_incarnation = get_incarnation
+        self._get_version = get_version
         self._clock = clock
-        self._running: Counter[tuple[str, int]] = Counter()
-        self._clear: set[tuple[str, int]] = set()
-
-    @contextmanager
-    def act(self, target: str, fence: int) -> Iterator[None]:
-        """Count one action on a target under a fencing number."""
-        key = (target, fence)
-        self._running[key] += 1
+        self._sleep = sleep
+        self._in_flight: dict[str, dict[int, int]] = {}
+        # The highest version that this node has confirmed for each target.
+        self._confirmed: dict[str, int] = {}
+        self._clear: dict[str, int] = {}
+
+    def register(self, server: PeerServer) -> None:
+        """Answer ``ConfirmFence`` of other nodes."""
+        server.register(ConfirmFence, self._answer)
+
+    def begin(self, target: str, version: int) -> None:
+        """Count an action on ``target`` that starts under a bundle version.
+
+        Raises
+        ------
+        StaleFenceError
+            This node has confirmed that it acts only under a newer version.
+        """
+        confirmed = self._confirmed.get(target, 0)
+        if version < confirmed:
+            raise StaleFenceError(
+                f"target {target} changed its owner in version {confirmed}; repeat "
+                "the request under that version"
+            )
+        versions = self._in_flight.setdefault(target, {})
+        versions[version] = versions.get(version, 0) + 1
+
+    def end(self, target: str, version: int) -> None:
+        """Stop counting an action that ``begin`` counted."""
+        versions = self._in_flight[target]
+        versions[version] -= 1
+        if not versions[version]:
+            del versions[version]
+        if not versions:
+            del self._in_flight[target]
+
+    @contextlib.contextmanager
+    def act(self, target: str, version: int) -> Iterator[None]:
+        """Count an action for the duration of a block; raises as ``begin`` does."""
+        self.begin(target, version)
         try:
             yield
         finally:
-            self._running[key] -= 1
-            if not self._running[key]:
-                del self._running[key]
-
-    def confirm(self, message: ConfirmFence) -> FenceConfirmed:
-        """Answer another node about the actions under older fencing numbers."""
-        active = self._get_bundle()
-        older = sum(
-            count
-            for (target, fence), count in self._running.items()
-            if target == message.target and fence < message.bundle_version
-        )
-        return FenceConfirmed(bundle_version=active.version, in_flight=older)
+            self.end(target, version)
+
+    def confirm(self, target: str, version: int) -> int:
+        """Promise to act on ``target`` only under ``version`` or a newer one.
 
-    async def wait_clear(self, target: str, fence: int, *, timeout: float) -> None:
-        """Return once no member acts on ``target`` under an older number.
+        Returns
+        -------
+        int
+            Actions under older versions that are still in flight.
+        """
+        # A node that does not have the version yet learns it by the question: it
+        # refuses older actions from now on.
+        self._confirmed[target] = max(version, self._confirmed.get(target, 0))
+        versions = self._in_flight.get(target, {})
+        return sum(count for v, count in versions.items() if v < version)
+
+    async def wait_clear(
+        self,
+        target: str,
+        version: int,
+        members: Callable[[], Iterable[Member]],
+        *,
+        timeout: float,
+    ) -> None:
+        """Return when no member can act on ``target`` under an older version.
 
         Parameters
         ----------
-        fence : int
-            Fencing number of the target: the version that last changed its owner.
+        version : int
+            Fencing number of the target.
+        members : callable
+            Returns the present members; one that was removed is not waited for.
         timeout : float
             Seconds to wait at most.
 
         Raises
         ------
-        NoAuthorityError
+        StaleFenceError
             A member has not confirmed in time; nothing was dispatched.
         """
-        key = (target, fence)
-        if key in self._clear:
+        if self._clear.get(target, 0) >= version:
             return
         deadline = self._clock.read_monotonic() + timeout
-        while not await self._ask_all(target, fence):
+        confirmed: set[str] = set()
+        while True:
+            pending = [m for m in members() if m.incarnation not in confirmed]
+            answers = await asyncio.gather(
+                *(self._ask(member, target, version) for member in pending)
+            )
+            confirmed.update(
+                m.incarnation
+                for m, clear in zip(pending, answers, strict=True)
+                if clear
+            )
+            # The members may have changed while they were asked.
+            open_names = [m.name for m in members() if m.incarnation not in confirmed]
+            if not open_names:
+                self._clear[target] = max(version, self._clear.get(target, 0))
+                return
             if self._clock.read_monotonic() >= deadline:
-                raise NoAuthorityError(
-                    f"target {target} is changing its owner and not all nodes have "
-                    "confirmed yet; send the request again"
+                raise StaleFenceError(
+                    f"{', '.join(open_names)} may still act on target {target} for "
+                    "its old owner; repeat the request",
+                    retry_after=1.0,
                 )
-            await asyncio.sleep(_ASK_INTERVAL)
-        # Older numbers never come back, because no node goes to a lower version.
-        self._clear.add(key)
-
-    async def _ask_all(self, target: str, fence: int) -> bool:
-        message = ConfirmFence(target=target, bundle_version=fence)
-        if self.confirm(message).in_flight:
-            return False
-        others = [m for m in self._get_members() if m.name != self._own]
-        answers = await asyncio.gather(*(self._ask(m, message) for m in others))
-        return all(answers)
-
-    async def _ask(self, member: Member, message: ConfirmFence) -> bool:
+            await self._sleep(_ASK_INTERVAL)
+
+    async def _ask(self, member: Member, target: str, version: int) -> bool:
+        if member.incarnation == self._get_incarnation():
+            return self.confirm(target, version) == 0
+        question = ConfirmFence(
+            node=self._node,
+            incarnation=self._get_incarnation(),
+            target=target,
+            bundle_version=version,
+        )
         try:
-            answer = await self._client.ask(member.peers, message, timeout=_ASK_TIMEOUT)
+            answer = await self._client.ask(
+                member.peers, question, timeout=_ASK_TIMEOUT
+            )
         except PeerError:
             return False
         return (
             isinstance(answer, FenceConfirmed)
-            and answer.bundle_version >= message.bundle_version
+            and answer.incarnation == member.incarnation
+            and answer.bundle_version >= version
             and answer.in_flight == 0
         )
+
+    async def _answer(self, message: ConfirmFence) -> Message:
+        in_flight = self.confirm(message.target, message.bundle_version)
+        return FenceConfirmed(
+            node=self._node,
+            incarnation=self._get_incarnation(),
+            bundle_version=self._get_version(),
+            in_flight=in_flight,
+        )
--- a/src/fireflyspread/recovery/_ownership.py
+++ b/src/fireflyspread/recovery/_ownership.py
@@ -34,6 +34,10 @@
     def find_owner(self, slot: int) -> Member | None:
         """Return the member that owns ``slot`` as far as this node knows."""
 
+    @abc.abstractmethod
+    def members(self) -> tuple[Member, ...]:
+        """Return all members, this node among them."""
+
     @abc.abstractmethod
     def check_authority(self) -> None:
         """Raise ``NoAuthorityError`` unless this node may act now."""
