Show members while the store is down; test the command line on nodes

'bundle status' failed without a word about the members when the store did not respond. The manual's defaults are now compared with the settings.

--- a/src/fireflyspread/operators/_commands/_bundle.py
+++ b/src/fireflyspread/operators/_commands/_bundle.py
@@ -13,7 +13,7 @@
     Difference,
     compare,
 )
-from fireflyspread.exceptions import BundleError
+from fireflyspread.exceptions import BundleError, StoreError
 from fireflyspread.operators._client import AdminClient
 from fireflyspread.operators._commands._base import (
     JSON_OPTION,
@@ -254,24 +254,37 @@
 
     async def perform(self) -> int:
         async with self.open_admin() as admin:
-            current = await _read_current(admin)
             rollout = await admin.call("GET", "/rollout")
+            failure, current = await self._try_current(admin)
         if self.option("json"):
             current = {k: v for k, v in (current or {}).items() if k != "bundle"}
             self.print_json({"current": current or None, "rollout": rollout})
-            return ExitCode.OK
-        if current is None:
-            self.print("no bundle is in force")
         else:
-            self._print_rolls(current)
-        members = [
-            (m["node"], m["zone"], m["bundle_version"], state)
-            for state in ("confirmed", "missing")
-            for m in rollout[state]
-        ]
-        self.print_table(["Node", "Zone", "Version", "State"], members)
+            if current is not None:
+                self._print_rolls(current)
+            elif failure is None:
+                self.print("no bundle is in force")
+            members = [
+                (m["node"], m["zone"], m["bundle_version"], state)
+                for state in ("confirmed", "missing")
+                for m in rollout[state]
+            ]
+            self.print_table(["Node", "Zone", "Version", "State"], members)
+        if failure is not None:
+            raise failure
         return ExitCode.OK
 
+    async def _try_current(
+        self, admin: AdminClient
+    ) -> tuple[RefusedError | None, dict[str, Any] | None]:
+        """Return the bundle in force; without the store only the failure."""
+        try:
+            return None, await _read_current(admin)
+        except RefusedError as exc:
+            if exc.response_code != StoreError.code:
+                raise
+            return exc, None
+
     def _print_rolls(self, current: dict[str, Any]) -> None:
         rolls = [current, *current["recent"]][:5]
         rows = [(r["version"], r["digest"], r["rolled_by"]) for r in rolls]
--- a/tests/operators/test_cli.py
+++ b/tests/operators/test_cli.py
@@ -224,6 +224,14 @@
         result = await shell.run("config", "check", shell.write("s", {"nodes": 1}))
         assert result.code == 1 and "nodes" in result.errors
 
+    async def test_status_without_store(self, shell: Shell, node: AdminNode) -> None:
+        """During an outage the members' versions are shown all the same."""
+        node.members = [MemberVersion(node="entry-1", zone="a", bundle_version=4)]
+        node.store.is_down = True
+        result = await shell.run("bundle", "status")
+        assert result.code == 1 and "store_unavailable" in result.errors
+        assert "entry-1" in result.output
+
     async def test_reports_no_connection(self, shell: Shell) -> None:
         """An unreachable system is told apart from a refusal."""
         shell.write_client(nodes={"entry-0": DEAD_URL})
--- a/tests/operators/test_docs.py
+++ b/tests/operators/test_docs.py
@@ -33,14 +33,17 @@
     return json.loads(found.group(1))
 
 
-def list_fields(cls: type, prefix: str = "") -> list[str]:
-    """Return the dotted names of all fields of a settings class."""
+def list_fields(cls: type, prefix: str = "") -> list[tuple[str, Any]]:
+    """Return dotted names and defaults of all fields of a settings class."""
     names = []
     for field in attrs.fields(attrs.resolve_types(cls)):
         kinds = [field.type, *getattr(field.type, "__args__", ())]
         nested = [k for k in kinds if attrs.has(k) and k is not Address]
         name = f"{prefix}{field.name}"
-        names += list_fields(nested[0], f"{name}.") if nested else [name]
+        if nested:
+            names += list_fields(nested[0], f"{name}.")
+        else:
+            names.append((name, field.default))
     return names
 
 
@@ -55,10 +58,14 @@
         path.write_text(json.dumps(read_example(manual, "client")))
         ClientSettings.from_file(str(path))
 
-    @pytest.mark.parametrize("name", list_fields(Settings))
-    def test_lists_setting(self, manual: str, name: str) -> None:
-        """No setting is missing from the reference."""
-        assert f"`{name}`" in manual
+    @pytest.mark.parametrize(("name", "default"), list_fields(Settings))
+    def test_lists_setting(self, manual: str, name: str, default: Any) -> None:
+        """No setting is missing from the reference or has another default there."""
+        rows = [line.split("|") for line in manual.splitlines() if f"`{name}`" in line]
+        assert rows
+        if isinstance(default, int | float | str):
+            expected = f"{default:g}" if isinstance(default, float) else str(default)
+            assert rows[-1][2].strip(" `") == expected
 
     @pytest.mark.parametrize("name", FIELDS)
     def test_lists_log_field(self, manual: str, name: str) -> None:
