--- a/src/fireflyspread/callers/_calls.py
+++ b/src/fireflyspread/callers/_calls.py
@@ -172,7 +172,10 @@
             fence = self._find_fence(call.target)
             if not call.target.checks_fence:
                 await context.fences.wait_clear(
-                    call.target.name, fence, timeout=self._measure_left(call)
+                    call.target.name,
+                    fence,
+                    context.ownership.members,
+                    timeout=self._measure_left(call),
                 )
             with context.fences.act(call.target.name, fence):
                 # A newer bundle may have come into force while this call waited.
--- a/src/fireflyspread/daemon/_peers.py
+++ b/src/fireflyspread/daemon/_peers.py
@@ -1,18 +1,15 @@
-"""What recovery and rate limits ask of other nodes, over pynng."""
+"""What recovery asks of other nodes, over pynng."""
 
 from collections.abc import Callable
 
 from fireflyspread.exceptions import PeerError
-from fireflyspread.limits import ASK_TIMEOUT, TokenGrant, TokenPeers
 from fireflyspread.nodes import (
-    AcquireTokens,
     AuthorityRenewed,
     HoldRecords,
     PeerClient,
     RecordsTaken,
     RenewAuthority,
     TakeRecords,
-    TokensGranted,
 )
 from fireflyspread.recovery import Member, Peers, Promise
 
@@ -24,14 +21,11 @@
 _HOLD_TIMEOUT = 1.0
 
 
-class NodePeers(Peers, TokenPeers):
+class NodePeers(Peers):
     """Asks members by their addresses in the members document."""
 
-    def __init__(
-        self, client: PeerClient, get_member: Callable[[str], Member | None]
-    ) -> None:
+    def __init__(self, client: PeerClient) -> None:
         self._client = client
-        self._get_member = get_member
         self.own: Callable[[], Member] | None = None
 
     async def renew_authority(
@@ -65,25 +59,6 @@
             raise PeerError(f"{member.name} did not answer TakeRecords")
         return answer.records
 
-    async def acquire(
-        self, member: str, team: str, amount: float, epoch: int
-    ) -> TokenGrant:
-        found = self._get_member(member)
-        if found is None:
-            raise PeerError(f"{member} is no member")
-        own = self._read_own()
-        message = AcquireTokens(
-            node=own.name,
-            incarnation=own.incarnation,
-            team=team,
-            amount=amount,
-            epoch=epoch,
-        )
-        answer = await self._client.ask(found.peers, message, timeout=ASK_TIMEOUT)
-        if not isinstance(answer, TokensGranted):
-            raise PeerError(f"{member} did not answer AcquireTokens")
-        return TokenGrant(answer.amount, answer.retry_after)
-
     def _read_own(self) -> Member:
         if self.own is None:
             raise PeerError("this node has not joined yet")
