--- a/tests/bundle/test_feed.py
+++ b/tests/bundle/test_feed.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager, suppress
 
 import pytest
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from fireflyspread.bundle import (
@@ -163,6 +163,7 @@
 class TestBundleHolder:
     """BundleHolder.offer."""
 
+    @settings(derandomize=True)
     @given(st.lists(st.one_of(st.none(), st.integers(1, 20))))
     def test_never_steps_back(self, offers: list[int | None]) -> None:
         """In any order of offers, the version of one run never decreases.
