--- /dev/null
+++ b/tests/daemon/test_process.py
@@ -0,0 +1,250 @@
+"""One real daemon process: what it opens, how it ends, what it writes."""
+
+import asyncio
+import json
+import socket
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import psutil
+import pytest
+import pytest_asyncio
+
+from standins._answers import verify_answer
+from tests.harness import LocalCluster
+from tests.harness._cluster import OPERATORS, SECRET
+from tests.harness._processes import spawn
+
+MODEL = "lid-matching"
+TEAM = "sourcing"
+BODY_LIMIT = 100_000
+SETTINGS: dict[str, Any] = {"approvals_needed": 2}
+
+
+@pytest_asyncio.fixture
+async def cluster() -> AsyncIterator[LocalCluster]:
+    """Yield one node whose limits are small."""
+    async with LocalCluster(
+        nodes=1,
+        forwarders=False,
+        engine={"shortest": 20_000, "longest": 20_000},
+        timing={"write_timeout": 1.0},
+        limits={"body_bytes": BODY_LIMIT},
+        settings=SETTINGS,
+    ) as started:
+        yield started
+
+
+def make_turn(text: str, max_tokens: int) -> dict[str, Any]:
+    message = {"role": "user", "content": text}
+    body = {"turn": 1, "model": MODEL, "messages": [message], "stream": True}
+    return {**body, "max_tokens": max_tokens}
+
+
+async def run_turn(cluster: LocalCluster, text: str = "hello") -> str:
+    """Run a streamed turn in a new program and return its answer."""
+    async with cluster.open_client(TEAM) as client:
+        program = await client.open_program(5_000)
+        message = {"role": "user", "content": text}
+        answer = await client.run_turn(
+            program, 1, [message], model=MODEL, max_tokens=40
+        )
+    assert verify_answer([text], answer.text) is None
+    return answer.text
+
+
+class Admin:
+    """Calls of the administration API."""
+
+    def __init__(self, cluster: LocalCluster, operator: str) -> None:
+        (node,) = cluster.nodes.values()
+        self._url = node.operators_url + "/admin/v1"
+        self._headers = {"Authorization": f"Bearer {OPERATORS[operator]}"}
+
+    async def call(self, method: str, path: str, **options: Any) -> tuple[int, str]:
+        async with (
+            aiohttp.ClientSession(headers=self._headers) as session,
+            session.request(method, self._url + path, **options) as answer,
+        ):
+            return answer.status, await answer.text()
+
+
+class TestResources:
+    """What the platform forbids."""
+
+    async def test_opens_nothing_forbidden(self, cluster: LocalCluster) -> None:
+        """The event loop sets up an io_uring, or a library shares memory or forks."""
+        await run_turn(cluster)
+        pid = cluster.find_pid("node-1")
+        assert pid is not None
+        descriptors = [
+            str(path.readlink()) for path in Path(f"/proc/{pid}/fd").iterdir()
+        ]
+        assert len(descriptors) > 5
+        assert not [d for d in descriptors if "io_uring" in d]
+        assert not [d for d in descriptors if "/dev/shm" in d or "memfd:" in d]
+        lines = Path(f"/proc/{pid}/maps").read_text().splitlines()
+        marks = ("/dev/shm", "/memfd:", "/SYSV", "/dev/zero", "io_uring")
+        assert not [line for line in lines if any(mark in line for mark in marks)]
+        # A shared mapping that cannot be written to is a cache file of the C library.
+        assert not [line for line in lines if line.split()[1][1::2] == "ws"]
+        assert psutil.Process(pid).children(recursive=True) == []
+
+
+class TestEnd:
+    """SIGTERM."""
+
+    async def test_open_stream_ends_whole(self, cluster: LocalCluster) -> None:
+        """A drain cuts off a stream, or the process ends with an error."""
+        for engine in cluster.deployment.engines.values():
+            engine.token_seconds = 0.02
+        async with cluster.open_client(TEAM) as client:
+            program = await client.open_program(5_000)
+            path = f"/v1/programs/{program}/turns"
+            async with client._send(
+                "POST", path, json=make_turn("hello", 100)
+            ) as answer:
+                start = await answer.content.readuntil(b"\n\n")
+                ending = asyncio.create_task(cluster.terminate("node-1"))
+                whole = (start + await answer.content.read()).decode()
+        assert whole.endswith("data: [DONE]\n\n")
+        assert '"durability":"durable"' in whole
+        chunks = [json.loads(x[6:]) for x in whole.splitlines() if x[:7] == "data: {"]
+        texts = [c["delta"].get("content", "") for x in chunks for c in x["choices"]]
+        assert verify_answer(["hello"], "".join(texts)) is None
+        assert len("".join(texts).split()) == 100
+        assert await ending == 0
+
+
+class TestStart:
+    """Settings that cannot be used."""
+
+    @pytest.mark.parametrize(
+        ("change", "field", "remedy"),
+        [
+            ({"node_secret": "short"}, "node_secret", "give at least 16"),
+            ({"timing": {"lease_ttl": "x"}}, "timing.lease_ttl", "whole number"),
+            ({"colour": 1}, "colour", "unknown"),
+        ],
+    )
+    async def test_refused(
+        self, tmp_path: Path, change: dict[str, Any], field: str, remedy: str
+    ) -> None:
+        """A wrong field is ignored, or its message does not help."""
+        names = ("callers", "internal", "peers", "operators")
+        settings = {
+            "node": {"name": "entry-1", "zone": "a", "vm": "vm-1"},
+            "listen": {name: "127.0.0.1:0" for name in names},
+            "platform": {"store": "http://127.0.0.1:1"},
+            "node_secret": SECRET,
+            **change,
+        }
+        path, log = tmp_path / "settings.json", tmp_path / "log"
+        path.write_text(json.dumps(settings))
+        process = await spawn(["fireflyspread.daemon", str(path)], log)
+        assert await asyncio.wait_for(process.wait(), 60) == 2
+        text = log.read_text()
+        assert field in text and remedy in text
+        assert "Traceback" not in text
+
+
+class TestOutput:
+    """Logs and the state dump."""
+
+    async def test_carries_no_secrets(self, cluster: LocalCluster) -> None:
+        """A key or a history leaves the process through its logs or its dump."""
+        marker = "confidential-question"
+        await run_turn(cluster, marker)
+        # Refused requests are where a key is most easily put into a message.
+        wrong = "wrong-key-of-a-caller"
+        headers = {"Authorization": f"Bearer {wrong}"}
+        url = cluster.urls[0] + "/v1/programs"
+        async with (
+            aiohttp.ClientSession(headers=headers) as session,
+            session.post(url, json={"budget": 5}) as answer,
+        ):
+            assert answer.status == 401
+            refusal = await answer.text()
+        status, dump = await Admin(cluster, "olga").call("GET", "/state")
+        assert status == 200 and json.loads(dump)["node"] == "node-1"
+        await cluster.terminate("node-1")
+        log = cluster.nodes["node-1"].read_logs()
+        assert len([json.loads(line) for line in log.splitlines()]) > 2
+        keys = [*cluster.deployment.keys.values(), *OPERATORS.values(), SECRET, wrong]
+        for text in (dump, log, refusal):
+            assert not [key for key in keys if key in text]
+            assert marker not in text and "sha256:" not in text
+
+
+class TestCallers:
+    """Callers that behave badly."""
+
+    async def test_a_caller_that_does_not_read(self, cluster: LocalCluster) -> None:
+        """One caller that stops reading stops others, or its own turn is lost."""
+        key = cluster.deployment.keys[TEAM]
+        async with cluster.open_client(TEAM) as client:
+            program = await client.open_program(60_000)
+            body = json.dumps(make_turn("long", 12_000)).encode()
+            host, _, port = cluster.urls[0][7:].rpartition(":")
+            head = (
+                f"POST /v1/programs/{program}/turns HTTP/1.1\r\nHost: {host}\r\n"
+                f"Authorization: Bearer {key}\r\nContent-Length: {len(body)}\r\n\r\n"
+            )
+            with socket.socket() as silent:
+                silent.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                silent.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(silent, (host, int(port)))
+                await loop.sock_sendall(silent, head.encode() + body)
+                for number in range(5):
+                    async with asyncio.timeout(30):
+                        await run_turn(cluster, f"other {number}")
+                path = f"/v1/programs/{program}/turns/1"
+                whole = (await client.request("GET", path)).decode()
+                # Its connection was given up, so the answer did not fit the buffers.
+                with pytest.raises(ConnectionResetError):
+                    while await loop.sock_recv(silent, 65_536):
+                        pass
+        assert whole.endswith("data: [DONE]\n\n")
+        events = [json.loads(x[6:]) for x in whole.splitlines() if x[:7] == "data: {"]
+        texts = [c["delta"].get("content", "") for x in events for c in x["choices"]]
+        assert verify_answer(["long"], "".join(texts)) is None
+        assert len("".join(texts).split()) == 12_000
+
+    async def test_a_body_above_the_limit(self, cluster: LocalCluster) -> None:
+        """A large body is read into memory, or closes the door for the next one."""
+        headers = {"Authorization": f"Bearer {cluster.deployment.keys[TEAM]}"}
+        url = cluster.urls[0] + "/v1/services/quotes"
+        for size, status in ((BODY_LIMIT + 1, 413), (BODY_LIMIT, 200)):
+            async with (
+                aiohttp.ClientSession(headers=headers) as session,
+                session.post(url, data=b"x" * size) as answer,
+            ):
+                assert answer.status == status
+                if status == 413:
+                    error = (await answer.json())["error"]
+                    assert error["code"] == "payload_too_large"
+                    assert error["outcome"] == "not_run"
+        services = cluster.deployment.services.values()
+        assert sum(len(service.effects) for service in services) == 1
+
+
+class TestApprovals:
+    """approvals_needed in the settings."""
+
+    async def test_one_of_two_is_not_enough(self, cluster: LocalCluster) -> None:
+        """One operator alone rolls a bundle that two must approve."""
+        olga, paul = Admin(cluster, "olga"), Admin(cluster, "paul")
+        bundle = {**cluster.deployment.bundle}
+        bundle["teams"] = [{**team, "burst": 500} for team in bundle["teams"]]
+        _, draft = await olga.call("POST", "/bundles", json=bundle)
+        path = f"/bundles/{json.loads(draft)['digest']}"
+        roll = {"expected_version": 1}
+        await olga.call("POST", f"{path}/approvals")
+        status, answer = await olga.call("POST", f"{path}/roll", json=roll)
+        assert (status, json.loads(answer)["code"]) == (409, "bundle_not_approved")
+        await paul.call("POST", f"{path}/approvals")
+        status, answer = await olga.call("POST", f"{path}/roll", json=roll)
+        assert status == 200 and json.loads(answer)["version"] == 2
