--- a/src/fireflyspread/daemon/_exchange.py
+++ b/src/fireflyspread/daemon/_exchange.py
@@ -7,7 +7,6 @@
 from fireflyspread.exceptions import PeerError
 from fireflyspread.nodes import (
     BundleFetched,
-    ConfirmFence,
     FenceGuard,
     FetchBundle,
     Greeter,
@@ -73,12 +72,9 @@
                 fences=active.fences,
             )
 
-        async def confirm_fence(message: ConfirmFence) -> Message:
-            return fences.confirm(message)
-
         server.register(Hello, take_hello)
         server.register(FetchBundle, send_bundle)
-        server.register(ConfirmFence, confirm_fence)
+        fences.register(server)
 
     async def fetch_bundle(self, node: str) -> ActiveBundle:
         """Return the bundle in force on another node.
@@ -116,7 +112,6 @@
         )
 
     def _take_hello(self, hello: Hello) -> None:
-        self._membership.note_epoch(hello.epoch)
         self._feed.announce(hello.node, hello.bundle_version)
         self._leaving.merge(hello.leaving)
         self._quarantine.merge(
