Bound every write that can wait for a caller; refuse open non-idempotent routes

Ruled out: the answer log (readers lose no wake-up) and the engine stand-in. Change: no timer only below the 16 KiB at which a transport can never be paused. Bundles with a route that is open and not idempotent are refused, because callers without a key would share one space of idempotency keys.

--- a/src/fireflyspread/bundle/_model.py
+++ b/src/fireflyspread/bundle/_model.py
@@ -187,6 +187,12 @@
                 )
         targets = {target.name for target in self.targets}
         for route in self.routes:
+            if route.open and not route.idempotent:
+                raise BundleError(
+                    f"route {route.name!r} is open to all and not idempotent, so "
+                    "callers without a key would share their idempotency keys; "
+                    "close it or mark it idempotent"
+                )
             if route.target not in targets:
                 raise BundleError(
                     f"route {route.name!r} names the absent target {route.target!r}; "
--- a/src/fireflyspread/callers/_responses.py
+++ b/src/fireflyspread/callers/_responses.py
@@ -16,6 +16,8 @@
 
 _LOGGER = logging.getLogger(__name__)
 
+_NEVER_PAUSED_BYTES = 16 * 1024
+
 _STARTED = web.RequestKey("started", bool)
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
@@ -107,9 +109,7 @@
             if self._response is None:
                 await self._prepare()
             assert self._response is not None
-            # write() only waits when the transport's buffer is full, so the timer is
-            # set up only then.
-            if self._is_congested():
+            if self._may_wait(len(events)):
                 await asyncio.wait_for(self._response.write(events), self._timeout)
             else:
                 await self._response.write(events)
@@ -145,9 +145,16 @@
         self._request[_STARTED] = True
         await self._response.prepare(self._request)
 
-    def _is_congested(self) -> bool:
+    def _may_wait(self, size: int) -> bool:
+        """Return whether writing ``size`` bytes can wait for the caller to read.
+
+        A transport pauses above 64 KiB and resumes below 16 KiB, so a write that stays
+        below the latter never waits and needs no timer.
+        """
         transport = self._request.transport
-        return transport is not None and transport.get_write_buffer_size() > 0
+        if transport is None:
+            return False
+        return transport.get_write_buffer_size() + size >= _NEVER_PAUSED_BYTES
 
     def _leave(self) -> None:
         self._is_gone = True
--- a/tests/bundle/test_model.py
+++ b/tests/bundle/test_model.py
@@ -53,6 +53,13 @@
         with pytest.raises(BundleError, match=message):
             Bundle.from_config(change(path, value))
 
+    def test_refuses_open_route_that_is_not_idempotent(self) -> None:
+        """Callers without a key would get the answers of each other's orders."""
+        config = make_config()
+        config["routes"][0] |= {"open": True, "idempotent": False}
+        with pytest.raises(BundleError, match="share their idempotency keys"):
+            Bundle.from_config(config)
+
     def test_names_missing_field(self) -> None:
         """A team without a rate is not given one by default."""
         config = make_config()
