--- a/src/fireflyspread/routing/_health.py
+++ b/src/fireflyspread/routing/_health.py
@@ -18,7 +18,12 @@
 _EFFECTIVE_SAMPLES = (2 - _SMOOTHING) / _SMOOTHING
 # Standard errors by which a replica must be slower, so that times that vary much by
 # themselves do not eject replicas.
-_STANDARD_ERRORS = 4.0
+_STANDARD_ERRORS = 3.0
+# A late request counts with the time so far, so that must be clearly slow.
+_LATE_FACTOR = 1.5
+# A replica that was down and has not refused a probe for this long (seconds) is up.
+# Waiting for the answer, which may take a minute, wastes the replica.
+_PROBE_SECONDS = 1.0
 
 
 @define
@@ -32,15 +37,17 @@
     level: int = 0
     until: float = 0.0
     is_ejected: bool = False
+    is_slow: bool = False
     is_probed: bool = False
+    probed_at: float = 0.0
 
 
 class ReplicaHealth:
     """Gives no work for a while to replicas of one target that fail or are slow.
 
-    After the time of its ejection a replica gets one request as a probe. If that is
-    answered as fast as by the others, the replica is back; otherwise it is ejected
-    for twice the time.
+    After the time of its ejection a replica gets one request as a probe. A replica
+    that failed is back when the probe is accepted; a slow one when it is answered as
+    fast as by the others. Otherwise it is ejected for twice the time.
 
     Parameters
     ----------
@@ -60,8 +67,8 @@
         self,
         clock: Clock,
         *,
-        base: float = 2.0,
-        cap: float = 60.0,
+        base: float = 1.0,
+        cap: float = 30.0,
         slow_factor: float = 3.0,
         min_samples: int = 5,
         max_fraction: float = 0.5,
@@ -83,13 +90,20 @@
         health = self._replicas.get(replica)
         if health is None or not health.is_ejected:
             return True
-        return not health.is_probed and self._clock.read_monotonic() >= health.until
+        now = self._clock.read_monotonic()
+        if health.is_probed:
+            if health.is_slow or now < health.probed_at + _PROBE_SECONDS:
+                return False
+            health.is_ejected = health.is_probed = False
+            return True
+        return now >= health.until
 
     def start(self, replica: str) -> None:
         """Take note of a request; on an ejected replica it is the probe."""
         health = self._replicas.get(replica)
         if health is not None and health.is_ejected:
             health.is_probed = True
+            health.probed_at = self._clock.read_monotonic()
 
     def record(self, replica: str, result: Result, seconds_per_cost: float) -> None:
         """Take note of how a request ended.
@@ -124,13 +138,15 @@
         if not others:
             return False
         median = statistics.median(other.mean for other in others)
-        return _log(seconds_per_cost) > median + math.log(self._slow_factor)
+        return _log(seconds_per_cost) > median + math.log(
+            _LATE_FACTOR * self._slow_factor
+        )
 
     def _add_sample(self, health: _Health, value: float) -> None:
         value = _log(value)
         if health.is_ejected:
             if self._is_slow(health, value, 1):
-                self._eject(health)
+                self._eject(health, is_slow=True)
                 return
             health.is_ejected = False
             health.mean, health.variance, health.samples = value, 0.0, 1
@@ -143,7 +159,7 @@
         if health.samples >= self._min_samples:
             samples = min(health.samples, _EFFECTIVE_SAMPLES)
             if self._is_slow(health, health.mean, samples):
-                self._eject(health)
+                self._eject(health, is_slow=True)
             elif health.samples >= 4 * self._min_samples:
                 health.level = 0
 
@@ -169,13 +185,14 @@
             if other is not health and other.samples >= self._min_samples
         ]
 
-    def _eject(self, health: _Health) -> None:
+    def _eject(self, health: _Health, *, is_slow: bool = False) -> None:
         if not health.is_ejected:
             ejected = sum(other.is_ejected for other in self._replicas.values())
             if ejected + 1 > self._max_fraction * len(self._replicas):
                 return
         seconds = min(self._cap, self._base * 2.0**health.level)
         health.is_ejected = True
+        health.is_slow = is_slow
         health.level = min(health.level + 1, 16)
         health.until = self._clock.read_monotonic() + seconds
         health.mean, health.variance = 0.0, 0.0
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -227,7 +227,7 @@
     def _start_one(self, state: TargetState) -> bool:
         """Start or refuse the first request that can be; False if there is none."""
         usable = state.list_usable(self._leaving)
-        free = state.list_free(usable, max(1, state.target.concurrency // self._nodes))
+        free = state.list_free(usable, self._get_part(state))
         if not free and usable and not self.quarantine.has_entries():
             return False
         if self.quarantine.has_entries() and self._start_suspect(state, usable):
@@ -249,6 +249,9 @@
                 return True
         return False
 
+    def _get_part(self, state: TargetState) -> int:
+        return max(1, state.target.concurrency // self._nodes)
+
     def _start_suspect(self, state: TargetState, usable: list[ReplicaState]) -> bool:
         """Start or refuse a suspected request, before others fill its replica."""
         now = self._clock.read_monotonic()
@@ -279,8 +282,6 @@
         work = waiting.work
         if work.excluded:
             free = [replica for replica in free if replica in allowed]
-        if not free:
-            return None
         holder = state.replicas.get(work.holder) if work.holder is not None else None
         if holder is not None and (
             holder not in allowed
@@ -290,6 +291,8 @@
         ):
             holder = None
         waited = self._clock.read_monotonic() - waiting.enqueued_at
+        if not free:
+            return None
         return self._placement.choose(work, free, holder, waited)
 
     def _start(
--- a/src/fireflyspread/routing/_queue.py
+++ b/src/fireflyspread/routing/_queue.py
@@ -135,7 +135,9 @@
     attained_rate : float
         Tokens used that delay a program by one second.
     attained_delay : float
-        Seconds; bounds the delay of programs with long histories.
+        Seconds; bounds the delay of programs with long histories. 0 by default: least
+        attained service changed no measured figure (docs/measurements/policies.md)
+        and makes programs with long histories wait between turns.
     interactive_lead : float
         Seconds.
     """
@@ -144,7 +146,7 @@
         self,
         *,
         attained_rate: float = 20_000.0,
-        attained_delay: float = 5.0,
+        attained_delay: float = 0.0,
         interactive_lead: float = 30.0,
     ) -> None:
         self._attained_rate = attained_rate
--- a/src/fireflyspread/routing/_sessions.py
+++ b/src/fireflyspread/routing/_sessions.py
@@ -54,7 +54,9 @@
         Seconds of rest for which a session is kept on a replica that is full.
     low, high : float
         Used fractions of the cache. Below ``low`` there is no pressure; releases
-        stop when the cache is down to it. At ``high`` the replica counts as full.
+        stop when the cache is down to it. At ``high`` the replica counts as full. The
+        defaults leave pressure to the engine, which drops the session used longest
+        ago: releases before that did not help (docs/measurements/policies.md).
     """
 
     def __init__(
@@ -64,8 +66,8 @@
         default_pause: float = 10.0,
         longest: float = 600.0,
         shortest: float = 2.0,
-        low: float = 0.75,
-        high: float = 0.95,
+        low: float = 1.0,
+        high: float = 1.1,
     ) -> None:
         self._clock = clock
         self._default_pause = default_pause
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -48,7 +48,7 @@
 
     name: str
     make_scheduler: Callable[[Clock, random.Random, str], PolicyScheduler]
-    uses_keeper: bool = True
+    uses_keeper: bool = False
 
 
 @define
@@ -121,7 +121,9 @@
             scheduler = self._policy.make_scheduler(clock, rng, _ZONES[i % 3])
             scheduler.set_nodes(_NODES)
             scheduler.set_targets(self._targets.values())
-            self._nodes.append(_Node(scheduler, CacheHints(), SessionKeeper(clock)))
+            self._nodes.append(
+                _Node(scheduler, CacheHints(), SessionKeeper(clock, low=0.9, high=1.0))
+            )
         background = [
             asyncio.create_task(self._report(replica))
             for replica in self._replicas.values()
@@ -263,7 +265,7 @@
         try:
             for number, step in enumerate(steps):
                 node.keeper.begin_pause(
-                    program, _get_holder(node, program), "", history
+                    program, _get_holder(node, program), step.tool, history
                 )
                 await asyncio.sleep(step.pause)
                 node.keeper.end_pause(program)
--- a/tools/policy_workload.py
+++ b/tools/policy_workload.py
@@ -2,7 +2,7 @@
 
 import random
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 __all__ = ["DEPLOYMENTS", "Deployment", "SimulatedStep", "TeamLoad", "draw_program"]
 
@@ -17,11 +17,14 @@
         Tokens of the new message and of the answer; 0 for a call.
     pause : float
         Seconds before the step.
+    tool : str
+        What the program waits for in the pause.
     call_seconds : float
         Service time of a call; 0 for a turn.
     """
 
     pause: float
+    tool: str = ""
     new_tokens: int = 0
     completion: int = 0
     call_seconds: float = 0.0
@@ -78,7 +81,7 @@
         engines=5,
         services=3,
         latency=0.001,
-        rate=0.75,
+        rate=0.9,
         cache_tokens=400_000,
         flood="reorders",
         teams=_make_teams(
@@ -98,7 +101,7 @@
         engines=4,
         services=3,
         latency=0.0005,
-        rate=0.45,
+        rate=0.6,
         cache_tokens=800_000,
         flood="clinic-b",
         teams=_make_teams(
@@ -133,9 +136,10 @@
     steps = [_draw_turn(rng, 0.0, start, (80, 250))]
     for _ in range(rng.randint(8, 30)):
         # Most tools answer in about a second; some wait for a person.
-        mean = 1.5 if rng.random() < 0.85 else 20.0
+        tool, mean = ("tool", 1.5) if rng.random() < 0.85 else ("person", 20.0)
         pause = min(120.0, rng.expovariate(1 / mean))
-        steps.append(_draw_turn(rng, pause, (200, 2000), (60, 250)))
+        turn = _draw_turn(rng, pause, (200, 2000), (60, 250))
+        steps.append(evolve(turn, tool=tool))
         if rng.random() < 0.2:
             seconds = rng.expovariate(10.0)
             steps.append(SimulatedStep(pause=0.0, call_seconds=seconds))
