--- a/src/fireflyspread/callers/_calls.py
+++ b/src/fireflyspread/callers/_calls.py
@@ -9,6 +9,8 @@
 from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
+from fireflyspread.callers._outcomes import correct_outcome
+from fireflyspread.callers._results import classify_failure
 from fireflyspread.exceptions import (
     DeadlineError,
     FireflyError,
@@ -19,7 +21,6 @@
     RequestError,
     StaleFenceError,
     TargetError,
-    TargetUnreachableError,
 )
 from fireflyspread.nodes import Identity
 from fireflyspread.programs import compute_digest
@@ -116,16 +117,26 @@
 
     async def _call_repeatable(self, call: Call) -> ServiceAnswer:
         excluded: set[str] = set()
-        while True:
-            work = self._make_work(call, frozenset(excluded))
-            ticket = await self._context.scheduler.acquire(work, call.target)
-            try:
-                return await self._dispatch(call, ticket)
-            except TargetError as exc:
-                excluded.add(ticket.replica.name)
-                if not self._context.scheduler.may_retry(work):
-                    raise
-                _LOGGER.info("call retried after %s", exc.code, extra=_fields(call))
+        is_dispatched = False
+        try:
+            while True:
+                work = self._make_work(call, frozenset(excluded))
+                ticket = await self._context.scheduler.acquire(work, call.target)
+                try:
+                    return await self._dispatch(call, ticket)
+                except TargetError as exc:
+                    is_dispatched |= exc.outcome is not Outcome.NOT_RUN
+                    excluded.add(ticket.replica.name)
+                    if not self._context.scheduler.may_retry(work):
+                        raise
+                    _LOGGER.info("call retried: %s", exc.code, extra=_fields(call))
+                if is_dispatched:
+                    # Each dispatch counts against the rate, also a repeated one.
+                    await self._admit(call)
+        except FireflyError as exc:
+            if is_dispatched:
+                correct_outcome(exc)
+            raise
 
     async def _call_once(self, call: Call) -> ServiceAnswer:
         intents = self._context.intents
@@ -161,7 +172,10 @@
             fence = self._find_fence(call.target)
             if not call.target.checks_fence:
                 await context.fences.wait_clear(
-                    call.target.name, fence, timeout=self._measure_left(call)
+                    call.target.name,
+                    fence,
+                    context.ownership.members,
+                    timeout=self._measure_left(call),
                 )
             with context.fences.act(call.target.name, fence):
                 # A newer bundle may have come into force while this call waited.
@@ -176,7 +190,7 @@
             progress.is_dispatched = False
             raise
         except TargetError as exc:
-            result = _classify(exc)
+            result = await classify_failure(exc, ticket.replica.url)
             if exc.outcome is Outcome.NOT_RUN:
                 progress.is_dispatched = False
                 raise
@@ -227,7 +241,7 @@
             result = Result.ANSWERED
             return answer
         except TargetError as exc:
-            result = _classify(exc)
+            result = await classify_failure(exc, ticket.replica.url)
             raise
         finally:
             self._context.scheduler.release(ticket, result)
@@ -281,11 +295,5 @@
         self.is_dispatched = False
 
 
-def _classify(error: TargetError) -> Result:
-    if isinstance(error, TargetUnreachableError):
-        return Result.UNREACHABLE
-    return Result.CRASHED if error.code == "replica_crashed" else Result.TIMED_OUT
-
-
 def _fields(call: Call) -> dict[str, str]:
     return {"team": call.identity.team, "target": call.target.name}
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -9,17 +9,25 @@
 from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
+from fireflyspread.callers._outcomes import correct_outcome
+from fireflyspread.callers._recording import commit_turn
 from fireflyspread.callers._responses import EventWriter
-from fireflyspread.engines import EngineRequest, Usage, extract_answer
+from fireflyspread.callers._results import classify_failure
+from fireflyspread.engines import (
+    EngineRequest,
+    Usage,
+    extract_answer,
+    extract_partial,
+)
 from fireflyspread.exceptions import (
     CrossedAnswerError,
     DeadlineError,
     FireflyError,
     NotFoundError,
+    Outcome,
     ReplicaCrashedError,
     RequestError,
     TargetError,
-    TargetUnreachableError,
 )
 from fireflyspread.programs import Program, RunningTurn, compute_digest
 from fireflyspread.recovery import (
@@ -98,6 +106,8 @@
             return await complete(attempt.record(text, usage))
         except BaseException as exc:
             attempt.give_up(exc)
+            if attempt.is_dispatched and isinstance(exc, FireflyError):
+                correct_outcome(exc)
             raise
 
 
@@ -122,7 +132,8 @@
         self._max_tokens = 0
         self._events: list[bytes] = []
         self._text = ""
-        self._is_dispatched = False
+        self._tokens = 0
+        self.is_dispatched = False
 
     async def reserve(self) -> None:
         """Take the worst case from the budget and one request from the rate."""
@@ -154,9 +165,12 @@
                 result = Result.ANSWERED
                 return self._text, usage
             except TargetError as exc:
-                result = _classify(exc)
+                result = await classify_failure(exc, ticket.replica.url)
                 excluded.add(ticket.replica.name)
-                if not self._context.scheduler.may_retry(work):
+                if self._tokens >= self._max_tokens:
+                    usage = await self._end_at_limit()
+                    return self._text, usage
+                if not await self._may_retry(work):
                     raise
                 _LOGGER.info(
                     "turn retried after %s", exc.code, extra=self._log_fields()
@@ -165,6 +179,19 @@
                 used = 0 if usage is None else usage.completion
                 self._context.scheduler.release(ticket, result, tokens=used)
 
+    async def _may_retry(self, work: Work) -> bool:
+        if not self._context.scheduler.may_retry(work):
+            return False
+        if not self.is_dispatched:
+            return True
+        # Each dispatch counts against the team's rate, also a repeated one.
+        try:
+            team = self._active.teams[self._program.team]
+            await self._context.limiter.acquire(team)
+        except FireflyError:
+            return False
+        return True
+
     async def record(self, text: str, usage: Usage) -> TurnResult:
         """Make the turn durable and settle its budget."""
         program, context = self._program, self._context
@@ -185,16 +212,11 @@
             chain=program.history.preview(added),
             context_tokens=usage.prompt + usage.completion,
         )
-        try:
-            durability = await context.ownership.commit(record, may_pend=True)
-        finally:
-            # Also after an error the record stays queued in its order, so the state
-            # in memory must follow; a repeated turn waits for it to be kept.
-            context.programs.apply(record)
-            self._running.answer.close()
-            program.running = None
+        durability = await commit_turn(context, program, record)
         if durability is Durability.PENDING:
             context.ownership.check_authority()
+        if program.holder is not None:
+            context.sessions.end_turn(program.id, program.holder, record.context_tokens)
         context.metrics.count("turns.recorded")
         return TurnResult(record=record, text=text, usage=usage, durability=durability)
 
@@ -203,7 +225,7 @@
         program = self._program
         if program.running is not self._running:
             return
-        if self._is_dispatched:
+        if self.is_dispatched:
             bound = len(self._spec.messages) + len(self._text.encode())
             record = TurnFailed(
                 slot=program.slot,
@@ -221,25 +243,43 @@
         """Run the rest of the turn on one replica."""
         request = self._make_request()
         events: list[bytes] = []
-        await self._hold_session(replica)
-        self._is_dispatched = True
+        self._hold_session(replica)
+        was_dispatched, self.is_dispatched = self.is_dispatched, True
         try:
             async for chunk in self._context.engines.get(url).stream(request):
                 events.append(chunk)
                 await self._pass_on(chunk)
-        except TargetError as exc:
-            self._text += extract_answer(b"".join(events))[0]
+            text, usage = extract_answer(b"".join(events))
+        except BaseException as exc:
+            # What the caller has received stays part of the answer and is charged.
+            text, tokens = extract_partial(b"".join(events))
+            self._text += text
+            self._tokens += tokens
+            if isinstance(exc, TargetError) and exc.outcome is Outcome.NOT_RUN:
+                self.is_dispatched = was_dispatched or bool(events)
             if isinstance(exc, CrossedAnswerError | ReplicaCrashedError):
                 self._program.holder = None
             raise
-        text, usage = extract_answer(b"".join(events))
-        if usage is None:
-            self._text += text
-            raise ReplicaCrashedError("the engine ended its answer without a usage")
         self._text += text
         self._program.holder = replica
         return usage
 
+    async def _end_at_limit(self) -> Usage:
+        """End an answer whose replica broke after the last token it was asked for."""
+        # Only an engine counts a prompt exactly, so the reserved bound is charged.
+        usage = Usage(
+            prompt=self._program.context_tokens + len(self._spec.messages),
+            cached=0,
+            completion=self._tokens,
+        )
+        end = {
+            "object": "chat.completion.chunk",
+            "choices": [{"index": 0, "delta": {}, "finish_reason": "length"}],
+            "usage": _make_usage(usage),
+        }
+        await self._pass_on(b"data: " + msgspec.json.encode(end) + b"\n\n")
+        return usage
+
     async def _pass_on(self, chunk: bytes) -> None:
         framed = []
         for event in chunk.split(b"\n\n")[:-1]:
@@ -252,8 +292,9 @@
         if framed and self._writer is not None:
             await self._writer.write(b"".join(framed))
 
-    async def _hold_session(self, replica: str) -> None:
+    def _hold_session(self, replica: str) -> None:
         program = self._program
+        self._context.sessions.begin_turn(program.id, replica)
         if replica in program.sessions:
             return
         record = SessionHeld(slot=program.slot, subject=program.id, replica=replica)
@@ -293,7 +334,7 @@
             model=spec.model,
             session=self._program.id,
             messages=msgspec.Raw(self._program.history.render(messages)),
-            max_tokens=max(1, self._max_tokens - len(self._events)),
+            max_tokens=self._max_tokens - self._tokens,
             priority=(
                 _PRIORITY_INTERACTIVE if self._route.interactive else _PRIORITY_NORMAL
             ),
@@ -316,18 +357,6 @@
     return route, target
 
 
-def _classify(error: FireflyError) -> Result:
-    match error:
-        case TargetUnreachableError():
-            return Result.UNREACHABLE
-        case ReplicaCrashedError():
-            return Result.CRASHED
-        case CrossedAnswerError():
-            return Result.REFUSED
-        case _:
-            return Result.TIMED_OUT
-
-
 def _append(array: bytes, item: bytes) -> bytes:
     inner = array.strip()[1:-1].strip()
     return b"[" + inner + (b"," if inner else b"") + item + b"]"
--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -1,8 +1,12 @@
 """What must last: store, journal, membership, authority, takeover."""
 
+from fireflyspread.recovery._authority import Authority
+from fireflyspread.recovery._held import HeldRecords
 from fireflyspread.recovery._journal import Durability, Journal
 from fireflyspread.recovery._members import Member, MembersDocument, SlotRow
+from fireflyspread.recovery._membership import Membership
 from fireflyspread.recovery._ownership import Ownership
+from fireflyspread.recovery._peers import Peers, Promise
 from fireflyspread.recovery._records import (
     BudgetReserved,
     IntentAbandoned,
@@ -14,6 +18,7 @@
     Record,
     SessionHeld,
     SessionReleased,
+    SnapshotTaken,
     TurnFailed,
     TurnRecorded,
     decode_records,
@@ -21,29 +26,38 @@
 )
 from fireflyspread.recovery._slots import SLOT_COUNT, SlotState, find_slot
 from fireflyspread.recovery._store import Change, Entry, Store
+from fireflyspread.recovery._store_journal import Holder, StoreJournal
 
 __all__ = [
     "SLOT_COUNT",
+    "Authority",
     "BudgetReserved",
     "Change",
     "Durability",
     "Entry",
+    "HeldRecords",
+    "Holder",
     "IntentAbandoned",
     "IntentDeclared",
     "Journal",
     "Member",
     "MembersDocument",
+    "Membership",
     "OutcomeRecorded",
     "Ownership",
+    "Peers",
     "ProgramEnded",
     "ProgramOpened",
     "ProgramSnapshot",
+    "Promise",
     "Record",
     "SessionHeld",
     "SessionReleased",
     "SlotRow",
     "SlotState",
+    "SnapshotTaken",
     "Store",
+    "StoreJournal",
     "TurnFailed",
     "TurnRecorded",
     "decode_records",
--- a/src/fireflyspread/recovery/_members.py
+++ b/src/fireflyspread/recovery/_members.py
@@ -16,6 +16,10 @@
         Name of the member that alone may remove this one.
     internal, peers : str
         Addresses as ``ip:port``.
+    lease : int
+        Store lease of the key ``nodes/<name>/<incarnation>``.
+    is_leaving : bool
+        Whether the node releases its slots and must not be given any.
     """
 
     name: str
@@ -26,6 +30,7 @@
     peers: str
     monitor: str = ""
     lease: int = 0
+    is_leaving: bool = False
 
     @property
     def journal(self) -> str:
@@ -51,12 +56,15 @@
         Unique to one write, so that a lost answer can be resolved.
     slots : tuple of SlotRow
         One row for each slot.
+    discarded : tuple of str
+        Journals that no row names and that are to be deleted.
     """
 
     epoch: int
     write_id: str
     members: tuple[Member, ...]
     slots: tuple[SlotRow, ...]
+    discarded: tuple[str, ...] = ()
 
     def find_member(self, name: str) -> Member | None:
         """Return the member called ``name`` or None."""
--- a/src/fireflyspread/recovery/_records.py
+++ b/src/fireflyspread/recovery/_records.py
@@ -18,6 +18,7 @@
     "SessionHeld",
     "SessionReleased",
     "TurnFailed",
+    "SnapshotTaken",
     "TurnRecorded",
     "decode_records",
     "encode_records",
@@ -162,6 +163,12 @@
     recorded_at: float
 
 
+class SnapshotTaken(Record, frozen=True, kw_only=True):
+    """The next ``count`` records of the journal are the whole state of the slot."""
+
+    count: int
+
+
 AnyRecord = (
     ProgramOpened
     | TurnRecorded
@@ -174,6 +181,7 @@
     | IntentDeclared
     | IntentAbandoned
     | OutcomeRecorded
+    | SnapshotTaken
 )
 
 _DECODER = msgspec.msgpack.Decoder(tuple[AnyRecord, ...])
