Eject all replicas but one that fail; spread suspects over replicas

Cause: in the comparison, a replica that was down while half of the replicas were ejected stayed in rotation, was always the emptiest and drew requests until the retry budget was used up. Suspects of several nodes met on the emptiest replica and innocent ones were convicted. Change: the fraction limits only the ejection of slow replicas, and the test of the limit is split in two, as strict for each kind; failures are ejected for 5 s at most; a suspect's replica is drawn at random.

--- a/src/fireflyspread/routing/_health.py
+++ b/src/fireflyspread/routing/_health.py
@@ -16,6 +16,8 @@
 _SMOOTHING = 0.2
 # A mean with that weight varies like one of this many samples.
 _EFFECTIVE_SAMPLES = (2 - _SMOOTHING) / _SMOOTHING
+# Longest ejection (seconds) of a replica that failed; a probe costs little then.
+_FAILURE_CAP = 5.0
 # Standard errors by which a replica must be slower, so that times that vary much by
 # themselves do not eject replicas.
 _STANDARD_ERRORS = 3.0
@@ -54,13 +56,14 @@
     base : float
         Seconds of the first ejection.
     cap : float
-        Seconds of the longest ejection.
+        Seconds of the longest ejection of a slow replica.
     slow_factor : float
         Times the median of the target at which a replica counts as slow.
     min_samples : int
         Answers before a replica is compared.
     max_fraction : float
-        Part of the replicas that may be ejected at once.
+        Part of the replicas that may be ejected when one more is slow. Of replicas
+        that fail, all but one may be ejected.
     """
 
     def __init__(
@@ -186,11 +189,10 @@
         ]
 
     def _eject(self, health: _Health, *, is_slow: bool = False) -> None:
-        if not health.is_ejected:
-            ejected = sum(other.is_ejected for other in self._replicas.values())
-            if ejected + 1 > self._max_fraction * len(self._replicas):
-                return
-        seconds = min(self._cap, self._base * 2.0**health.level)
+        if not health.is_ejected and not self._has_room(is_slow):
+            return
+        cap = self._cap if is_slow else _FAILURE_CAP
+        seconds = min(cap, self._base * 2.0**health.level)
         health.is_ejected = True
         health.is_slow = is_slow
         health.level = min(health.level + 1, 16)
@@ -198,6 +200,14 @@
         health.mean, health.variance = 0.0, 0.0
         health.samples = health.timeouts = 0
 
+    def _has_room(self, is_slow: bool) -> bool:
+        """Return whether one more replica may be ejected."""
+        ejected = sum(health.is_ejected for health in self._replicas.values())
+        if is_slow:
+            return ejected + 1 <= self._max_fraction * len(self._replicas)
+        # A replica that is down is empty, so it would attract all requests.
+        return self._max_fraction > 0 and ejected + 1 < len(self._replicas)
+
     def list_ejected(self) -> tuple[str, ...]:
         """Return the replicas that get no work or only probes."""
         return tuple(n for n, health in self._replicas.items() if health.is_ejected)
--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -1,5 +1,6 @@
 """Runs suspected requests alone on a replica."""
 
+import random
 from collections.abc import Sequence
 
 from fireflyspread.routing._placement import ReplicaState
@@ -35,11 +36,13 @@
     def __init__(
         self,
         quarantine: Quarantine,
+        rng: random.Random,
         *,
         max_fraction: float = 0.34,
         patience: float = 3.0,
     ) -> None:
         self._quarantine = quarantine
+        self._rng = rng
         self._max_fraction = max_fraction
         self._patience = patience
         self._requests: dict[str, tuple[str, float]] = {}
@@ -91,7 +94,9 @@
         ]
         crashed = self._quarantine.get_crashed(work.fingerprint)
         free = [r for r in free if r.replica.name not in crashed] or free
-        return min(free, key=_get_loads, default=None)
+        # Other nodes do not see this choice before the next load report. If all took
+        # the emptiest replica, their suspects would meet there.
+        return self._rng.choice(free) if free else None
 
     def forget(self, work: Work, state: TargetState) -> None:
         """End the reservation of a request that does not wait or run any more."""
@@ -104,8 +109,3 @@
                 replica.reserved_for = None
             if replica.alone == work.request:
                 replica.alone = None
-
-
-def _get_loads(replica: ReplicaState) -> tuple[int, int]:
-    # Requests of other nodes count too: the fewer, the more a crash proves.
-    return (replica.estimate_load(), replica.running)
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -105,7 +105,7 @@
         self._ticker: asyncio.TimerHandle | None = None
         self._owners: dict[str, TargetState] = {}
         self.quarantine = quarantine or Quarantine(clock)
-        self._isolation = Isolation(self.quarantine)
+        self._isolation = Isolation(self.quarantine, rng)
 
     @classmethod
     def from_config(
