--- a/tests/harness/_forwarder.py
+++ b/tests/harness/_forwarder.py
@@ -135,7 +135,8 @@
                 asyncio.create_task(link.copy(out_reader, writer)),
             ]
             await asyncio.gather(*link.tasks)
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # ``stop`` cancels the copies; nobody awaits this connection's task.
             link.abort()
         finally:
             self._links.discard(link)
--- a/tools/client.py
+++ b/tools/client.py
@@ -19,6 +19,8 @@
     "deadline_exceeded journal_sealed request_running".split()
 )
 _LONGEST_WAIT = 5.0
+# An answer that sends nothing for this time is asked for again at another node.
+_STALL_SECONDS = 15.0
 
 
 class CallError(Exception):
@@ -130,12 +132,15 @@
         self._rng = rng or random.Random()
         self._watch = watch
         self._next = 0
+        self.stalls: list[str] = []
         self._session: aiohttp.ClientSession | None = None
 
     async def __aenter__(self) -> Self:
         self._session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=0),
-            timeout=aiohttp.ClientTimeout(total=None, sock_connect=1.0),
+            timeout=aiohttp.ClientTimeout(
+                total=None, sock_connect=1.0, sock_read=_STALL_SECONDS
+            ),
         )
         return self
 
@@ -199,18 +204,18 @@
         attempts = 0
         first = 0.0
 
-        async def attempt() -> _Stream:
+        async def attempt(node: str) -> _Stream:
             nonlocal attempts, first
             attempts += 1
             stream = _Stream()
             try:
-                await self._read_stream(path, body, stream)
+                await self._read_stream(node + path, body, stream)
             finally:
                 if not first and stream.times:
                     first = stream.times[0]
             return stream
 
-        stream = await self._repeat(attempt, is_limited=True)
+        stream = await self._repeat(path, attempt, is_limited=True)
         times = stream.times or [time.monotonic()]
         return TurnAnswer(
             text=stream.text,
@@ -238,34 +243,41 @@
             The request was refused for good or the patience was over.
         """
 
-        async def attempt() -> bytes:
-            async with self._send(method, path, headers=headers, **kw) as response:
+        async def attempt(node: str) -> bytes:
+            async with self._send(
+                method, node + path, headers=headers, **kw
+            ) as response:
                 body = await response.read()
                 if response.status >= 400:
                     raise _read_error(response, body)
                 return body
 
         is_limited = "/calls/" in path or "/services/" in path
-        return await self._repeat(attempt, is_limited=is_limited)
+        return await self._repeat(path, attempt, is_limited=is_limited)
 
-    def _send(self, method: str, path: str, **kw: Any) -> Any:
+    def _send(self, method: str, url: str, **kw: Any) -> Any:
         assert self._session is not None, "use the client in an async with block"
         headers = {**self._headers, **(kw.pop("headers", None) or {})}
-        url = self.nodes[self._next % len(self.nodes)] + path
         return self._session.request(method, url, headers=headers, **kw)
 
-    async def _repeat(self, attempt: Any, *, is_limited: bool = False) -> Any:
+    async def _repeat(
+        self, path: str, attempt: Any, *, is_limited: bool = False
+    ) -> Any:
         until = time.monotonic() + self._patience
         while True:
+            node = self.nodes[self._next % len(self.nodes)]
             inside = self._watch is not None and is_limited and self._watch.take()
             try:
                 async with asyncio.timeout(max(0.05, until - time.monotonic())):
-                    return await attempt()
+                    return await attempt(node)
             except _Retry as exc:
                 code, wait, last = exc.code, exc.wait, exc.last
             except (aiohttp.ClientError, TimeoutError, OSError) as exc:
-                last = CallError("no_answer", repr(exc), "may_have_run")
-                code, wait = "no_answer", 0.1
+                is_stalled = isinstance(exc, aiohttp.SocketTimeoutError)
+                code, wait = "stalled" if is_stalled else "no_answer", 0.1
+                last = CallError(code, f"{node}{path}: {exc!r}", "may_have_run")
+                if is_stalled:
+                    self.stalls.append(f"{time.time():.3f} {node}{path}")
             self.retries[code] += 1
             if code != "rate_limited":
                 self._next += 1
@@ -277,9 +289,9 @@
             await asyncio.sleep(wait)
 
     async def _read_stream(
-        self, path: str, body: dict[str, Any], stream: _Stream
+        self, url: str, body: dict[str, Any], stream: _Stream
     ) -> None:
-        async with self._send("POST", path, json=body) as response:
+        async with self._send("POST", url, json=body) as response:
             if response.status >= 400:
                 raise _read_error(response, await response.read())
             async for event in _split_events(response.content):
