--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: env check format test run bench load
+.PHONY: env check format test matrix prove run bench load
 
 env: $(VENV)/.installed
 
@@ -26,6 +26,11 @@
 test:
 	$(PYTHON) -m pytest
 
+MATRIX_ARGS ?=
+
+matrix:
+	$(PYTHON) -m pytest tests/matrix -m "matrix or not matrix" $(MATRIX_ARGS)
+
 run:
 	$(PYTHON) -m tools.run_local $(RUN_ARGS)
 
--- /dev/null
+++ b/tests/matrix/test_matrix.py
@@ -0,0 +1,26 @@
+"""The promises hold under each fault at each step of a request."""
+
+import asyncio
+
+import pytest
+
+from tests.matrix.cells import CELLS, QUICK, Cell
+from tests.matrix.run import Matrix
+
+_PARAMS = [
+    pytest.param(
+        cell, id=cell.name, marks=[] if cell in QUICK else [pytest.mark.matrix]
+    )
+    for cell in CELLS
+]
+
+
+class TestMatrix:
+    """Cells of the matrix."""
+
+    @pytest.mark.asyncio(loop_scope="session")
+    @pytest.mark.parametrize("cell", _PARAMS)
+    async def test_promises_hold(self, matrix: Matrix, cell: Cell) -> None:
+        """A broken promise, seen at the targets or at a caller."""
+        problems = await asyncio.shield(matrix.results[cell])
+        assert not problems, "\n".join(problems)
