--- a/tests/matrix/conftest.py
+++ b/tests/matrix/conftest.py
@@ -2,6 +2,7 @@
 
 import os
 from collections.abc import AsyncIterator
+from pathlib import Path
 
 import pytest
 import pytest_asyncio
@@ -13,6 +14,7 @@
 _CELLS: list[Cell] = []
 
 SEED = int(os.environ.get("MATRIX_SEED", "1"))
+LOGS = os.environ.get("MATRIX_LOGS")
 PARALLEL = int(os.environ.get("MATRIX_PARALLEL", "4"))
 
 
@@ -27,7 +29,7 @@
 @pytest_asyncio.fixture(scope="session", loop_scope="session")
 async def matrix() -> AsyncIterator[Matrix]:
     """Run the selected cells in the background."""
-    running = Matrix(SEED, PARALLEL)
+    running = Matrix(SEED, PARALLEL, Path(LOGS) if LOGS else None)
     running.start(_CELLS)
     yield running
     await running.stop()
--- a/tests/matrix/run.py
+++ b/tests/matrix/run.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -213,10 +214,13 @@
         Seed of the workload.
     parallel : int
         Clusters at a time.
+    logs : Path or None
+        Where settings and logs of the nodes stay; nowhere by default.
     """
 
     seed: int
     parallel: int
+    logs: Path | None = None
     results: dict[Cell, asyncio.Future[list[str]]] = field(factory=dict)
     tasks: list[asyncio.Task[None]] = field(factory=list)
 
@@ -239,6 +243,13 @@
             task.cancel()
         await asyncio.gather(*self.tasks, return_exceptions=True)
 
+    def _make_folder(self, cell: Cell) -> Path | None:
+        if self.logs is None:
+            return None
+        folder = self.logs / cell.name
+        folder.mkdir(parents=True, exist_ok=True)
+        return folder
+
     async def _run_column(self, cells: list[Cell], gate: asyncio.Semaphore) -> None:
         async with gate:
             rest = list(cells)
@@ -250,7 +261,10 @@
         timing = {"lease_ttl": LEASE_TTL}
         deployment = make_deployment(len(rest))
         try:
-            async with LocalCluster(deployment, nodes=4, timing=timing) as cluster:
+            folder = self._make_folder(rest[0])
+            async with LocalCluster(
+                deployment, nodes=4, timing=timing, folder=folder
+            ) as cluster:
                 for number in range(len(rest)):
                     cell = rest.pop(0)
                     try:
