--- a/tests/matrix/run.py
+++ b/tests/matrix/run.py
@@ -77,6 +77,9 @@
         watch = asyncio.create_task(self._watch_versions())
         try:
             await self._run()
+        except Exception as exc:
+            exc.add_note("\n".join(map(str, self.ledger.attempts[-40:])))
+            raise
         finally:
             watch.cancel()
             await self._restore()
