--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -30,6 +30,7 @@
     make_ssl_context,
 )
 from fireflyspread.nodes._signature import HOPS_HEADER, Identity, RequestSigner
+from fireflyspread.nodes._tokens import NodeTokenPeers, register_tokens
 
 __all__ = [
     "MESSAGE_VERSION",
@@ -47,6 +48,7 @@
     "HoldRecords",
     "Identity",
     "Message",
+    "NodeTokenPeers",
     "PeerClient",
     "PeerServer",
     "RecordsHeld",
@@ -62,4 +64,5 @@
     "encode_message",
     "find_neighbours",
     "make_ssl_context",
+    "register_tokens",
 ]
