End a relayed stream when its request is ended at the entry node

The guard cancels the request of a withdrawn key at the entry node too. The answer had begun, so no error could be sent, and the connection stayed open without data: callers waited until their own time limit. The connection is now aborted; the new test times out without the change.

--- a/src/fireflyspread/nodes/_relay.py
+++ b/src/fireflyspread/nodes/_relay.py
@@ -150,6 +150,12 @@
             if response is None or not response.prepared:
                 raise _make_broken_error(request, member) from exc
             _end_connection(request)
+        except BaseException:
+            # The request was ended here, for example because its key was withdrawn. The
+            # rest of the answer never comes, so the caller must not wait for it.
+            if response is not None and response.prepared:
+                _abort_connection(request)
+            raise
         return response
 
     async def call(
--- a/tests/nodes/test_relay.py
+++ b/tests/nodes/test_relay.py
@@ -39,6 +39,7 @@
         self.handle: Handle | None = None
         self.errors: list[PeerError] = []
         self.internal: str | None = None
+        self.task: asyncio.Task[object] | None = None
         self.session = aiohttp.ClientSession()
 
     async def start(self) -> None:
@@ -71,11 +72,22 @@
 
     async def _relay(self, request: web.Request) -> web.StreamResponse:
         body = await request.read()
+        task = self.task = asyncio.current_task()
         try:
             return await self.relay.forward(request, body, self.member, CALLER)
         except PeerError as exc:
             self.errors.append(exc)
             return web.json_response({"outcome": exc.outcome}, status=exc.status)
+        except asyncio.CancelledError:
+            # The guard of requests turns its own cancellation into an error.
+            assert task is not None
+            task.uncancel()
+            return web.json_response({"outcome": "may_have_run"}, status=401)
+
+    def cancel(self) -> None:
+        """End the relayed request as the guard of requests does."""
+        assert self.task is not None
+        self.task.cancel()
 
 
 def make_app(handle: Handle) -> web.Application:
@@ -270,3 +282,21 @@
         else:
             assert await task == 503
             assert pair.errors[0].outcome is Outcome.MAY_HAVE_RUN
+
+    async def test_ends_begun_answer_when_cancelled(self, pair: Pair) -> None:
+        """A caller whose key was withdrawn must not wait for the rest of a stream."""
+
+        async def handle(request: web.Request) -> web.StreamResponse:
+            response = web.StreamResponse()
+            await response.prepare(request)
+            await response.write(b"first")
+            await asyncio.Event().wait()
+            return response
+
+        pair.handle = handle
+        async with pair.session.post(pair.url) as answer:
+            await answer.content.readexactly(5)
+            pair.cancel()
+            async with asyncio.timeout(30):
+                with pytest.raises(aiohttp.ClientPayloadError):
+                    await answer.read()
