Reserve at most an eighth of a budget for the first turn

A failure of the node charges the open reservation. It was min(budget, 2048) tokens, so a kill before the first answer used up every budget below 2049 tokens, and the program could not finish. A larger first turn costs one more group commit before it starts.

--- a/src/fireflyspread/callers/_programs.py
+++ b/src/fireflyspread/callers/_programs.py
@@ -20,8 +20,10 @@
 
 __all__ = ["ProgramHandlers"]
 
-# Reserved for the first turn when a program is opened, in tokens.
+# Tokens reserved for the first turn when a program is opened. A failure of the node
+# charges them, so more than a part of a small budget would end its program.
 _FIRST_RESERVATION = 2048
+_FIRST_PART = 8
 
 
 class ProgramHandlers:
@@ -123,7 +125,8 @@
             self._context.ownership.owned_slots()
         )
         budget = len(chat.messages) + chat.wanted
-        await self._insert(program_id, budget, identity, parent=None)
+        # There is no later turn to keep anything for.
+        await self._insert(program_id, budget, identity, parent=None, reserved=budget)
         program = self._context.programs.find(identity.team, program_id)
         try:
             return await self._turns.run_first(request, program, chat)
@@ -136,14 +139,26 @@
     ) -> web.StreamResponse:
         if budget < 1:
             raise RequestError(f"budget is {budget}; give at least 1 token")
-        durability = await self._insert(program_id, budget, identity, parent=parent)
+        durability = await self._insert(
+            program_id,
+            budget,
+            identity,
+            parent=parent,
+            reserved=min(budget // _FIRST_PART, _FIRST_RESERVATION),
+        )
         return make_json_response(
             {"id": program_id, "budget": budget, "durability": durability.value},
             status=201,
         )
 
     async def _insert(
-        self, program_id: str, budget: int, identity: Identity, *, parent: str | None
+        self,
+        program_id: str,
+        budget: int,
+        identity: Identity,
+        *,
+        parent: str | None,
+        reserved: int,
     ) -> Durability:
         context = self._context
         context.ownership.check_authority()
@@ -153,7 +168,7 @@
             subject=program_id,
             team=identity.team,
             budget=budget,
-            reserved=min(budget, _FIRST_RESERVATION),
+            reserved=reserved,
             opened_at=context.clock.read_wall(),
             parent=parent,
         )
--- a/tests/callers/test_api.py
+++ b/tests/callers/test_api.py
@@ -36,6 +36,13 @@
         sent = msgspec.json.decode(node.engine.received[-1].body)["messages"]
         assert sent == messages[:3]
 
+    async def test_failure_in_first_turn_leaves_small_budget(self, node: Node) -> None:
+        """A node that failed before the first answer must not end small programs."""
+        program_id = await open_program(node, budget=2000)
+        budget = node.context.programs.find("clerks", program_id).budget
+        budget.charge_reservation()
+        assert budget.remaining >= 1500
+
     async def test_streams_until_done(self, node: Node) -> None:
         """A streamed answer ends with its record and the end mark."""
         program = await open_program(node)
