--- a/standins/_base.py
+++ b/standins/_base.py
@@ -30,6 +30,9 @@
 # Bodies carry whole histories; the oldest entries go when the log exceeds this size.
 LOG_BYTES = 256 << 20
 
+# Several clusters of one test run must not be given the same port.
+_given_ports: set[int] = set()
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -386,7 +389,9 @@
     such a connection before the process that gets it listens.
     """
     while True:
-        port = secrets.randbelow(12_000) + 20_000
+        port = secrets.randbelow(22_000) + 10_000
         with socket.socket() as probe, contextlib.suppress(OSError):
             probe.bind(("127.0.0.1", port))
-            return port
+            if port not in _given_ports:
+                _given_ports.add(port)
+                return port
--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -70,6 +70,7 @@
     orders: list[Order] = field(factory=list)
     attempts: list[Attempt] = field(factory=list)
     problems: list[str] = field(factory=list)
+    answers: list[tuple[str, int]] = field(factory=list)
     versions: list[tuple[str, int, int]] = field(factory=list)
 
 
@@ -179,9 +180,7 @@
             ),
         )
         wrong = verify_answer(contents, answer.text)
-        wanted = answer.usage.get("completion_tokens")
-        if wrong is None and wanted != len(answer.text.split()):
-            wrong = f"{wanted} tokens generated, {len(answer.text.split())} received"
+        self.ledger.answers.append((label, len(answer.text.split())))
         if wrong is not None:
             self.ledger.problems.append(f"P9 {program.id} turn {number}: {wrong}")
         program.contents = [*contents, answer.text]
--- a/tests/matrix/judge.py
+++ b/tests/matrix/judge.py
@@ -31,6 +31,7 @@
     problems = list(ledger.problems)
     problems += await find_held_sessions(cluster)
     problems += find_mixed_runs(cluster, ledger)
+    problems += find_cut_answers(cluster, ledger)
     problems += find_budget_excess(cluster, ledger)
     problems += find_repeats(cluster, ledger)
     problems += find_false_refusals(cluster, ledger)
@@ -82,6 +83,20 @@
     return problems
 
 
+def find_cut_answers(cluster: LocalCluster, ledger: Ledger) -> list[str]:
+    """P9: each answer is as long as one that an engine completed."""
+    whole = {
+        (run.digest, run.offset + run.completion)
+        for run in list_runs(cluster, ledger)
+        if run.state == "done"
+    }
+    return [
+        f"P9 an answer of {count} tokens that no engine completed"
+        for digest, count in ledger.answers
+        if (digest, count) not in whole
+    ]
+
+
 def find_budget_excess(cluster: LocalCluster, ledger: Ledger) -> list[str]:
     """P3: the tokens that engines generated and new messages stay in the budget."""
     generated: Counter[str] = Counter()
