--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,17 @@
 matrix:
 	$(PYTHON) -m pytest tests/matrix -m "matrix or not matrix" $(MATRIX_ARGS)
 
+MACHINES := tests/limits/test_shares_machine.py tests/recovery/test_takeover_machine.py \
+	tests/bundle/test_feed.py tests/routing/test_queue.py tests/routing/test_quarantine.py
+PROVE_FACTOR ?= 20
+PROVE_SEEDS ?= 11 12 13
+
+prove:
+	PROVE_FACTOR=$(PROVE_FACTOR) $(PYTHON) -m pytest $(MACHINES)
+	for seed in $(PROVE_SEEDS); do \
+		MATRIX_SEED=$$seed $(MAKE) matrix VENV=$(VENV) || exit 1; \
+	done
+
 run:
 	$(PYTHON) -m tools.run_local $(RUN_ARGS)
 
--- /dev/null
+++ b/tests/effort.py
@@ -0,0 +1,12 @@
+"""How many examples property tests try."""
+
+import os
+
+__all__ = ["FACTOR", "scale_examples"]
+
+FACTOR = int(os.environ.get("PROVE_FACTOR", "1"))
+
+
+def scale_examples(count: int) -> int:
+    """Return ``count`` times the factor that ``make prove`` sets."""
+    return count * FACTOR
--- a/tests/recovery/test_takeover_machine.py
+++ b/tests/recovery/test_takeover_machine.py
@@ -16,6 +16,7 @@
 
 from fireflyspread.exceptions import FireflyError, StoreError, StoreUncertainError
 from fireflyspread.recovery import Durability
+from tests.effort import scale_examples
 from tests.recovery.cluster import Cluster, Node
 
 SLOTS = st.integers(0, 7)
@@ -192,7 +193,7 @@
         run_state_machine_as_test(
             TakeoverMachine,
             settings=settings(
-                max_examples=15,
+                max_examples=scale_examples(15),
                 stateful_step_count=25,
                 deadline=None,
                 derandomize=True,
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -5,6 +5,7 @@
 
 from fireflyspread.clock import ManualClock
 from fireflyspread.routing import Quarantine
+from tests.effort import scale_examples
 
 _STEPS = st.lists(
     st.tuples(
@@ -21,7 +22,7 @@
     """Quarantine.record_crash."""
 
     @given(_STEPS)
-    @settings(derandomize=True, max_examples=300)
+    @settings(derandomize=True, max_examples=scale_examples(300))
     def test_only_what_crashed_alone(
         self, steps: list[tuple[str, str, str, float]]
     ) -> None:
