--- a/standins/_base.py
+++ b/standins/_base.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import contextlib
+import secrets
 import socket
 import time
 from base64 import b64encode
@@ -29,6 +30,9 @@
 # Bodies carry whole histories; the oldest entries go when the log exceeds this size.
 LOG_BYTES = 256 << 20
 
+# Several clusters of one test run must not be given the same port.
+_given_ports: set[int] = set()
+
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -379,7 +383,15 @@
 
 
 def find_free_port() -> int:
-    """Return a TCP port of the loopback address that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+    """Return a TCP port of the loopback address that was free a moment ago.
+
+    Ports of outgoing connections start at 32768; one from below cannot be taken by
+    such a connection before the process that gets it listens.
+    """
+    while True:
+        port = secrets.randbelow(22_000) + 10_000
+        with socket.socket() as probe, contextlib.suppress(OSError):
+            probe.bind(("127.0.0.1", port))
+            if port not in _given_ports:
+                _given_ports.add(port)
+                return port
