--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -83,13 +83,15 @@
         self._ledger = ledger
         self._key = key
 
-    async def _repeat(self, attempt: Any, *, is_limited: bool = False) -> Any:
-        async def note() -> Any:
+    async def _repeat(
+        self, path: str, attempt: Any, *, is_limited: bool = False
+    ) -> Any:
+        async def note(node: str) -> Any:
             entry = Attempt(label=self.label, key=self._key, sent=time.time())
             self._ledger.attempts.append(entry)
             entry.outcome = "cut"
             try:
-                result = await attempt()
+                result = await attempt(node)
                 entry.outcome = "ran"
                 return result
             except CallError as exc:
@@ -101,7 +103,7 @@
             finally:
                 entry.ended = time.time()
 
-        return await super()._repeat(note, is_limited=is_limited)
+        return await super()._repeat(path, note, is_limited=is_limited)
 
 
 class Runner:
