--- a/src/fireflyspread/callers/_api.py
+++ b/src/fireflyspread/callers/_api.py
@@ -15,7 +15,7 @@
 from fireflyspread.callers._remote import find_intent_slot
 from fireflyspread.callers._responses import handle_errors, make_json_response
 from fireflyspread.callers._turn_handlers import TurnHandlers
-from fireflyspread.exceptions import AuthenticationError, NoAuthorityError
+from fireflyspread.exceptions import AuthenticationError, FireflyError, NoAuthorityError
 from fireflyspread.nodes import Identity
 from fireflyspread.recovery import SLOT_COUNT, find_slot
 
@@ -125,11 +125,17 @@
 
     @contextmanager
     def _count_running(self) -> Iterator[None]:
+        metrics, clock = self._context.metrics, self._context.clock
+        start = clock.read_monotonic()
         self._running += 1
         self._is_idle.clear()
         try:
             yield
+        except FireflyError as exc:
+            metrics.count(f"refused.{exc.code}")
+            raise
         finally:
+            metrics.record_seconds("request", clock.read_monotonic() - start)
             self._running -= 1
             if self._running == 0:
                 self._is_idle.set()
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -106,6 +106,7 @@
             return await complete(attempt.record(text, usage))
         except BaseException as exc:
             attempt.give_up(exc)
+            self._context.metrics.count("turns.failed")
             if attempt.is_dispatched and isinstance(exc, FireflyError):
                 correct_outcome(exc)
             raise
@@ -218,6 +219,10 @@
         if program.holder is not None:
             context.sessions.end_turn(program.id, program.holder, record.context_tokens)
         context.metrics.count("turns.recorded")
+        context.metrics.count("tokens.generated", usage.completion)
+        context.metrics.count("tokens.prompt.cached", usage.cached)
+        computed = max(0, usage.prompt - usage.cached)
+        context.metrics.count("tokens.prompt.computed", computed)
         return TurnResult(record=record, text=text, usage=usage, durability=durability)
 
     def give_up(self, error: BaseException) -> None:
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -14,6 +14,7 @@
 from fireflyspread.daemon._build import Base, build_context, build_pools
 from fireflyspread.daemon._dump import dump_state, list_member_versions
 from fireflyspread.daemon._exchange import Exchange
+from fireflyspread.daemon._gauges import report_gauges
 from fireflyspread.daemon._programs import NodePrograms, expire_programs
 from fireflyspread.daemon._recovery import Recovery
 from fireflyspread.daemon._targets import ReplicaTasks
@@ -67,6 +68,9 @@
         self._spawn(self._recovery.membership.run())
         self._spawn(expire_programs(self._context, self._api))
         self._spawn(self._watch_authority())
+        self._spawn(
+            report_gauges(self._context, self._recovery, self._api, self._replicas)
+        )
         _LOG.info("node started", extra={"node": self._settings.node.name})
 
     async def wait_stopped(self, stop: asyncio.Event) -> None:
