Start empty after a lapse of authority with a missed epoch

Found by the state machine in about 1 of 9,000 random runs: a node without authority missed a member that joined and was removed but could still spend, and kept its share because the members before and after were the same.

--- a/src/fireflyspread/limits/_ledger.py
+++ b/src/fireflyspread/limits/_ledger.py
@@ -28,12 +28,17 @@
     ----------
     node : str
         Name of this node.
+    authority_ttl : float
+        Seconds for which a node may act after it was told the newest state.
     delay : float
         Seconds after which no node acts on something that was replaced.
     """
 
-    def __init__(self, node: str, *, delay: float, clock: Clock) -> None:
+    def __init__(
+        self, node: str, *, authority_ttl: float, delay: float, clock: Clock
+    ) -> None:
         self._node = node
+        self._authority_ttl = authority_ttl
         self._delay = delay
         self._clock = clock
         self._views: Timeline[MembersView] = Timeline()
@@ -67,11 +72,19 @@
                 name: Timeline(timeline.current)
                 for name, timeline in self._figures.items()
             }
-        elif last is not None and view.names == last.names:
-            last.epoch = epoch
-            return
         else:
-            self._append_view(last, view)
+            missed = last is not None and epoch > last.epoch + 1
+            if missed and self._may_have_lapsed():
+                self._append_view(None)
+            elif last is not None and view.names == last.names:
+                last.epoch = epoch
+                return
+            elif missed and last is not None:
+                # The members of a missed epoch are among those of the two epochs
+                # around it, because within the time of one authority no node can
+                # join and be removed. A share never rises when members are added.
+                self._append_view(MembersView(epoch - 1, last.names | view.names))
+            self._append_view(view)
         self._revision += 1
 
     def set_teams(self, teams: Mapping[str, Team]) -> None:
@@ -131,14 +144,12 @@
                 start = end
         return math.inf
 
-    def _append_view(self, last: MembersView | None, view: MembersView) -> None:
+    def _may_have_lapsed(self) -> bool:
+        # Without authority a node can miss members that came and went.
+        return self._clock.read_monotonic() > self._confirmed + self._authority_ttl
+
+    def _append_view(self, view: MembersView | None) -> None:
         now = self._clock.read_monotonic()
-        if last is not None and view.epoch > last.epoch + 1:
-            # Other nodes may act on the epochs that this node has not seen. Their
-            # members are among those of the two epochs that it has seen, and the
-            # share of a node never rises when members are added.
-            union = MembersView(last.epoch, last.names | view.names)
-            self._views.append(union, begin=self._confirmed, seen=now)
         self._views.append(view, begin=self._confirmed, seen=now)
 
     def _accrue_changes(self, bucket: Bucket, now: float) -> None:
--- a/src/fireflyspread/limits/_shares.py
+++ b/src/fireflyspread/limits/_shares.py
@@ -104,7 +104,9 @@
         self._check_authority = check_authority
         # Tokens granted before a share shrank are used up after one more timeout.
         delay = authority_ttl + ASK_TIMEOUT
-        self._ledger = ShareLedger(node, delay=delay, clock=clock)
+        self._ledger = ShareLedger(
+            node, authority_ttl=authority_ttl, delay=delay, clock=clock
+        )
         self._unreachable: dict[str, float] = {}
 
     @classmethod
@@ -139,6 +141,14 @@
         """
         self._ledger.set_teams(teams)
 
+    def note_renewal(self) -> None:
+        """Take note of an answered renewal of authority, after ``set_members``.
+
+        Requests do the same; without either, an idle node that misses an epoch must
+        assume that its authority had lapsed and starts empty.
+        """
+        self._ledger.confirm()
+
     async def acquire(self, team: Team, amount: float = 1.0) -> None:
         self._require_authority()
         self._require_possible(team.name, amount)
--- a/tests/limits/test_shares.py
+++ b/tests/limits/test_shares.py
@@ -210,8 +210,28 @@
         limiter = cluster.limiters["entry-1"]
         limiter.set_members(6, NAMES[:2])
         cluster.clock.advance(20.0)
+        limiter.note_renewal()
         limiter.set_members(8, ["entry-1", "entry-3"])
-        assert limiter.grant("scans", 32.0, 8).amount == pytest.approx(10.0)
+        assert limiter.grant("scans", 32.0, 8).amount == 10.0
+
+    def test_missed_epoch_after_a_lapse(self, cluster: Cluster) -> None:
+        """A node that had no authority may have missed members that still spend."""
+        cluster.fill()
+        limiter = cluster.limiters["entry-1"]
+        limiter.note_renewal()
+        cluster.clock.advance(2.1)
+        limiter.set_members(7, NAMES)
+        assert limiter.grant("scans", 32.0, 7).amount == 0.0
+
+    def test_nothing_accrues_without_authority(self, cluster: Cluster) -> None:
+        """A node must not accrue its old share while the others have grown."""
+        limiter = cluster.limiters["entry-1"]
+        limiter.set_teams(TEAMS)
+        limiter.set_members(1, ["entry-1"])
+        limiter.grant("scans", 32.0, 1)
+        cluster.clock.advance(ASK_TIMEOUT + 0.1)
+        limiter.set_members(2, NAMES)
+        assert limiter.grant("scans", 32.0, 2).amount <= 0.1 * LARGE.rate / 4 + 1e-6
 
     def test_older_epoch_is_ignored(self, cluster: Cluster) -> None:
         """A late message must not bring back a removed member."""
