--- a/src/fireflyspread/limits/_ledger.py
+++ b/src/fireflyspread/limits/_ledger.py
@@ -20,16 +20,25 @@
     ``delay`` seconds allow. It therefore shrinks at once and grows only when no node
     can still act on the members and figures that were replaced.
 
+    What is seen may have been in force elsewhere since this node last had authority:
+    a node without authority learns nothing, and others may already have grown. Such
+    an interval therefore counts with the smaller share.
+
     Parameters
     ----------
     node : str
         Name of this node.
+    authority_ttl : float
+        Seconds for which a node may act after it was told the newest state.
     delay : float
         Seconds after which no node acts on something that was replaced.
     """
 
-    def __init__(self, node: str, *, delay: float, clock: Clock) -> None:
+    def __init__(
+        self, node: str, *, authority_ttl: float, delay: float, clock: Clock
+    ) -> None:
         self._node = node
+        self._authority_ttl = authority_ttl
         self._delay = delay
         self._clock = clock
         self._views: Timeline[MembersView] = Timeline()
@@ -37,6 +46,7 @@
         self._seen_teams = False
         # The first member ever: nobody else can have spent anything.
         self._alone = False
+        self._confirmed = -math.inf
         self._revision = 0
         self.buckets: dict[str, Bucket] = {}
 
@@ -45,6 +55,10 @@
         """Members of the newest epoch seen."""
         return self._views.current
 
+    def confirm(self) -> None:
+        """Take note that this node has authority now."""
+        self._confirmed = self._clock.read_monotonic()
+
     def set_members(self, epoch: int, names: Iterable[str]) -> None:
         """Take note of an epoch; an epoch that is not newer is ignored."""
         view = MembersView(epoch, names)
@@ -58,11 +72,19 @@
                 name: Timeline(timeline.current)
                 for name, timeline in self._figures.items()
             }
-        elif last is not None and view.names == last.names:
-            last.epoch = epoch
-            return
         else:
-            self._append_view(last, view)
+            missed = last is not None and epoch > last.epoch + 1
+            if missed and self._may_have_lapsed():
+                self._append_view(None)
+            elif last is not None and view.names == last.names:
+                last.epoch = epoch
+                return
+            elif missed and last is not None:
+                # The members of a missed epoch are among those of the two epochs
+                # around it, because within the time of one authority no node can
+                # join and be removed. A share never rises when members are added.
+                self._append_view(MembersView(epoch - 1, last.names | view.names))
+            self._append_view(view)
         self._revision += 1
 
     def set_teams(self, teams: Mapping[str, Team]) -> None:
@@ -81,7 +103,7 @@
                 self._figures[name] = timeline
             last = timeline.current
             if last is None or (last.rate, last.burst) != (team.rate, team.burst):
-                timeline.append(now, team)
+                timeline.append(team, begin=self._confirmed, seen=now)
                 self._revision += 1
         self._seen_teams = True
 
@@ -122,20 +144,20 @@
                 start = end
         return math.inf
 
-    def _append_view(self, last: MembersView | None, view: MembersView) -> None:
+    def _may_have_lapsed(self) -> bool:
+        # Without authority a node can miss members that came and went.
+        return self._clock.read_monotonic() > self._confirmed + self._authority_ttl
+
+    def _append_view(self, view: MembersView | None) -> None:
         now = self._clock.read_monotonic()
-        if last is not None and view.epoch > last.epoch + 1:
-            # Other nodes may act on the epochs that this node has not seen. Their
-            # members are among those of the two epochs that it has seen, and the
-            # share of a node never rises when members are added.
-            self._views.append(now, MembersView(last.epoch, last.names | view.names))
-        self._views.append(now, view)
+        self._views.append(view, begin=self._confirmed, seen=now)
 
     def _accrue_changes(self, bucket: Bucket, now: float) -> None:
         figures = self._figures.get(bucket.name)
-        since = self._views.since
+        since = self._views.known_from
         if figures is not None:
-            since = max(since, figures.since)
+            since = max(since, figures.known_from)
+        since += self._delay
         if bucket.time < since:
             # What happened before is forgotten, so nothing is assumed to be left.
             bucket.level, bucket.time = 0.0, since
