--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -3,12 +3,32 @@
 import random
 from collections.abc import Sequence
 
+from attrs import frozen
+
 from fireflyspread.routing._placement import ReplicaState
 from fireflyspread.routing._quarantine import Quarantine
-from fireflyspread.routing._scheduler import Work
+from fireflyspread.routing._scheduler import Result, Ticket, Work
 from fireflyspread.routing._target import TargetState
 
-__all__ = ["Isolation"]
+__all__ = ["Isolation", "RunningRequest"]
+
+
+@frozen
+class RunningRequest:
+    """A request on a replica.
+
+    Attributes
+    ----------
+    is_isolated : bool
+        Whether it is a suspect for which the replica was reserved.
+    is_alone : bool
+        Whether the replica had no other request of this node at the start.
+    """
+
+    state: TargetState
+    replica: ReplicaState
+    is_isolated: bool
+    is_alone: bool
 
 
 class Isolation:
@@ -109,3 +129,27 @@
                 replica.reserved_for = None
             if replica.alone == work.request:
                 replica.alone = None
+
+    def judge(
+        self,
+        ticket: Ticket,
+        run: RunningRequest,
+        result: Result,
+        leaving: frozenset[str],
+    ) -> None:
+        """Tell the quarantine how a request ended and end its isolation."""
+        fingerprint, name = ticket.work.fingerprint, ticket.replica.name
+        # A replica on a VM that is leaving is expected to end.
+        if result is Result.CRASHED and ticket.replica.vm not in leaving:
+            self._quarantine.record_crash(
+                fingerprint,
+                name,
+                ticket.started_at,
+                alone=run.is_alone,
+                shared=run.replica.is_shared(),
+            )
+        elif result is Result.ANSWERED:
+            self._quarantine.record_answer(fingerprint, isolated=run.is_isolated)
+        self._quarantine.finish(fingerprint, name)
+        if run.is_isolated:
+            self.forget(ticket.work, run.state)
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -7,13 +7,11 @@
 from itertools import islice
 from typing import Any
 
-from attrs import define
-
 from fireflyspread.bundle import Target
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import OverloadedError
 from fireflyspread.routing._health import ReplicaHealth
-from fireflyspread.routing._isolation import Isolation
+from fireflyspread.routing._isolation import Isolation, RunningRequest
 from fireflyspread.routing._placement import (
     Placement,
     PrefixAwarePlacement,
@@ -49,14 +47,6 @@
 _NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE})
 
 
-@define
-class _Running:
-    state: TargetState
-    replica: ReplicaState
-    is_isolated: bool
-    is_alone: bool
-
-
 class PolicyScheduler(Scheduler):
     """Scheduler of one node.
 
@@ -101,7 +91,7 @@
         self._has_bundle = False
         self._leaving: frozenset[str] = frozenset()
         self._nodes = 1
-        self._running: dict[tuple[str, str], _Running] = {}
+        self._running: dict[tuple[str, str], RunningRequest] = {}
         self._ticker: asyncio.TimerHandle | None = None
         self._owners: dict[str, TargetState] = {}
         self.quarantine = quarantine or Quarantine(clock)
@@ -308,7 +298,7 @@
         state.queue.take(waiting)
         state.start(replica, work)
         self.quarantine.start(work.fingerprint, name)
-        self._running[work.request, name] = _Running(
+        self._running[work.request, name] = RunningRequest(
             state, replica, is_isolated, is_alone
         )
         assert waiting.future is not None
@@ -330,9 +320,7 @@
                 extra={"request": work.request, "replica": name},
             )
             return
-        self._judge(ticket, run, result)
-        if run.is_isolated:
-            self._isolation.forget(work, run.state)
+        self._isolation.judge(ticket, run, result, self._leaving)
         seconds = self._clock.read_monotonic() - ticket.started_at
         run.state.finish(run.replica, work, result, seconds)
         if result is Result.ANSWERED and tokens > 0:
@@ -341,21 +329,6 @@
             run.state.queue.settle(work, 0.0)
         self._dispatch(run.state)
 
-    def _judge(self, ticket: Ticket, run: _Running, result: Result) -> None:
-        fingerprint, name = ticket.work.fingerprint, ticket.replica.name
-        # A replica on a VM that is leaving is expected to end.
-        if result is Result.CRASHED and ticket.replica.vm not in self._leaving:
-            self.quarantine.record_crash(
-                fingerprint,
-                name,
-                ticket.started_at,
-                alone=run.is_alone,
-                shared=run.replica.is_shared(),
-            )
-        elif result is Result.ANSWERED:
-            self.quarantine.record_answer(fingerprint, isolated=run.is_isolated)
-        self.quarantine.finish(fingerprint, name)
-
     def may_retry(self, work: Work) -> bool:
         return self._retries.take()
 
--- a/tools/bench_policies.py
+++ b/tools/bench_policies.py
@@ -32,7 +32,8 @@
     RoundRobinPlacement,
 )
 from tests.routing.virtual_time import run_virtual
-from tools.policy_simulation import Policy, Results, Simulation
+from tools.policy_results import Results
+from tools.policy_simulation import Policy, Simulation
 from tools.policy_workload import DEPLOYMENTS
 
 __all__ = ["main", "make_policies"]
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import random
-from collections import defaultdict
 from collections.abc import Callable
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, frozen
 
 from fireflyspread.bundle import Replica, Target, TargetKind
 from fireflyspread.clock import Clock
@@ -27,9 +26,10 @@
 )
 from tests.routing.virtual_time import LoopClock
 from tools.policy_replicas import SimulatedEngine, SimulatedReplica
+from tools.policy_results import Results
 from tools.policy_workload import Deployment, SimulatedStep, draw_program
 
-__all__ = ["Policy", "Results", "Simulation"]
+__all__ = ["Policy", "Simulation"]
 
 _NODES = 4
 _ZONES = "abc"
@@ -51,33 +51,6 @@
     uses_keeper: bool = False
 
 
-@define
-class TeamResults:
-    """What one team experienced."""
-
-    latencies: list[float] = field(factory=list)
-    interactive: list[float] = field(factory=list)
-    slowdowns: list[float] = field(factory=list)
-    served: float = 0.0
-    offered: float = 0.0
-    requests: int = 0
-    inside: int = 0
-    refused_inside: int = 0
-    failed: int = 0
-    credit: float = 20.0
-    credit_at: float = 0.0
-
-
-@define
-class Results:
-    """Results of one run."""
-
-    teams: dict[str, TeamResults] = field(factory=lambda: defaultdict(TeamResults))
-    prefix: int = 0
-    recomputed: int = 0
-    crashes: int = 0
-
-
 @define
 class _Node:
     scheduler: PolicyScheduler
