--- a/tests/harness/_forwarder.py
+++ b/tests/harness/_forwarder.py
@@ -99,11 +99,12 @@
         self._apply()
 
     def _apply(self) -> None:
+        ports = self._find_ports()
         for link in tuple(self._links):
-            self._apply_to(link)
+            self._apply_to(link, ports)
 
-    def _apply_to(self, link: _Link) -> None:
-        kind = self._find_kind(link)
+    def _apply_to(self, link: _Link, ports: dict[str, set[int]]) -> None:
+        kind = self._find_kind(link, ports)
         if kind == "reset":
             link.abort()
         elif kind == "drop":
@@ -111,9 +112,16 @@
         else:
             link.passes.set()
 
-    def _find_kind(self, link: _Link) -> str:
+    def _find_ports(self) -> dict[str, set[int]]:
+        # Listing the sockets of a process takes milliseconds and blocks the stand-ins
+        # in this process, so it is done once for all connections.
+        return {
+            name: _list_ports(self._find_pid(name)) for name in self._cut if name != "*"
+        }
+
+    def _find_kind(self, link: _Link, ports: dict[str, set[int]]) -> str:
         for name, kind in self._cut.items():
-            if name == "*" or _owns(self._find_pid(name), link.source):
+            if name == "*" or link.source[1] in ports[name]:
                 return kind
         return ""
 
@@ -124,7 +132,7 @@
         link.writers.append(writer)
         self._links.add(link)
         try:
-            self._apply_to(link)
+            self._apply_to(link, self._find_ports())
             await link.passes.wait()
             out_reader, out_writer = await asyncio.open_connection(
                 self._host, self._port
@@ -147,11 +155,11 @@
                     end.close()
 
 
-def _owns(pid: int | None, address: tuple[str, int]) -> bool:
+def _list_ports(pid: int | None) -> set[int]:
     if pid is None:
-        return False
+        return set()
     try:
         connections: list[Any] = psutil.Process(pid).net_connections(kind="tcp")
     except psutil.Error:
-        return False
-    return any(tuple(c.laddr) == tuple(address[:2]) for c in connections)
+        return set()
+    return {connection.laddr[1] for connection in connections}
