--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: env check format test run bench load
+.PHONY: env check format test run bench load golden
 
 env: $(VENV)/.installed
 
@@ -36,3 +36,7 @@
 
 bench:
 	$(PYTHON) -m tools.bench $(BENCH_ARGS)
+
+# Writes the files in tests/golden/sessions again; review their differences.
+golden:
+	GOLDEN=write $(PYTHON) -m pytest tests/golden
