--- a/src/fireflyspread/_http_client.py
+++ b/src/fireflyspread/_http_client.py
@@ -139,7 +139,7 @@
     """Return the error code of a JSON body, at the top level or under ``error``."""
     try:
         data = msgspec.json.decode(body, type=_CodeBody)
-    except msgspec.DecodeError:
+    except (msgspec.DecodeError, RecursionError):
         return None
     if isinstance(data.error, dict) and data.code is None:
         return str(data.error.get("code"))
--- a/src/fireflyspread/callers/_bodies.py
+++ b/src/fireflyspread/callers/_bodies.py
@@ -102,6 +102,8 @@
         return msgspec.json.decode(data, type=kind)
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         raise RequestError(f"the body is refused: {exc}; correct that field") from exc
+    except RecursionError as exc:
+        raise RequestError("the body is nested too deeply; flatten it") from exc
 
 
 def decode_messages(raw: msgspec.Raw) -> list[ChatMessage]:
--- a/src/fireflyspread/engines/_http.py
+++ b/src/fireflyspread/engines/_http.py
@@ -261,7 +261,7 @@
     def _decode(self, data: bytes, kind: type[T]) -> T:
         try:
             return msgspec.json.decode(data, type=kind)
-        except msgspec.DecodeError as exc:
+        except (msgspec.DecodeError, RecursionError) as exc:
             raise TargetError(
                 f"replica {self._name} sent a malformed answer: {exc}; "
                 "check its version"
--- a/src/fireflyspread/engines/_sse.py
+++ b/src/fireflyspread/engines/_sse.py
@@ -102,6 +102,8 @@
     usage: _Usage | None = None
 
 
+# msgspec raises a RecursionError for values that are nested too deeply.
+_MALFORMED = (msgspec.DecodeError, UnicodeDecodeError, RecursionError)
 _DECODER = msgspec.json.Decoder(_Chunk)
 
 
@@ -116,7 +118,7 @@
             continue
         try:
             chunk = _DECODER.decode(memoryview(event)[6:])
-        except (msgspec.DecodeError, UnicodeDecodeError):
+        except _MALFORMED:
             break
         if chunk.choices and chunk.choices[0].delta.content:
             parts.append(chunk.choices[0].delta.content)
@@ -141,7 +143,7 @@
             if chunk.choices and chunk.choices[0].delta.content:
                 parts.append(chunk.choices[0].delta.content)
             usage = chunk.usage or usage
-    except msgspec.DecodeError as exc:
+    except _MALFORMED as exc:
         raise TargetError(f"the engine sent a malformed event: {exc}; retry") from exc
     if usage is None:
         raise TargetError("the engine sent no usage; ask it for stream_options")
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -229,5 +229,5 @@
                 "run the same release on all nodes"
             )
         return _DECODER.decode(data)
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as exc:
         raise PeerError("the bytes are not a message of this system") from exc
