--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: env check format test matrix prove run bench load slopes
+.PHONY: env check format test matrix prove run bench load slopes golden
 
 env: $(VENV)/.installed
 
@@ -53,5 +53,9 @@
 bench:
 	$(PYTHON) -m tools.bench $(BENCH_ARGS)
 
+# Writes the files in tests/golden/sessions again; review their differences.
+golden:
+	GOLDEN=write $(PYTHON) -m pytest tests/golden
+
 slopes:
 	$(PYTHON) -m tools.slopes
