Poll cache events every fourth time

Cause: a profile of an idle node showed engine polls as 40% of its processor time, half of them for cache events, which arrive late anyway. Change: events are read with every fourth load report (2 s); after a failure at once. Measured (4 nodes idle for 15 s, machine shared with other runs): 2.52% of a core a node before, 2.08% after.

--- a/src/fireflyspread/engines/_poll.py
+++ b/src/fireflyspread/engines/_poll.py
@@ -31,6 +31,9 @@
         Name of the replica, passed to the callables.
     interval : float
         Mean seconds between two polls.
+    events_every : int
+        Polls of the load for each poll of the events, which arrive late anyway. Polls
+        are most of what an idle node spends.
     """
 
     def __init__(
@@ -44,6 +47,7 @@
         on_evicted: Callable[[str, tuple[str, ...]], None],
         on_gap: Callable[[str], None],
         interval: float = 0.5,
+        events_every: int = 4,
     ) -> None:
         self._replica = replica
         self._engine = engine
@@ -53,6 +57,8 @@
         self._on_evicted = on_evicted
         self._on_gap = on_gap
         self._interval = interval
+        self._events_every = events_every
+        self._polls = 0
         self._last: int | None = None
 
     async def run(self) -> None:
@@ -64,6 +70,7 @@
                 await self.poll()
             except (TargetUnreachableError, ReplicaCrashedError):
                 self._last = None
+                self._polls = 0
                 self._on_gap(self._replica)
             except FireflyError as exc:
                 _LOGGER.debug("poll failed: %s", exc, extra={"replica": self._replica})
@@ -81,6 +88,11 @@
                 received_at=self._clock.read_monotonic(),
             ),
         )
+        self._polls += 1
+        if (self._polls - 1) % self._events_every == 0:
+            await self._poll_events()
+
+    async def _poll_events(self) -> None:
         after = self._last or 0
         last, evicted = await self._engine.read_cache_events(after)
         # Each event has one number, so fewer events than numbers means a gap, and a
