--- a/tools/bench_policies.py
+++ b/tools/bench_policies.py
@@ -79,6 +79,10 @@
     )
 
 
+def _ignore_prefix(rng: random.Random, zone: str) -> Placement:
+    return PrefixAwarePlacement(rng, zone=zone, uses_holder=False)
+
+
 def make_policies() -> list[Policy]:
     """Return the rows of the table."""
     rows: list[tuple[str, _Parts, bool]] = [
@@ -102,11 +106,7 @@
         ),
         (
             "without prefix",
-            _Parts(
-                placement=lambda rng, zone: PrefixAwarePlacement(
-                    rng, zone=zone, uses_holder=False
-                )
-            ),
+            _Parts(placement=_ignore_prefix),
             False,
         ),
         ("without ejection", _Parts(max_ejected=0.0), False),
--- a/tools/policy_replicas.py
+++ b/tools/policy_replicas.py
@@ -9,10 +9,13 @@
 
 from attrs import define, field
 
-from fireflyspread.bundle import Replica
+from fireflyspread.bundle import Replica, Target, TargetKind
 from fireflyspread.exceptions import ReplicaCrashedError, TargetUnreachableError
+from tools.policy_workload import Deployment
 
-__all__ = ["SimulatedEngine", "SimulatedReplica"]
+__all__ = ["ZONES", "SimulatedEngine", "SimulatedReplica", "make_targets"]
+
+ZONES = "abc"
 
 # Tokens decoded between two looks at the number of requests on the replica.
 _SLICE_TOKENS = 40
@@ -233,3 +236,34 @@
         self.evicted.extend(self.sessions)
         self.used -= sum(self.sessions.values())
         self.sessions.clear()
+
+
+def make_targets(
+    deployment: Deployment,
+) -> tuple[dict[str, Target], dict[str, SimulatedReplica]]:
+    """Return the targets of a deployment and their replicas, by name."""
+    targets: dict[str, Target] = {}
+    simulated: dict[str, SimulatedReplica] = {}
+    for name, kind, number, places in (
+        ("model", TargetKind.ENGINE, deployment.engines, 8),
+        ("service", TargetKind.SERVICE, deployment.services, 16),
+    ):
+        replicas = tuple(
+            Replica(
+                name=f"{name}-{i}",
+                url=f"http://127.0.0.1:{i + 1}",
+                zone=ZONES[i % 3],
+                vm=f"vm-{name}-{i}",
+            )
+            for i in range(number)
+        )
+        targets[name] = Target(
+            name=name, kind=kind, half="h", replicas=replicas, concurrency=places
+        )
+        for replica in replicas:
+            simulated[replica.name] = (
+                SimulatedEngine(replica, places, capacity=deployment.cache_tokens)
+                if kind is TargetKind.ENGINE
+                else SimulatedReplica(replica, places)
+            )
+    return targets, simulated
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -6,7 +6,7 @@
 
 from attrs import define, evolve, frozen
 
-from fireflyspread.bundle import Replica, Target, TargetKind
+from fireflyspread.bundle import Target
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
     FireflyError,
@@ -25,14 +25,13 @@
     Work,
 )
 from tests.routing.virtual_time import LoopClock
-from tools.policy_replicas import SimulatedEngine, SimulatedReplica
+from tools.policy_replicas import ZONES, SimulatedEngine, SimulatedReplica, make_targets
 from tools.policy_results import Results
 from tools.policy_workload import Deployment, SimulatedStep, draw_program
 
 __all__ = ["Policy", "Simulation"]
 
 _NODES = 4
-_ZONES = "abc"
 _REPORT_SECONDS = 0.5
 _REPORT_LAG = 0.25
 _FLOOD_FACTOR = 8.0
@@ -87,11 +86,11 @@
         """Run and return the results."""
         loop = asyncio.get_running_loop()
         self._begin = loop.time()
-        self._make_targets()
+        self._targets, self._replicas = make_targets(self._deployment)
         clock = LoopClock(loop)
         for i in range(_NODES):
             rng = random.Random(f"node-{self._seed}-{i}")
-            scheduler = self._policy.make_scheduler(clock, rng, _ZONES[i % 3])
+            scheduler = self._policy.make_scheduler(clock, rng, ZONES[i % 3])
             scheduler.set_nodes(_NODES)
             scheduler.set_targets(self._targets.values())
             self._nodes.append(
@@ -110,32 +109,6 @@
             task.cancel()
         return self.results
 
-    def _make_targets(self) -> None:
-        for name, kind, count, places in (
-            ("model", TargetKind.ENGINE, self._deployment.engines, 8),
-            ("service", TargetKind.SERVICE, self._deployment.services, 16),
-        ):
-            replicas = tuple(
-                Replica(
-                    name=f"{name}-{i}",
-                    url=f"http://127.0.0.1:{i + 1}",
-                    zone=_ZONES[i % 3],
-                    vm=f"vm-{name}-{i}",
-                )
-                for i in range(count)
-            )
-            self._targets[name] = Target(
-                name=name, kind=kind, half="h", replicas=replicas, concurrency=places
-            )
-            for replica in replicas:
-                self._replicas[replica.name] = (
-                    SimulatedEngine(
-                        replica, places, capacity=self._deployment.cache_tokens
-                    )
-                    if kind is TargetKind.ENGINE
-                    else SimulatedReplica(replica, places)
-                )
-
     async def _report(self, replica: SimulatedReplica) -> None:
         loop, name = asyncio.get_running_loop(), replica.replica.name
         await asyncio.sleep(self._rng.uniform(0, _REPORT_SECONDS))
