--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 export UV_USE_IO_URING := 0
 
-.PHONY: env check format test run bench load slopes
+.PHONY: env check format test matrix prove run bench load slopes golden
 
 env: $(VENV)/.installed
 
@@ -26,6 +26,22 @@
 test:
 	$(PYTHON) -m pytest
 
+MATRIX_ARGS ?=
+
+matrix:
+	$(PYTHON) -m pytest tests/matrix -m "matrix or not matrix" $(MATRIX_ARGS)
+
+MACHINES := tests/limits/test_shares_machine.py tests/recovery/test_takeover_machine.py \
+	tests/bundle/test_feed.py tests/routing/test_queue.py tests/routing/test_quarantine.py
+PROVE_FACTOR ?= 20
+PROVE_SEEDS ?= 11 12 13
+
+prove:
+	PROVE_FACTOR=$(PROVE_FACTOR) $(PYTHON) -m pytest $(MACHINES)
+	for seed in $(PROVE_SEEDS); do \
+		MATRIX_SEED=$$seed $(MAKE) matrix VENV=$(VENV) || exit 1; \
+	done
+
 run:
 	$(PYTHON) -m tools.run_local $(RUN_ARGS)
 
@@ -37,5 +53,9 @@
 bench:
 	$(PYTHON) -m tools.bench $(BENCH_ARGS)
 
+# Writes the files in tests/golden/sessions again; review their differences.
+golden:
+	GOLDEN=write $(PYTHON) -m pytest tests/golden
+
 slopes:
 	$(PYTHON) -m tools.slopes
