--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -111,10 +111,12 @@
             engine.token_seconds = 0.02
         async with cluster.open_client(TEAM) as client:
             program = await client.open_program(5_000)
-            path = f"/v1/programs/{program}/turns"
-            async with client._send(
-                "POST", path, json=make_turn("hello", 100)
-            ) as answer:
+            url = f"{cluster.urls[0]}/v1/programs/{program}/turns"
+            headers = {"Authorization": f"Bearer {cluster.deployment.keys[TEAM]}"}
+            async with (
+                aiohttp.ClientSession(headers=headers) as session,
+                session.post(url, json=make_turn("hello", 100)) as answer,
+            ):
                 start = await answer.content.readuntil(b"\n\n")
                 ending = asyncio.create_task(cluster.terminate("node-1"))
                 whole = (start + await answer.content.read()).decode()
