--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import aiohttp
 import msgspec
 from attrs import define, field
 
@@ -92,6 +93,9 @@
                 result = await attempt()
                 entry.outcome = "ran"
                 return result
+            except aiohttp.ClientConnectorError:
+                entry.outcome, entry.code = "not_run", "no_connection"
+                raise
             except CallError as exc:
                 entry.outcome, entry.code = exc.outcome, exc.code
                 raise
--- a/tests/matrix/cells.py
+++ b/tests/matrix/cells.py
@@ -36,6 +36,7 @@
     "kill two": ("kill_owner", "kill_entry"),
     "pause+key withdrawn": ("pause", "withdraw"),
     "partition+racing": ("isolate", "race"),
+    "partition+key withdrawn": ("isolate", "withdraw"),
     "store slow+kill": ("store_slow", "kill_owner"),
     "response lost+kill": ("lose_responses", "kill_owner"),
 }
@@ -96,6 +97,7 @@
         Cell("record", "kill two"),
         Cell("stream", "pause+key withdrawn"),
         Cell("admit", "partition+racing"),
+        Cell("stream", "partition+key withdrawn"),
         Cell("dispatch", "store slow+kill"),
         Cell("release", "response lost+kill"),
     }
