--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -1,13 +1,34 @@
 """Runs suspected requests alone on a replica."""
 
+import random
 from collections.abc import Sequence
 
+from attrs import frozen
+
 from fireflyspread.routing._placement import ReplicaState
 from fireflyspread.routing._quarantine import Quarantine
-from fireflyspread.routing._scheduler import Work
+from fireflyspread.routing._scheduler import Result, Ticket, Work
 from fireflyspread.routing._target import TargetState
 
-__all__ = ["Isolation"]
+__all__ = ["Isolation", "RunningRequest"]
+
+
+@frozen
+class RunningRequest:
+    """A request on a replica.
+
+    Attributes
+    ----------
+    is_isolated : bool
+        Whether it is a suspect for which the replica was reserved.
+    is_alone : bool
+        Whether the replica had no other request of this node at the start.
+    """
+
+    state: TargetState
+    replica: ReplicaState
+    is_isolated: bool
+    is_alone: bool
 
 
 class Isolation:
@@ -35,11 +56,13 @@
     def __init__(
         self,
         quarantine: Quarantine,
+        rng: random.Random,
         *,
         max_fraction: float = 0.34,
         patience: float = 3.0,
     ) -> None:
         self._quarantine = quarantine
+        self._rng = rng
         self._max_fraction = max_fraction
         self._patience = patience
         self._requests: dict[str, tuple[str, float]] = {}
@@ -91,7 +114,9 @@
         ]
         crashed = self._quarantine.get_crashed(work.fingerprint)
         free = [r for r in free if r.replica.name not in crashed] or free
-        return min(free, key=_get_loads, default=None)
+        # Other nodes do not see this choice before the next load report. If all took
+        # the emptiest replica, their suspects would meet there.
+        return self._rng.choice(free) if free else None
 
     def forget(self, work: Work, state: TargetState) -> None:
         """End the reservation of a request that does not wait or run any more."""
@@ -105,7 +130,26 @@
             if replica.alone == work.request:
                 replica.alone = None
 
-
-def _get_loads(replica: ReplicaState) -> tuple[int, int]:
-    # Requests of other nodes count too: the fewer, the more a crash proves.
-    return (replica.estimate_load(), replica.running)
+    def judge(
+        self,
+        ticket: Ticket,
+        run: RunningRequest,
+        result: Result,
+        leaving: frozenset[str],
+    ) -> None:
+        """Tell the quarantine how a request ended and end its isolation."""
+        fingerprint, name = ticket.work.fingerprint, ticket.replica.name
+        # A replica on a VM that is leaving is expected to end.
+        if result is Result.CRASHED and ticket.replica.vm not in leaving:
+            self._quarantine.record_crash(
+                fingerprint,
+                name,
+                ticket.started_at,
+                alone=run.is_alone,
+                shared=run.replica.is_shared(),
+            )
+        elif result is Result.ANSWERED:
+            self._quarantine.record_answer(fingerprint, isolated=run.is_isolated)
+        self._quarantine.finish(fingerprint, name)
+        if run.is_isolated:
+            self.forget(ticket.work, run.state)
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import random
-from collections import defaultdict
 from collections.abc import Callable
 
-from attrs import define, evolve, field, frozen
+from attrs import define, evolve, frozen
 
 from fireflyspread.bundle import Replica, Target, TargetKind
 from fireflyspread.clock import Clock
@@ -27,9 +26,10 @@
 )
 from tests.routing.virtual_time import LoopClock
 from tools.policy_replicas import SimulatedEngine, SimulatedReplica
+from tools.policy_results import Results
 from tools.policy_workload import Deployment, SimulatedStep, draw_program
 
-__all__ = ["Policy", "Results", "Simulation"]
+__all__ = ["Policy", "Simulation"]
 
 _NODES = 4
 _ZONES = "abc"
@@ -48,34 +48,7 @@
 
     name: str
     make_scheduler: Callable[[Clock, random.Random, str], PolicyScheduler]
-    uses_keeper: bool = True
-
-
-@define
-class TeamResults:
-    """What one team experienced."""
-
-    latencies: list[float] = field(factory=list)
-    interactive: list[float] = field(factory=list)
-    slowdowns: list[float] = field(factory=list)
-    served: float = 0.0
-    offered: float = 0.0
-    requests: int = 0
-    inside: int = 0
-    refused_inside: int = 0
-    failed: int = 0
-    credit: float = 20.0
-    credit_at: float = 0.0
-
-
-@define
-class Results:
-    """Results of one run."""
-
-    teams: dict[str, TeamResults] = field(factory=lambda: defaultdict(TeamResults))
-    prefix: int = 0
-    recomputed: int = 0
-    crashes: int = 0
+    uses_keeper: bool = False
 
 
 @define
@@ -121,7 +94,9 @@
             scheduler = self._policy.make_scheduler(clock, rng, _ZONES[i % 3])
             scheduler.set_nodes(_NODES)
             scheduler.set_targets(self._targets.values())
-            self._nodes.append(_Node(scheduler, CacheHints(), SessionKeeper(clock)))
+            self._nodes.append(
+                _Node(scheduler, CacheHints(), SessionKeeper(clock, low=0.9, high=1.0))
+            )
         background = [
             asyncio.create_task(self._report(replica))
             for replica in self._replicas.values()
@@ -263,7 +238,7 @@
         try:
             for number, step in enumerate(steps):
                 node.keeper.begin_pause(
-                    program, _get_holder(node, program), "", history
+                    program, _get_holder(node, program), step.tool, history
                 )
                 await asyncio.sleep(step.pause)
                 node.keeper.end_pause(program)
