Let a cancellation that pynng swallows end PeerClient.ask

A receive of pynng that completes while it is being cancelled drops the cancellation. The loop that asks the monitor then went on for ever, Membership.run waited for it, and a removed node never joined again (its log repeats 'was removed from the members' and 'renew_by_monitor failed'). The new tests fail without the change.

--- a/src/fireflyspread/nodes/_peers.py
+++ b/src/fireflyspread/nodes/_peers.py
@@ -204,6 +204,18 @@
         PeerError
             The node did not answer in time, or could not do what was asked.
         """
+        task = asyncio.current_task()
+        assert task is not None
+        cancellations = task.cancelling()
+        try:
+            return await self._ask(address, message, timeout)
+        finally:
+            # A send or receive that ends at the moment of its cancellation swallows
+            # the cancellation; a loop around this method would then never end.
+            if task.cancelling() > cancellations:
+                raise asyncio.CancelledError
+
+    async def _ask(self, address: str, message: Message, timeout: float) -> Message:
         try:
             async with asyncio.timeout(timeout):
                 data = await self._exchange(address, encode_message(message))
--- a/tests/nodes/test_peers.py
+++ b/tests/nodes/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from pathlib import Path
 
 import msgspec
@@ -21,6 +22,7 @@
     PeerClient,
     PeerServer,
     TokensGranted,
+    encode_message,
 )
 from fireflyspread.settings import Address, Tls
 
@@ -174,6 +176,31 @@
             await ask
 
 
+class TestCancellation:
+    """Cancellation of PeerClient.ask."""
+
+    @pytest.mark.parametrize("fails", [False, True])
+    async def test_swallowed_cancellation_takes_effect(
+        self, client: PeerClient, monkeypatch: pytest.MonkeyPatch, fails: bool
+    ) -> None:
+        """A node that lost its membership must not ask its monitor for ever."""
+
+        async def exchange(address: str, data: bytes) -> bytes:
+            # Stands for a receive that completes while it is being cancelled.
+            with suppress(asyncio.CancelledError):
+                await asyncio.Event().wait()
+            if fails:
+                raise TimeoutError
+            return encode_message(TokensGranted(amount=1.0))
+
+        monkeypatch.setattr(client, "_exchange", exchange)
+        task = asyncio.create_task(client.ask("127.0.0.1:1", ASK, timeout=30.0))
+        await asyncio.sleep(0)
+        task.cancel()
+        with pytest.raises(asyncio.CancelledError):
+            await task
+
+
 class TestTls:
     """Encrypted connections between nodes."""
 
