--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import hashlib
+import itertools
 import random
 import time
 from collections.abc import Awaitable, Callable
@@ -137,6 +138,11 @@
         self.keys = list(keys)
         self._nodes = nodes
         self._rng = random.Random(f"{seed}/{name}")
+        self._numbers = itertools.count(1)
+
+    def count(self) -> int:
+        """Return 1, 2, 3 and so on."""
+        return next(self._numbers)
 
     def open_client(self, nodes: list[str] | None = None) -> RecordingClient:
         """Return a client with the newest key."""
--- a/tests/matrix/run.py
+++ b/tests/matrix/run.py
@@ -1,6 +1,7 @@
 """Runs cells: workload, fault at the step, heal, judgement."""
 
 import asyncio
+import time
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
@@ -33,6 +34,8 @@
 TOKEN_SECONDS = 0.02
 # A stream must outlast the bound of a withdrawal to show that it is ended.
 SLOW_FACTOR = 10.0
+BUSY = 4
+BUSY_SECONDS = 9.0
 FINISH_SECONDS = 120.0
 CELL_SECONDS = 240.0
 
@@ -148,9 +151,21 @@
             nodes = urls[index:] + urls[:index]
             yield self._make_runner(team, team, nodes).run_program(4)
         yield self._make_runner("pricing", "looper", urls).run_to_budget(BUDGET)
+        if "leave_vm" in COLUMNS[self.cell.column]:
+            # Work must go on past the bound to show that none reaches the VM.
+            for index in range(BUSY):
+                yield self._keep_busy(index)
         yield self._flood()
         yield self._intrude()
 
+    async def _keep_busy(self, index: int) -> None:
+        runner = self._make_runner("catalogue", f"busy-{index}", self.cluster.urls)
+        while time.time() < self.ledger.begun + BUSY_SECONDS:
+            program = await runner.open(2000)
+            await runner.turn(program, 1)
+            await runner.order(None, runner.count())
+            await runner.end(program)
+
     async def _flood(self) -> None:
         """Send more requests at once than the team's burst, at all nodes."""
         headers = {
