--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import hashlib
+import itertools
 import random
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import aiohttp
 import msgspec
 from attrs import define, field
 
@@ -94,6 +96,9 @@
                 result = await attempt(node)
                 entry.outcome = "ran"
                 return result
+            except aiohttp.ClientConnectorError:
+                entry.outcome, entry.code = "not_run", "no_connection"
+                raise
             except CallError as exc:
                 entry.outcome, entry.code = exc.outcome, exc.code
                 raise
@@ -133,6 +138,11 @@
         self.keys = list(keys)
         self._nodes = nodes
         self._rng = random.Random(f"{seed}/{name}")
+        self._numbers = itertools.count(1)
+
+    def count(self) -> int:
+        """Return 1, 2, 3 and so on."""
+        return next(self._numbers)
 
     def open_client(self, nodes: list[str] | None = None) -> RecordingClient:
         """Return a client with the newest key."""
--- a/tests/matrix/run.py
+++ b/tests/matrix/run.py
@@ -1,6 +1,7 @@
 """Runs cells: workload, fault at the step, heal, judgement."""
 
 import asyncio
+import time
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
@@ -13,7 +14,14 @@
 from tests.harness import Deployment, LocalCluster
 from tests.matrix.callers import Ledger, Runner
 from tests.matrix.cells import COLUMNS, Cell
-from tests.matrix.faults import BOUND_SECONDS, FAULTS, LEASE_TTL, Fault, Scene
+from tests.matrix.faults import (
+    BOUND_SECONDS,
+    FAULTS,
+    LEASE_TTL,
+    Fault,
+    Scene,
+    probe_withdrawn,
+)
 from tests.matrix.judge import judge
 from tests.matrix.steps import Focus
 
@@ -26,6 +34,8 @@
 TOKEN_SECONDS = 0.02
 # A stream must outlast the bound of a withdrawal to show that it is ended.
 SLOW_FACTOR = 10.0
+BUSY = 4
+BUSY_SECONDS = 9.0
 FINISH_SECONDS = 120.0
 CELL_SECONDS = 240.0
 
@@ -63,7 +73,10 @@
         self.faults: list[Fault] = [FAULTS[n]() for n in COLUMNS[cell.column]]
         keys = [make_key(number), cluster.deployment.keys[FOCUS_TEAM]]
         nodes = cluster.urls
-        turn = (number + 1) % len(nodes)
+        names = COLUMNS[cell.column]
+        # A caller of an isolated node must not be served by it, so it asks there.
+        is_direct = "isolate" in names and "withdraw" in names
+        turn = (number + (0 if is_direct else 1)) % len(nodes)
         focus = self._make_runner(FOCUS_TEAM, "focus", nodes[turn:] + nodes[:turn])
         focus.keys = keys
         self.scene = Scene(cluster, self.ledger, focus, number)
@@ -83,7 +96,7 @@
         finally:
             watch.cancel()
             await self._restore()
-        bound = {k: t + BOUND_SECONDS for k, t in self.scene.left.items()}
+        bound = {k: t + BOUND_SECONDS for k, t in self.scene.withdrawn.items()}
         problems = await judge(self.cluster, self.ledger, FLOOD_TEAM, bound)
         problems += self._judge_drain()
         return problems
@@ -103,8 +116,9 @@
         is_slow = "store_slow" in COLUMNS[self.cell.column]
         self.focus.release(is_store_slow=is_slow)
         await asyncio.sleep(max(fault.hold for fault in self.faults))
-        for fault in self.faults:
+        for fault in reversed(self.faults):
             await fault.heal(self.scene)
+        await probe_withdrawn(self.scene)
         async with asyncio.timeout(FINISH_SECONDS):
             await asyncio.gather(focus, *others)
             await self.focus.finish()
@@ -137,9 +151,21 @@
             nodes = urls[index:] + urls[:index]
             yield self._make_runner(team, team, nodes).run_program(4)
         yield self._make_runner("pricing", "looper", urls).run_to_budget(BUDGET)
+        if "leave_vm" in COLUMNS[self.cell.column]:
+            # Work must go on past the bound to show that none reaches the VM.
+            for index in range(BUSY):
+                yield self._keep_busy(index)
         yield self._flood()
         yield self._intrude()
 
+    async def _keep_busy(self, index: int) -> None:
+        runner = self._make_runner("catalogue", f"busy-{index}", self.cluster.urls)
+        while time.time() < self.ledger.begun + BUSY_SECONDS:
+            program = await runner.open(2000)
+            await runner.turn(program, 1)
+            await runner.order(None, runner.count())
+            await runner.end(program)
+
     async def _flood(self) -> None:
         """Send more requests at once than the team's burst, at all nodes."""
         headers = {
