--- /dev/null
+++ b/src/fireflyspread/callers/_programs.py
@@ -0,0 +1,200 @@
+"""Handlers that open, describe and end programs."""
+
+import msgspec
+from aiohttp import web
+
+from fireflyspread.callers._bodies import (
+    ChatBody,
+    OpenBody,
+    decode_body,
+    decode_messages,
+)
+from fireflyspread.callers._completion import complete
+from fireflyspread.callers._context import Context
+from fireflyspread.callers._responses import make_json_response
+from fireflyspread.callers._turn_handlers import TurnHandlers, find_program
+from fireflyspread.exceptions import DrainingError, ProgramEndedError, RequestError
+from fireflyspread.nodes import Identity
+from fireflyspread.programs import Program
+from fireflyspread.recovery import Durability, ProgramEnded, ProgramOpened, find_slot
+
+__all__ = ["ProgramHandlers"]
+
+# Tokens reserved for the first turn when a program is opened. A failure of the node
+# charges them, so more than a part of a small budget would end its program.
+_FIRST_RESERVATION = 2048
+_FIRST_PART = 8
+
+
+class ProgramHandlers:
+    """Handlers that run at the owner node of a program.
+
+    Each takes the request, its body and the caller's identity.
+    """
+
+    def __init__(self, context: Context, turns: TurnHandlers) -> None:
+        self._context = context
+        self._turns = turns
+        self.is_draining = False
+
+    async def open(
+        self, request: web.Request, body: bytes, identity: Identity
+    ) -> web.StreamResponse:
+        """Open a program; ``POST /v1/programs``."""
+        self._require_not_draining()
+        opening = decode_body(body, OpenBody)
+        slots = self._context.ownership.owned_slots()
+        program_id = self._context.programs.make_id(slots)
+        return await self._open(program_id, opening.budget, identity, parent=None)
+
+    async def open_child(
+        self, request: web.Request, body: bytes, identity: Identity
+    ) -> web.StreamResponse:
+        """Open a sub-agent that draws on its parent's budget."""
+        parent = find_program(self._context, request, identity)
+        opening = decode_body(body, OpenBody)
+        parent.budget.require(opening.budget)
+        if parent.ended is not None:
+            raise ProgramEndedError("the parent has ended; open a program of its own")
+        program_id = self._context.programs.make_id(frozenset([parent.slot]))
+        return await self._open(program_id, opening.budget, identity, parent=parent.id)
+
+    async def show(
+        self, request: web.Request, body: bytes, identity: Identity
+    ) -> web.StreamResponse:
+        """Describe a program."""
+        program = find_program(self._context, request, identity)
+        return make_json_response(describe_program(program))
+
+    async def read_history(
+        self, request: web.Request, body: bytes, identity: Identity
+    ) -> web.StreamResponse:
+        """Return the whole history with its digest."""
+        program = find_program(self._context, request, identity)
+        # A turn whose record still waits for the store is kept before it is shown.
+        await self._context.ownership.commit(may_pend=True)
+        return make_json_response(
+            {
+                "id": program.id,
+                "turns": len(program.turns),
+                "chain": program.history.chain,
+                "messages": msgspec.Raw(program.history.render()),
+            }
+        )
+
+    async def end(
+        self, request: web.Request, body: bytes, identity: Identity
+    ) -> web.StreamResponse:
+        """End a program and its sub-agents."""
+        program = find_program(self._context, request, identity)
+        await self.end_program(program, "ended by caller")
+        return make_json_response({"id": program.id, "ended": True})
+
+    async def end_program(self, program: Program, reason: str) -> None:
+        """End a program that is idle, its sub-agents first.
+
+        Raises
+        ------
+        RequestError
+            A turn of the program or of a sub-agent is running.
+        """
+        for child in self._context.programs.get_children(program.id):
+            await self.end_program(child, reason)
+        if program.ended is not None:
+            return
+        if program.running is not None:
+            raise RequestError("a turn is running; wait for its answer, then end")
+        record = ProgramEnded(
+            slot=program.slot,
+            subject=program.id,
+            reason=reason,
+            spent=program.budget.spent + program.budget.drawn,
+        )
+        self._context.programs.apply(record)
+        self._context.sessions.release(program.id, frozenset(program.sessions))
+        await complete(self._context.ownership.commit(record, may_pend=True))
+        self._context.metrics.count("programs.ended")
+
+    async def run_single(
+        self, request: web.Request, chat: ChatBody, identity: Identity
+    ) -> web.StreamResponse:
+        """Run a chat completion that belongs to no program, as one of a single turn."""
+        decode_messages(chat.messages)
+        self._require_not_draining()
+        program_id = self._context.programs.make_id(
+            self._context.ownership.owned_slots()
+        )
+        budget = len(chat.messages) + chat.wanted
+        # There is no later turn to keep anything for.
+        await self._insert(program_id, budget, identity, parent=None, reserved=budget)
+        program = self._context.programs.find(identity.team, program_id)
+        try:
+            return await self._turns.run_first(request, program, chat)
+        finally:
+            if program.ended is None and program.running is None:
+                await complete(self.end_program(program, "single turn"))
+
+    async def _open(
+        self, program_id: str, budget: int, identity: Identity, *, parent: str | None
+    ) -> web.StreamResponse:
+        if budget < 1:
+            raise RequestError(f"budget is {budget}; give at least 1 token")
+        durability = await self._insert(
+            program_id,
+            budget,
+            identity,
+            parent=parent,
+            reserved=min(budget // _FIRST_PART, _FIRST_RESERVATION),
+        )
+        return make_json_response(
+            {"id": program_id, "budget": budget, "durability": durability.value},
+            status=201,
+        )
+
+    async def _insert(
+        self,
+        program_id: str,
+        budget: int,
+        identity: Identity,
+        *,
+        parent: str | None,
+        reserved: int,
+    ) -> Durability:
+        context = self._context
+        context.ownership.check_authority()
+        context.programs.require_room()
+        opened = ProgramOpened(
+            slot=find_slot(program_id),
+            subject=program_id,
+            team=identity.team,
+            budget=budget,
+            reserved=reserved,
+            opened_at=context.clock.read_wall(),
+            parent=parent,
+        )
+        context.programs.apply(opened)
+        durability = await complete(context.ownership.commit(opened, may_pend=True))
+        context.metrics.count("programs.opened")
+        return durability
+
+    def _require_not_draining(self) -> None:
+        if self.is_draining:
+            raise DrainingError("this node is shutting down; try another node")
+
+
+def describe_program(program: Program) -> dict[str, object]:
+    """Return the state of a program as callers and operators see it."""
+    budget = program.budget
+    return {
+        "id": program.id,
+        "team": program.team,
+        "parent": program.opened.parent,
+        "next_turn": len(program.turns) + 1,
+        "running": program.running is not None,
+        "budget": budget.limit,
+        "spent": budget.spent,
+        "drawn": budget.drawn,
+        "remaining": budget.remaining,
+        "ended": None if program.ended is None else program.ended.reason,
+        "chain": program.history.chain,
+    }
--- a/src/fireflyspread/nodes/_fences.py
+++ b/src/fireflyspread/nodes/_fences.py
@@ -28,8 +28,10 @@
 
     Parameters
     ----------
-    node, incarnation : str
+    node : str
         This node.
+    get_incarnation : callable
+        Returns the present incarnation of this node.
     get_version : callable
         Returns the bundle version in force on this node.
     sleep : callable
@@ -41,14 +43,14 @@
         client: PeerClient,
         *,
         node: str,
-        incarnation: str,
+        get_incarnation: Callable[[], str],
         get_version: Callable[[], int],
         clock: Clock,
         sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._client = client
         self._node = node
-        self._incarnation = incarnation
+        self._get_incarnation = get_incarnation
         self._get_version = get_version
         self._clock = clock
         self._sleep = sleep
@@ -162,11 +164,11 @@
             await self._sleep(_ASK_INTERVAL)
 
     async def _ask(self, member: Member, target: str, version: int) -> bool:
-        if member.incarnation == self._incarnation:
+        if member.incarnation == self._get_incarnation():
             return self.confirm(target, version) == 0
         question = ConfirmFence(
             node=self._node,
-            incarnation=self._incarnation,
+            incarnation=self._get_incarnation(),
             target=target,
             bundle_version=version,
         )
@@ -187,7 +189,7 @@
         in_flight = self.confirm(message.target, message.bundle_version)
         return FenceConfirmed(
             node=self._node,
-            incarnation=self._incarnation,
+            incarnation=self._get_incarnation(),
             bundle_version=self._get_version(),
             in_flight=in_flight,
         )
--- a/src/fireflyspread/recovery/_records.py
+++ b/src/fireflyspread/recovery/_records.py
@@ -17,6 +17,8 @@
     "Record",
     "SessionHeld",
     "SessionReleased",
+    "TurnFailed",
+    "SnapshotTaken",
     "TurnRecorded",
     "decode_records",
     "encode_records",
@@ -91,6 +93,13 @@
     status: int = 200
 
 
+class TurnFailed(Record, frozen=True, kw_only=True):
+    """A turn ended without an answer; ``spent`` tokens are charged for it."""
+
+    turn: int
+    spent: int
+
+
 class BudgetReserved(Record, frozen=True, kw_only=True):
     """Tokens were reserved for the next turn beyond what the last record reserved."""
 
@@ -154,9 +163,16 @@
     recorded_at: float
 
 
+class SnapshotTaken(Record, frozen=True, kw_only=True):
+    """The next ``count`` records of the journal are the whole state of the slot."""
+
+    count: int
+
+
 AnyRecord = (
     ProgramOpened
     | TurnRecorded
+    | TurnFailed
     | BudgetReserved
     | SessionHeld
     | SessionReleased
@@ -165,6 +181,7 @@
     | IntentDeclared
     | IntentAbandoned
     | OutcomeRecorded
+    | SnapshotTaken
 )
 
 _DECODER = msgspec.msgpack.Decoder(tuple[AnyRecord, ...])
--- a/src/fireflyspread/routing/__init__.py
+++ b/src/fireflyspread/routing/__init__.py
@@ -1,5 +1,17 @@
 """Which request runs next, and on which replica."""
 
+from fireflyspread.routing._health import ReplicaHealth
+from fireflyspread.routing._hints import CacheHints, Hint
+from fireflyspread.routing._placement import (
+    LeastReportedLoadPlacement,
+    Placement,
+    PrefixAwarePlacement,
+    RoundRobinPlacement,
+)
+from fireflyspread.routing._policy import PolicyScheduler
+from fireflyspread.routing._quarantine import Quarantine
+from fireflyspread.routing._queue import FairQueue, FifoQueue, Queue
+from fireflyspread.routing._retries import RetryBudget, draw_backoff
 from fireflyspread.routing._scheduler import (
     LoadReport,
     Result,
@@ -7,5 +19,27 @@
     Ticket,
     Work,
 )
+from fireflyspread.routing._sessions import SessionKeeper
 
-__all__ = ["LoadReport", "Result", "Scheduler", "Ticket", "Work"]
+__all__ = [
+    "CacheHints",
+    "FairQueue",
+    "FifoQueue",
+    "Hint",
+    "LeastReportedLoadPlacement",
+    "LoadReport",
+    "Placement",
+    "PolicyScheduler",
+    "PrefixAwarePlacement",
+    "Quarantine",
+    "Queue",
+    "ReplicaHealth",
+    "Result",
+    "RetryBudget",
+    "RoundRobinPlacement",
+    "Scheduler",
+    "SessionKeeper",
+    "Ticket",
+    "Work",
+    "draw_backoff",
+]
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -19,7 +19,7 @@
     fingerprint : str
         Equal for requests that would crash a target in the same way.
     cost : float
-        Expected tokens, prompt and answer.
+        Expected tokens: the prompt beyond the prefix, and the answer.
     attained : float
         Tokens that the program has used so far.
     deadline : float
@@ -78,11 +78,15 @@
 
 
 class Result(enum.StrEnum):
-    """How a request on a replica ended."""
+    """How a request on a replica ended.
+
+    CRASHED means that the replica went down, BROKEN that only the connection did.
+    """
 
     ANSWERED = "answered"
     REFUSED = "refused"
     CRASHED = "crashed"
+    BROKEN = "broken"
     UNREACHABLE = "unreachable"
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
--- a/tests/nodes/test_fences.py
+++ b/tests/nodes/test_fences.py
@@ -29,7 +29,7 @@
         self.guard = FenceGuard(
             self.client,
             node=name,
-            incarnation=f"{name}.1",
+            get_incarnation=lambda: f"{name}.1",
             get_version=lambda: self.version,
             clock=clock,
             sleep=self.wait,
