--- a/tests/matrix/callers.py
+++ b/tests/matrix/callers.py
@@ -13,7 +13,7 @@
 from attrs import define, field
 
 from standins._answers import digest_contents, verify_answer
-from tools.client import CallerClient, CallError, _Retry
+from tools.client import CallerClient, CallError, _Retry, _Stream
 
 __all__ = ["Attempt", "Ledger", "Order", "Program", "RecordingClient", "Runner"]
 
@@ -31,6 +31,8 @@
         Digest of the history of a turn, or idempotency key of an order.
     outcome : str
         Outcome of the error, ``ran`` after an answer, ``open`` while it runs.
+    last_token : float
+        When the last text of a stream arrived; 0 without one.
     """
 
     label: str
@@ -39,6 +41,7 @@
     outcome: str = "open"
     code: str = ""
     ended: float = 0.0
+    last_token: float = 0.0
 
 
 @define(kw_only=True)
@@ -84,6 +87,7 @@
         self.label = ""
         self._ledger = ledger
         self._key = key
+        self._last_token = 0.0
 
     async def _repeat(
         self, path: str, attempt: Any, *, is_limited: bool = False
@@ -92,6 +96,7 @@
             entry = Attempt(label=self.label, key=self._key, sent=time.time())
             self._ledger.attempts.append(entry)
             entry.outcome = "cut"
+            self._last_token = 0.0
             try:
                 result = await attempt(node)
                 entry.outcome = "ran"
@@ -107,9 +112,20 @@
                 raise
             finally:
                 entry.ended = time.time()
+                entry.last_token = self._last_token
 
         return await super()._repeat(path, note, is_limited=is_limited)
 
+    async def _read_stream(
+        self, path: str, body: dict[str, Any], stream: _Stream
+    ) -> None:
+        try:
+            await super()._read_stream(path, body, stream)
+        finally:
+            if stream.times:
+                age = time.monotonic() - stream.times[-1]
+                self._last_token = time.time() - age
+
 
 class Runner:
     """Runs programs of one team and checks each answer.
--- a/tests/matrix/judge.py
+++ b/tests/matrix/judge.py
@@ -202,9 +202,10 @@
     problems = []
     for attempt in ledger.attempts:
         limit = cut_after.get(attempt.key)
-        if limit is None or attempt.outcome != "ran" or attempt.ended <= limit:
+        served = attempt.ended if attempt.outcome == "ran" else attempt.last_token
+        if limit is None or served <= limit:
             continue
-        late = attempt.ended - limit
+        late = served - limit
         problems.append(f"P7 an answer {late:.1f} s after the bound of a withdrawal")
     return problems
 
--- a/tests/matrix/run.py
+++ b/tests/matrix/run.py
@@ -34,6 +34,8 @@
 TOKEN_SECONDS = 0.02
 # A stream must outlast the bound of a withdrawal to show that it is ended.
 SLOW_FACTOR = 10.0
+# An isolated node hears of no withdrawal; its shortest stream must outlast the bound.
+LONG_FACTOR = 40.0
 BUSY = 4
 BUSY_SECONDS = 9.0
 FINISH_SECONDS = 120.0
@@ -84,9 +86,10 @@
 
     async def run(self) -> list[str]:
         """Return what is wrong."""
-        if "withdraw" in COLUMNS[self.cell.column]:
-            for engine in self.cluster.deployment.engines.values():
-                engine.faults.slow = SLOW_FACTOR
+        names = COLUMNS[self.cell.column]
+        if "withdraw" in names:
+            factor = LONG_FACTOR if "isolate" in names else SLOW_FACTOR
+            self._set_slow(factor)
         watch = asyncio.create_task(self._watch_versions())
         try:
             await self._run()
@@ -119,10 +122,15 @@
         for fault in reversed(self.faults):
             await fault.heal(self.scene)
         await probe_withdrawn(self.scene)
+        self._set_slow(1.0)
         async with asyncio.timeout(FINISH_SECONDS):
             await asyncio.gather(focus, *others)
             await self.focus.finish()
 
+    def _set_slow(self, factor: float) -> None:
+        for engine in self.cluster.deployment.engines.values():
+            engine.faults.slow = factor
+
     async def _restore(self) -> None:
         self.cluster.store.faults.update({"delay": 0.0, "down": "", "lose_answers": 0})
         for engine in self.cluster.deployment.engines.values():
