Write single commits at once; report ready once the rates are in force

Cause: (1) a commit that came within 50 ms of the last write waited for the rest of that time, also when the node wrote far less than 20 values a second. (2) a node reported ready 2.1 s before its shares accrue, and an idle node that missed an epoch started empty again. Change: up to 10 writes may follow a pause at once, the mean stays one each 50 ms; records nobody waits for join the next commit; readiness waits for the shares; the limiter is told of authority every 0.1 s.

--- a/src/fireflyspread/callers/_api.py
+++ b/src/fireflyspread/callers/_api.py
@@ -194,7 +194,7 @@
         return make_json_response({"alive": True})
 
     async def _report_ready(self, request: web.Request) -> web.Response:
-        self._context.ownership.check_authority()
+        self._context.ownership.check_ready()
         self._context.bundles.get_active()
         if self._programs.is_draining:
             raise NoAuthorityError("this node is shutting down; use another")
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -267,6 +267,7 @@
             await asyncio.sleep(_WATCH_INTERVAL)
             try:
                 self._recovery.check_authority()
+                self._recovery.limiter.note_renewal()
                 lost_at = None
                 continue
             except FireflyError:
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -9,7 +9,7 @@
 from fireflyspread.daemon._build import Base
 from fireflyspread.daemon._peers import NodePeers, RecordHolder
 from fireflyspread.exceptions import NoAuthorityError
-from fireflyspread.limits import ShareLimiter
+from fireflyspread.limits import ASK_TIMEOUT, ShareLimiter
 from fireflyspread.nodes import (
     AuthorityRenewed,
     HoldRecords,
@@ -92,6 +92,11 @@
             rng=base.rng,
             check_authority=self.check_authority,
         )
+        self._clock = base.clock
+        # A new share accrues only after this time, see ShareLimiter.
+        self._settling = base.settings.timing.authority_ttl + ASK_TIMEOUT
+        self._joined_at = float("inf")
+        self._incarnation = ""
         self.membership.add_listener(self._set_members)
         base.bundles.add_listener(self._set_teams)
 
@@ -125,6 +130,14 @@
     def check_authority(self) -> None:
         self.membership.authority.check()
 
+    def check_ready(self) -> None:
+        self.check_authority()
+        settled_at = self._joined_at + self._settling
+        if self._clock.read_monotonic() < settled_at:
+            raise NoAuthorityError(
+                "this node's share of the rates is not in force yet; use another node"
+            )
+
     async def commit(self, *records: Record, may_pend: bool = False) -> Durability:
         return await self.membership.journal.commit(*records, may_pend=may_pend)
 
@@ -141,6 +154,10 @@
 
     def _set_members(self, epoch: int, members: tuple[Member, ...]) -> None:
         self.limiter.set_members(epoch, [member.name for member in members])
+        own = self._find_member(self.name)
+        if own is not None and own.incarnation != self._incarnation:
+            self._incarnation = own.incarnation
+            self._joined_at = self._clock.read_monotonic()
 
     def _set_teams(self, active: ActiveBundle) -> None:
         self.limiter.set_teams(active.teams)
--- a/src/fireflyspread/recovery/_ownership.py
+++ b/src/fireflyspread/recovery/_ownership.py
@@ -42,6 +42,10 @@
     def check_authority(self) -> None:
         """Raise ``NoAuthorityError`` unless this node may act now."""
 
+    @abc.abstractmethod
+    def check_ready(self) -> None:
+        """Raise ``NoAuthorityError`` unless callers should be sent here now."""
+
     @abc.abstractmethod
     async def commit(self, *records: Record, may_pend: bool = False) -> Durability:
         """Append records to the present journal, see ``Journal.commit``."""
--- a/src/fireflyspread/recovery/_store_journal.py
+++ b/src/fireflyspread/recovery/_store_journal.py
@@ -48,6 +48,9 @@
 # some rounds of the event loop later when the commit runs in a task of its own.
 _APPLY_SECONDS = 0.02
 
+# Writes that may follow each other at once after a pause.
+_BURST_WRITES = 10
+
 _RETRY_MIN, _RETRY_MAX = 0.1, 1.0
 
 # Records wait in memory while the store is down; new ones are refused beyond this.
@@ -62,7 +65,8 @@
     prefix : str
         Key prefix, ``journal/<node>/<incarnation>/``.
     flush_interval : float
-        Least seconds between the starts of two writes.
+        Mean seconds between the starts of two writes under load. After a pause, a few
+        writes may follow each other at once, so that a single program does not wait.
     store_timeout : float
         Seconds that a commit waits for the store.
     holder : Holder or None
@@ -97,10 +101,12 @@
         self._on_sealed = on_sealed
         self._sleep = sleep
         self._writer: asyncio.Task[None] | None = None
+        self._starter: asyncio.Task[None] | None = None
         self._releases: set[asyncio.Task[None]] = set()
         self._committing: Counter[int] = Counter()
         self._returned_at: dict[int, float] = {}
-        self._last_flush = float("-inf")
+        # Time at which the writes made so far are paid for at one each interval.
+        self._paid_until = float("-inf")
         self._reset(prefix)
 
     @classmethod
@@ -205,7 +211,10 @@
         )
 
     def enqueue(self, *records: Record) -> None:
-        self._append(records)
+        self._raise_if_sealed()
+        self._queue.append(records)
+        if self._queue and self._starter is None and not self._is_writing():
+            self._starter = asyncio.create_task(self._start_later())
 
     def enqueue_snapshot(self, slot: int, records: tuple[Record, ...]) -> None:
         """Append the whole state of ``slot``; it replaces all earlier records."""
@@ -231,10 +240,12 @@
 
     async def close(self) -> None:
         """Stop writing; records that still wait are not written."""
-        tasks = [t for t in (self._writer, *self._releases) if t is not None]
-        for task in tasks:
+        tasks = [self._writer, self._starter, *self._releases]
+        running = [task for task in tasks if task is not None]
+        for task in running:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(*running, return_exceptions=True)
+        self._starter = None
         self._seal()
 
     async def restart(self, prefix: str) -> None:
@@ -283,10 +294,23 @@
     def _append(self, records: tuple[Record, ...]) -> int:
         self._raise_if_sealed()
         end = self._queue.append(records)
-        if self._queue and (self._writer is None or self._writer.done()):
-            self._writer = asyncio.create_task(self._write_queued())
+        self._start_writer()
         return end
 
+    def _is_writing(self) -> bool:
+        return self._writer is not None and not self._writer.done()
+
+    def _start_writer(self) -> None:
+        if self._queue and not self._is_writing():
+            self._writer = asyncio.create_task(self._write_queued())
+
+    async def _start_later(self) -> None:
+        # Records nobody waits for are left to the next commit: a write of their own
+        # would make that commit wait for the rest of the interval.
+        await self._sleep(self._flush_interval)
+        self._starter = None
+        self._start_writer()
+
     async def _wait_stored(self, end: int) -> bool:
         """Wait up to ``store_timeout``; return whether the store has the records."""
         waiter = self._queue.add_waiter(end)
@@ -336,11 +360,13 @@
     async def _write_queued(self) -> None:
         """Write until the queue is empty or the journal is sealed."""
         while self._queue and not self.is_sealed:
-            wait = self._last_flush + self._flush_interval
-            await self._sleep(max(0.0, wait - self._clock.read_monotonic()))
+            tolerance = _BURST_WRITES * self._flush_interval
+            wait = self._paid_until - tolerance - self._clock.read_monotonic()
+            await self._sleep(max(0.0, wait))
             if self.is_sealed:
                 return
-            self._last_flush = self._clock.read_monotonic()
+            now = self._clock.read_monotonic()
+            self._paid_until = max(self._paid_until, now) + self._flush_interval
             entry, count = self._queue.pack()
             is_created = await self._create(entry)
             if not is_created:
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -47,6 +47,9 @@
     def check_authority(self) -> None:
         return
 
+    def check_ready(self) -> None:
+        return
+
     async def commit(self, *records: Record, may_pend: bool = False) -> Durability:
         self.records.extend(records)
         return Durability.DURABLE
