Let a withdrawal remove the keys of withdrawals that were cut off

A withdrawal that ended after its mark left the marked key in the bundle in force, so every later roll and every withdrawal of another key was refused as bundle_invalid. The new test fails without the change.

--- a/src/fireflyspread/bundle/_rollout.py
+++ b/src/fireflyspread/bundle/_rollout.py
@@ -243,7 +243,12 @@
         active = await self.read_active()
         if active is None:
             raise NotFoundError("no bundle is in force; roll one first")
-        keys = tuple(key for key in active.bundle.keys if key.digest != key_digest)
+        # Keys of withdrawals that were cut off after their mark go too; with them no
+        # bundle could be rolled.
+        entries = await self._store.read_prefix(WITHDRAWN_PREFIX)
+        gone = {entry.key.removeprefix(WITHDRAWN_PREFIX) for entry in entries}
+        gone.add(key_digest)
+        keys = tuple(key for key in active.bundle.keys if key.digest not in gone)
         digest = await self.draft(evolve(active.bundle, keys=keys))
         await self.approve(digest, operator)
         return await self._roll(digest, operator, active.version, self._make_write_id())
--- a/tests/bundle/test_rollout.py
+++ b/tests/bundle/test_rollout.py
@@ -188,6 +188,23 @@
         assert active is not None
         assert set(active.keys) == {hash_key(OTHER_KEY)}
 
+    async def test_finishes_one_that_was_cut_off(
+        self, rollout: Rollout, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A withdrawal that ended after its mark must not block those of other keys."""
+        await roll(rollout, make_bundle(), 0)
+
+        async def fail(digest: str, operator: str) -> None:
+            raise TimeoutError
+
+        with monkeypatch.context() as patch, pytest.raises(TimeoutError):
+            patch.setattr(rollout, "_roll_without", fail)
+            await rollout.withdraw_key(hash_key(KEY), "ben")
+        await rollout.withdraw_key(hash_key(OTHER_KEY), "ben")
+        active = await rollout.read_active()
+        assert active is not None
+        assert not active.keys
+
     async def test_refuses_unknown_key(self, rollout: Rollout) -> None:
         """A mistyped digest is not reported as withdrawn."""
         await roll(rollout, make_bundle(), 0)
