Restart failed tasks of engine replicas; charge computed prompts to the fair queue

Cause: the daemon had its own copy of the tasks for each replica, without a restart after an unexpected error; the fair queue was settled with the answer only, so long prompts that had to be computed again cost a team nothing. Change: EngineTasks uses engines.ReplicaTasks; a turn settles prompt - cached + answer. Conclusion: one piece serves both.

--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -177,7 +177,7 @@
                     "turn retried after %s", exc.code, extra=self._log_fields()
                 )
             finally:
-                used = 0 if usage is None else usage.completion
+                used = 0 if usage is None else usage.computed
                 self._context.scheduler.release(ticket, result, tokens=used)
 
     async def _may_retry(self, work: Work) -> bool:
--- a/src/fireflyspread/daemon/_dump.py
+++ b/src/fireflyspread/daemon/_dump.py
@@ -7,7 +7,7 @@
 from fireflyspread.bundle import BundleHolder
 from fireflyspread.callers import CallerApi, Context
 from fireflyspread.daemon._recovery import Recovery
-from fireflyspread.daemon._targets import ReplicaTasks
+from fireflyspread.daemon._targets import EngineTasks
 from fireflyspread.nodes import Greeter
 from fireflyspread.operators import MemberVersion
 
@@ -44,7 +44,7 @@
     recovery: Recovery,
     greeter: Greeter,
     api: CallerApi,
-    replicas: ReplicaTasks,
+    replicas: EngineTasks,
 ) -> Mapping[str, Any]:
     """Return what this process knows, as JSON data without keys or histories."""
     return {
--- a/src/fireflyspread/daemon/_gauges.py
+++ b/src/fireflyspread/daemon/_gauges.py
@@ -4,7 +4,7 @@
 
 from fireflyspread.callers import CallerApi, Context
 from fireflyspread.daemon._recovery import Recovery
-from fireflyspread.daemon._targets import ReplicaTasks
+from fireflyspread.daemon._targets import EngineTasks
 
 __all__ = ["report_gauges"]
 
@@ -12,7 +12,7 @@
 
 
 async def report_gauges(
-    context: Context, recovery: Recovery, api: CallerApi, replicas: ReplicaTasks
+    context: Context, recovery: Recovery, api: CallerApi, replicas: EngineTasks
 ) -> None:
     """Send the gauges every 5 s until cancelled; docs/metrics.md lists them."""
     membership = recovery.membership
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -17,7 +17,7 @@
 from fireflyspread.daemon._gauges import report_gauges
 from fireflyspread.daemon._programs import NodePrograms, expire_programs
 from fireflyspread.daemon._recovery import Recovery
-from fireflyspread.daemon._targets import ReplicaTasks
+from fireflyspread.daemon._targets import EngineTasks
 from fireflyspread.exceptions import FireflyError, SettingsError
 from fireflyspread.nodes import FenceGuard, PeerClient, PeerServer, make_ssl_context
 from fireflyspread.operators import AdminApi
@@ -150,7 +150,7 @@
             clock=clock,
         )
         engines, services = build_pools()
-        self._replicas = ReplicaTasks(
+        self._replicas = EngineTasks(
             engines=engines,
             programs=base.programs,
             ownership=self._recovery,
--- a/src/fireflyspread/daemon/_targets.py
+++ b/src/fireflyspread/daemon/_targets.py
@@ -3,14 +3,13 @@
 import asyncio
 import random
 
-from attrs import define
-
 from fireflyspread._pools import ReplicaPool
 from fireflyspread.bundle import ActiveBundle, Replica, TargetKind
 from fireflyspread.clock import Clock
 from fireflyspread.engines import (
     Engine,
     ReplicaPoller,
+    ReplicaTasks,
     SessionReleaser,
     SessionSweeper,
 )
@@ -18,16 +17,10 @@
 from fireflyspread.recovery import Ownership, SessionReleased, find_slot
 from fireflyspread.routing import LoadReport, PolicyScheduler, SessionKeeper
 
-__all__ = ["ReplicaTasks"]
-
-
-@define
-class _Running:
-    sweeper: SessionSweeper
-    tasks: list[asyncio.Task[None]]
+__all__ = ["EngineTasks"]
 
 
-class ReplicaTasks(SessionReleaser):
+class EngineTasks(SessionReleaser):
     """Polls engines and releases the memory of programs that do not need it.
 
     Parameters
@@ -54,8 +47,9 @@
         self._interval = interval
         self._keeper = SessionKeeper(clock)
         self._scheduler: PolicyScheduler | None = None
-        self._running: dict[tuple[str, str], _Running] = {}
+        self._tasks = ReplicaTasks(self._run)
         self._sweepers: dict[str, SessionSweeper] = {}
+        self._replicas: dict[str, Replica] = {}
 
     def set_scheduler(self, scheduler: PolicyScheduler) -> None:
         """Pass load reports on to ``scheduler``."""
@@ -64,18 +58,20 @@
     def apply(self, active: ActiveBundle) -> None:
         """Run tasks for the engine replicas of ``active`` and no others."""
         wanted = {
-            (replica.name, replica.url): replica
+            replica.name: replica
             for target in active.bundle.targets
             if target.kind is TargetKind.ENGINE
             for replica in target.replicas
         }
-        for key in set(self._running) - set(wanted):
-            self._sweepers.pop(key[0], None)
-            for task in self._running.pop(key).tasks:
-                task.cancel()
-        for key in set(wanted) - set(self._running):
-            self._running[key] = self._start(wanted[key])
-            self._sweepers[key[0]] = self._running[key].sweeper
+        for name in self._sweepers.keys() - wanted.keys():
+            del self._sweepers[name]
+        # Made before the tasks run, because a replica without a sweeper counts as one
+        # that has left the bundle.
+        for name, replica in wanted.items():
+            if self._replicas.get(name) != replica:
+                self._sweepers[name] = self._make_sweeper(replica)
+        self._replicas = wanted
+        self._tasks.set_replicas(wanted.values())
 
     def begin_turn(self, program: str, replica: str) -> None:
         self._keeper.end_pause(program)
@@ -102,24 +98,14 @@
 
     async def close(self) -> None:
         """Stop all tasks."""
-        tasks = [task for running in self._running.values() for task in running.tasks]
-        self._running.clear()
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-
-    def _start(self, replica: Replica) -> _Running:
-        name, engine = replica.name, self._engines.get(replica.url)
-        sweeper = SessionSweeper(
-            name,
-            engine,
-            self._rng,
-            is_gone=self._is_gone,
-            on_released=lambda program: self._take_released(program, name),
-        )
+        await self._tasks.close()
+
+    async def _run(self, replica: Replica) -> None:
+        """Sweep and poll one replica until cancelled."""
+        sweeper = self._sweepers[replica.name]
         poller = ReplicaPoller(
-            name,
-            engine,
+            replica.name,
+            self._engines.get(replica.url),
             self._clock,
             self._rng,
             on_load=self._take_load,
@@ -127,8 +113,18 @@
             on_gap=self._take_gap,
             interval=self._interval,
         )
-        works = (sweeper.run(), poller.run())
-        return _Running(sweeper, [asyncio.create_task(work) for work in works])
+        async with asyncio.TaskGroup() as group:
+            group.create_task(sweeper.run())
+            group.create_task(poller.run())
+
+    def _make_sweeper(self, replica: Replica) -> SessionSweeper:
+        return SessionSweeper(
+            replica.name,
+            self._engines.get(replica.url),
+            self._rng,
+            is_gone=self._is_gone,
+            on_released=lambda program: self._take_released(program, replica.name),
+        )
 
     def _take_load(self, replica: str, report: LoadReport) -> None:
         if self._scheduler is not None:
--- a/src/fireflyspread/engines/_engine.py
+++ b/src/fireflyspread/engines/_engine.py
@@ -58,6 +58,11 @@
     cached: int
     completion: int
 
+    @property
+    def computed(self) -> int:
+        """Tokens that the engine worked on, prompt and answer."""
+        return max(0, self.prompt - self.cached) + self.completion
+
 
 @frozen(kw_only=True)
 class EngineLoad:
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -11,7 +11,7 @@
 from fireflyspread.callers import CallerApi, Context
 from fireflyspread.clock import SystemClock
 from fireflyspread.daemon._build import Base, build_context, build_pools
-from fireflyspread.daemon._targets import ReplicaTasks
+from fireflyspread.daemon._targets import EngineTasks
 from fireflyspread.limits import RateLimiter
 from fireflyspread.nodes import FenceGuard, PeerClient
 from fireflyspread.recovery import SLOT_COUNT, Durability, Member, Ownership, Record
@@ -169,7 +169,7 @@
         clock=base.clock,
     )
     engines, services = build_pools()
-    replicas = ReplicaTasks(
+    replicas = EngineTasks(
         engines=engines,
         programs=base.programs,
         ownership=ownership,
