--- /dev/null
+++ b/tests/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the local cluster and of nodes as processes."""
--- a/tests/harness/test_client.py
+++ b/tests/cluster/test_client.py
@@ -7,8 +7,8 @@
 from aiohttp import web
 from aiohttp.test_utils import TestServer
 
-from tests.harness import load_bundle
 from tools.client import CallerClient, CallError
+from tools.cluster import load_bundle
 from tools.workload import Workload
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
--- a/tests/harness/test_cluster.py
+++ b/tests/cluster/test_cluster.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from standins._answers import verify_answer
-from tests.harness import LocalCluster
 from tools.client import CallerClient
+from tools.cluster import LocalCluster
 from tools.runner import ProgramRunner, run_closed
 from tools.workload import Workload
 
--- a/tests/harness/test_forwarder.py
+++ b/tests/cluster/test_forwarder.py
@@ -7,7 +7,7 @@
 import pytest
 
 from fireflyspread.bundle import Bundle, hash_key
-from tests.harness import Forwarder, load_bundle, load_keys
+from tools.cluster import Forwarder, load_bundle, load_keys
 
 
 async def echo(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/harness/test_relay.py
+++ b/tests/cluster/test_relay.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from tests.harness import LocalCluster
 from tools.client import CallerClient
+from tools.cluster import LocalCluster
 
 ENGINE = {"token_seconds": 0.05, "shortest": 1000, "longest": 1000}
 LIMIT_SECONDS = 30.0
--- a/tests/daemon/test_process.py
+++ b/tests/daemon/test_process.py
@@ -14,9 +14,9 @@
 import pytest_asyncio
 
 from standins._answers import verify_answer
-from tests.harness import LocalCluster
-from tests.harness._cluster import OPERATORS, SECRET
-from tests.harness._processes import spawn
+from tools.cluster import LocalCluster
+from tools.cluster._cluster import OPERATORS, SECRET
+from tools.cluster._processes import spawn
 
 MODEL = "lid-matching"
 TEAM = "sourcing"
--- a/tests/golden/session.py
+++ b/tests/golden/session.py
@@ -19,8 +19,8 @@
 from fireflyspread.settings import Settings
 from standins._base import Received, find_free_port
 from tests.golden.normal import HIDDEN_HEADERS, format_json, join_events
-from tests.harness import Deployment, LocalCluster
-from tests.harness._cluster import OPERATORS, SECRET
+from tools.cluster import Deployment, LocalCluster
+from tools.cluster._cluster import OPERATORS, SECRET
 
 __all__ = ["Session", "open_session", "wait_counts"]
 
--- a/tests/matrix/faults.py
+++ b/tests/matrix/faults.py
@@ -9,15 +9,16 @@
 import msgspec
 
 from fireflyspread.bundle import hash_key
-from tests.harness import LocalCluster
-from tests.harness._cluster import OPERATORS
 from tests.matrix.callers import Ledger, Runner
 from tools.client import CallError
+from tools.cluster import LocalCluster
+from tools.cluster._cluster import OPERATORS
 
 __all__ = ["BOUND_SECONDS", "FAULTS", "LEASE_TTL", "Fault", "Scene", "probe_withdrawn"]
 
 LEASE_TTL = 3
 # Bound of P7, P12 and P14 in the design.
+OPERATOR_PATIENCE = 30.0
 BOUND_SECONDS = 3.0
 LONG_PAUSE_SECONDS = LEASE_TTL + 2.0
 HOLD_SECONDS = 3.5
@@ -54,6 +55,18 @@
         self, node: str, method: str, path: str, *, operator: str = "olga", **kw: Any
     ) -> tuple[int, Any]:
         """Send a request of an operator and return status and data; 0 if none."""
+        until = time.time() + OPERATOR_PATIENCE
+        while True:
+            status, data = await self._ask_once(node, method, path, operator, **kw)
+            # An operator repeats what the store could not answer; a roll carries a
+            # write id, so repeating it is safe.
+            if status != 503 or time.time() > until:
+                return status, data
+            await asyncio.sleep(0.2)
+
+    async def _ask_once(
+        self, node: str, method: str, path: str, operator: str, **kw: Any
+    ) -> tuple[int, Any]:
         url = self.cluster.nodes[node].operators_url + "/admin/v1" + path
         headers = {"Authorization": f"Bearer {OPERATORS[operator]}"}
         limit = aiohttp.ClientTimeout(total=30.0)
--- a/tests/matrix/judge.py
+++ b/tests/matrix/judge.py
@@ -6,8 +6,8 @@
 from collections import Counter, defaultdict
 from typing import Any
 
-from tests.harness import LocalCluster
 from tests.matrix.callers import Attempt, Ledger
+from tools.cluster import LocalCluster
 
 __all__ = ["judge"]
 
--- a/tests/matrix/run.py
+++ b/tests/matrix/run.py
@@ -11,7 +11,6 @@
 from attrs import define, field
 
 from fireflyspread.bundle import hash_key
-from tests.harness import Deployment, LocalCluster
 from tests.matrix.callers import Ledger, Runner
 from tests.matrix.cells import COLUMNS, Cell
 from tests.matrix.faults import (
@@ -24,6 +23,7 @@
 )
 from tests.matrix.judge import judge
 from tests.matrix.steps import Focus
+from tools.cluster import Deployment, LocalCluster
 
 __all__ = ["Matrix"]
 
--- a/tests/operators/test_cluster.py
+++ b/tests/operators/test_cluster.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from tests.harness._cluster import OPERATORS, LocalCluster
 from tests.operators.test_cli import Shell
+from tools.cluster._cluster import OPERATORS, LocalCluster
 
 
 class TestCluster:
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.harness import LocalCluster, load_keys
+from tools.cluster import LocalCluster, load_keys
 
 ROOT = Path(__file__).parents[1]
 README = (ROOT / "README.md").read_text(encoding="utf-8")
--- a/tests/test_wire_fuzz.py
+++ b/tests/test_wire_fuzz.py
@@ -34,7 +34,7 @@
 from fireflyspread.recovery import SessionHeld
 from fireflyspread.recovery._records import decode_records, encode_records
 from fireflyspread.settings import Settings
-from tests.harness import load_bundle
+from tools.cluster import load_bundle
 
 FUZZ = settings(max_examples=400, derandomize=True, deadline=None, database=None)
 
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -23,8 +23,8 @@
 import uvloop
 
 from standins._base import find_free_port
-from tests.harness import Deployment, LocalCluster
-from tests.harness._processes import ROOT, spawn
+from tools.cluster import Deployment, LocalCluster
+from tools.cluster._processes import ROOT, spawn
 
 __all__ = ["main"]
 
--- a/tests/harness/_cluster.py
+++ b/tools/cluster/_cluster.py
@@ -14,10 +14,10 @@
 from standins._base import find_free_port
 from standins.store import StoreStandIn
 from standins.vm_list import VmListStandIn
-from tests.harness._forwarder import Forwarder
-from tests.harness._nodes import NodeProcess
-from tests.harness._targets import Deployment, StandInProcess
 from tools.client import CallerClient
+from tools.cluster._forwarder import Forwarder
+from tools.cluster._nodes import NodeProcess
+from tools.cluster._targets import Deployment, StandInProcess
 
 __all__ = ["LocalCluster"]
 
--- a/tests/harness/_nodes.py
+++ b/tools/cluster/_nodes.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 
-from tests.harness._processes import spawn
+from tools.cluster._processes import spawn
 
 __all__ = ["NodeProcess"]
 
--- a/tests/harness/_targets.py
+++ b/tools/cluster/_targets.py
@@ -11,7 +11,7 @@
 from standins._base import StandIn, find_free_port
 from standins.engine import EngineStandIn
 from standins.service import ServiceStandIn
-from tests.harness._processes import ROOT, spawn
+from tools.cluster._processes import ROOT, spawn
 
 __all__ = ["Deployment", "StandInProcess", "load_bundle", "load_keys"]
 
--- a/tools/load.py
+++ b/tools/load.py
@@ -15,7 +15,7 @@
 import msgspec
 import uvloop
 
-from tests.harness import LocalCluster, load_bundle, load_keys
+from tools.cluster import LocalCluster, load_bundle, load_keys
 from tools.report import format_report, make_report, read_targets
 from tools.runner import ProgramRunner, run_closed, run_open
 from tools.workload import Workload
--- a/tools/run_local.py
+++ b/tools/run_local.py
@@ -9,8 +9,8 @@
 
 import uvloop
 
-from tests.harness import LocalCluster
-from tests.harness._cluster import OPERATORS
+from tools.cluster import LocalCluster
+from tools.cluster._cluster import OPERATORS
 from tools.report import format_report, make_report, read_targets
 from tools.runner import ProgramRunner, run_closed
 from tools.workload import Workload
