--- a/src/fireflyspread/callers/_turn_handlers.py
+++ b/src/fireflyspread/callers/_turn_handlers.py
@@ -1,6 +1,8 @@
 """Handlers that run, join, replay and resume turns."""
 
 import asyncio
+from collections.abc import Coroutine
+from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -129,29 +131,34 @@
                 )
             )
         writer = self._make_writer(request)
-        try:
+
+        async def run() -> None:
             result = await self._turns.run(program, running, spec, writer)
             end = make_end_events(program.id, result.record, result.durability)
             await writer.write(end)
-        except FireflyError as exc:
-            return await writer.fail(exc)
-        except asyncio.CancelledError:
-            error = self._context.guard.take_error()
-            if error is None:
-                raise
-            return await writer.fail(error)
-        return await writer.finish()
+
+        return await self._stream(writer, run())
 
     async def _attach(
         self, request: web.Request, program: Program, running: RunningTurn
     ) -> web.StreamResponse:
         writer = self._make_writer(request)
-        try:
+
+        async def follow() -> None:
             async for event in running.answer.read(_read_position(request)):
                 await writer.write(event)
             record = program.turns[running.number - 1]
             durability = await self._context.ownership.commit(may_pend=True)
             await writer.write(make_end_events(program.id, record, durability))
+
+        return await self._stream(writer, follow())
+
+    async def _stream(
+        self, writer: EventWriter, work: Coroutine[Any, Any, None]
+    ) -> web.StreamResponse:
+        """Await ``work``, which writes events, and end the stream with its error."""
+        try:
+            await work
         except FireflyError as exc:
             return await writer.fail(exc)
         except asyncio.CancelledError:
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from fireflyspread.bundle import BundleFeed, Rollout
-from fireflyspread.callers import CallerApi
+from fireflyspread.callers import CallerApi, Context
 from fireflyspread.clock import Clock, SystemClock
 from fireflyspread.daemon._build import Base, build_context, build_pools
 from fireflyspread.daemon._dump import dump_state, list_member_versions
@@ -120,7 +120,7 @@
         await self._store.close()
 
     def _build(self) -> None:
-        settings, base, clock = self._settings, self._base, self._clock
+        settings = self._settings
         self._store = EtcdStore(
             settings.platform.store, timeout=settings.timing.store_timeout
         )
@@ -130,7 +130,7 @@
         )
         self._leaving = self._build_leaving()
         self._recovery = Recovery(
-            base,
+            self._base,
             self._store,
             self._client,
             on_lost=self._end_requests,
@@ -138,28 +138,40 @@
         )
         self._feed = BundleFeed(
             self._store,
-            base.bundles,
-            rng=base.rng,
+            self._base.bundles,
+            rng=self._base.rng,
             fetch_from_peer=lambda node: self._exchange.fetch_bundle(node),
         )
-        fences = FenceGuard(
+        fences = self._build_fences()
+        self._context = self._build_context(fences)
+        self._api = CallerApi(self._context)
+        self._exchange = self._build_exchange()
+        self._exchange.register(self._server, fences)
+        self._recovery.register(self._server)
+        self._admin = self._build_admin()
+        self._connect_listeners()
+
+    def _build_fences(self) -> FenceGuard:
+        return FenceGuard(
             self._client,
-            node=settings.node.name,
+            node=self._settings.node.name,
             get_incarnation=lambda: self._recovery.membership.member.incarnation,
-            get_version=lambda: base.bundles.version,
-            clock=clock,
+            get_version=lambda: self._base.bundles.version,
+            clock=self._clock,
         )
+
+    def _build_context(self, fences: FenceGuard) -> Context:
         engines, services = build_pools()
         self._replicas = EngineTasks(
             engines=engines,
-            programs=base.programs,
+            programs=self._base.programs,
             ownership=self._recovery,
-            clock=clock,
-            rng=base.rng,
-            interval=settings.timing.load_poll_interval,
+            clock=self._clock,
+            rng=self._base.rng,
+            interval=self._settings.timing.load_poll_interval,
         )
-        self._context = build_context(
-            base,
+        context = build_context(
+            self._base,
             ownership=self._recovery,
             limiter=self._recovery.limiter,
             fences=fences,
@@ -167,26 +179,28 @@
             services=services,
             sessions=self._replicas,
         )
-        self._replicas.set_scheduler(self._context.scheduler)
-        self._api = CallerApi(self._context)
-        self._exchange = Exchange(
-            settings,
+        self._replicas.set_scheduler(context.scheduler)
+        return context
+
+    def _build_exchange(self) -> Exchange:
+        return Exchange(
+            self._settings,
             client=self._client,
             membership=self._recovery.membership,
-            bundles=base.bundles,
+            bundles=self._base.bundles,
             feed=self._feed,
             leaving=self._leaving,
             quarantine=self._context.scheduler.quarantine,
-            clock=clock,
-            rng=base.rng,
+            clock=self._clock,
+            rng=self._base.rng,
         )
-        self._exchange.register(self._server, fences)
-        self._recovery.register(self._server)
+
+    def _connect_listeners(self) -> None:
         self._recovery.membership.add_listener(self._follow_members)
-        self._admin = self._build_admin()
-        base.bundles.add_listener(self._context.guard.apply)
-        base.bundles.add_listener(self._replicas.apply)
-        base.bundles.add_listener(
+        bundles = self._base.bundles
+        bundles.add_listener(self._context.guard.apply)
+        bundles.add_listener(self._replicas.apply)
+        bundles.add_listener(
             lambda active: self._context.scheduler.set_targets(active.bundle.targets)
         )
 
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -79,26 +79,29 @@
         self.membership.add_state(CombinedState(base.programs, base.intents))
         # Tells the grants of this process from those of an earlier one.
         self._process = uuid.uuid4().hex
+        self.limiter = self._build_limiter(base, client)
+        self._clock = base.clock
+        # A new share accrues only after this time, see ShareLimiter.
+        self._settling = base.settings.timing.authority_ttl + ASK_TIMEOUT
+        self._joined_at = float("inf")
+        self._incarnation = ""
+        self.membership.add_listener(self._set_members)
+        base.bundles.add_listener(self._set_teams)
+
+    def _build_limiter(self, base: Base, client: PeerClient) -> ShareLimiter:
         tokens = NodeTokenPeers(
             client,
             node=self.name,
             incarnation=self._process,
             find_member=self._find_member,
         )
-        self.limiter = ShareLimiter.from_config(
+        return ShareLimiter.from_config(
             base.settings,
             tokens,
             clock=base.clock,
             rng=base.rng,
             check_authority=self.check_authority,
         )
-        self._clock = base.clock
-        # A new share accrues only after this time, see ShareLimiter.
-        self._settling = base.settings.timing.authority_ttl + ASK_TIMEOUT
-        self._joined_at = float("inf")
-        self._incarnation = ""
-        self.membership.add_listener(self._set_members)
-        base.bundles.add_listener(self._set_teams)
 
     def register(self, server: PeerServer) -> None:
         """Answer what other nodes ask about authority, records and rates."""
--- a/tools/runner.py
+++ b/tools/runner.py
@@ -14,7 +14,7 @@
 
 from standins._answers import verify_answer
 from tools.client import CallerClient, CallError, RateWatch
-from tools.workload import Call, Pause, Plan, Step, SubAgent, Turn, measure_budget
+from tools.workload import Call, ChildProgram, Pause, Plan, Step, Turn, measure_budget
 
 __all__ = ["ProgramRunner", "Stats", "run_closed", "run_open"]
 
@@ -169,7 +169,7 @@
                 case Call():
                     number += 1
                     await self._run_call(client, program, number, step)
-                case SubAgent():
+                case ChildProgram():
                     assert program is not None
                     await self._run_sub_agent(client, program, step)
 
@@ -213,7 +213,7 @@
         self._check(program or step.route, number, wrong)
 
     async def _run_sub_agent(
-        self, client: CallerClient, parent: str, step: SubAgent
+        self, client: CallerClient, parent: str, step: ChildProgram
     ) -> None:
         budget = measure_budget(step.steps)
         child = await client.open_program(budget, parent=parent)
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -184,15 +184,10 @@
     return Slope.from_points([(float(size), measure(size)) for size in sizes])
 
 
-def _measure_rows() -> list[tuple[str, str, Slope]]:
-    teams, nodes, programs = [500, 1000, 2000, 4000], [4, 20, 100, 350], [100, 200, 400]
-    bundles = {count: _make_bundle(count) for count in teams}
-    forms = {count: bundle.to_json() for count, bundle in bundles.items()}
-    documents = {count: _make_document(count) for count in nodes}
-    encoded = {n: msgspec.json.encode(doc) for n, doc in documents.items()}
-    names = {n: [f"entry-{i:03d}" for i in range(n)] for n in nodes}
-    hello = Hello(node="entry-000", epoch=1, bundle_version=1)
-    rows: list[tuple[str, str, Slope]] = [
+def _measure_bundles() -> list[tuple[str, str, Slope]]:
+    teams = [500, 1000, 2000, 4000]
+    forms = {count: _make_bundle(count).to_json() for count in teams}
+    return [
         (
             "bundle, canonical JSON",
             "bytes a team",
@@ -213,10 +208,24 @@
                 ),
             ),
         ),
+        (
+            "rate bucket in use, memory (4 nodes)",
+            "bytes a team",
+            _fit(teams, lambda n: _measure_memory(lambda: _make_limiter(4, n))),
+        ),
+    ]
+
+
+def _measure_nodes() -> list[tuple[str, str, Slope]]:
+    nodes = [4, 20, 100, 350]
+    forms = {n: msgspec.json.encode(_make_document(n)) for n in nodes}
+    names = {n: [f"entry-{i:03d}" for i in range(n)] for n in nodes}
+    hello = len(encode_message(Hello(node="entry-000", epoch=1, bundle_version=1)))
+    return [
         (
             "members document, JSON",
             "bytes a node",
-            _fit(nodes, lambda n: len(encoded[n])),
+            _fit(nodes, lambda n: len(forms[n])),
         ),
         (
             "members document, decode",
@@ -224,59 +233,57 @@
             _fit(
                 nodes,
                 lambda n: _time(
-                    lambda: msgspec.json.decode(encoded[n], type=MembersDocument)
+                    lambda: msgspec.json.decode(forms[n], type=MembersDocument)
                 ),
             ),
         ),
         (
-            "greetings, bytes in one interval",
+            "greetings in one interval, request and answer",
             "bytes a node",
             _fit(
                 nodes,
-                lambda n: (
-                    2.0
-                    * len(encode_message(hello))
-                    * len(find_neighbours(names[n], names[n][0]))
-                ),
+                lambda n: 2.0 * hello * len(find_neighbours(names[n], names[n][0])),
             ),
         ),
+        (
+            "change of members in the limiter (1000 teams)",
+            "CPU s a node",
+            _fit(nodes, lambda n: _time_members(n, 1000)),
+        ),
+    ]
+
+
+def _measure_programs() -> list[tuple[str, str, Slope]]:
+    return [
         (
             "open program without turns, memory",
             "bytes a program",
-            _fit(programs, lambda n: _measure_memory(lambda: _open_programs(n, 0))),
+            _fit(
+                [100, 200, 400],
+                lambda n: _measure_memory(lambda: _open_programs(n, 0)),
+            ),
         ),
         (
-            "turn of 3 KiB in memory",
+            "turn of 3 KiB, memory",
             "bytes a turn",
             _fit(
                 [1, 4, 16],
                 lambda n: _measure_memory(lambda: _open_programs(50, n)) / 50,
             ),
         ),
-        (
-            "intent with outcome, memory",
-            "bytes an intent",
-            _fit(
-                [500, 1000, 2000], lambda n: _measure_memory(lambda: _keep_intents(n))
-            ),
-        ),
         (
             "turn record of 3 KiB, encoded",
             "bytes a record",
             _fit([1, 10, 100], lambda n: float(len(_encode_turns(n)))),
         ),
         (
-            "rate bucket in use, memory (4 nodes)",
-            "bytes a team",
-            _fit(teams, lambda n: _measure_memory(lambda: _make_limiter(4, n))),
-        ),
-        (
-            "change of members in the limiter (1000 teams)",
-            "CPU s a node",
-            _fit(nodes, lambda n: _time_members(n, 1000)),
+            "intent with outcome, memory",
+            "bytes an intent",
+            _fit(
+                [500, 1000, 2000], lambda n: _measure_memory(lambda: _keep_intents(n))
+            ),
         ),
     ]
-    return rows
 
 
 def _index(active: ActiveBundle) -> ActiveBundle:
@@ -322,7 +329,11 @@
     print("Command: `make slopes` (sizes and data are fixed, no random input)\n")
     print("| what | unit | at size 0 | slope | standard error |")
     print("|---|---|---|---|---|")
-    for name, unit, slope in _measure_rows():
+    for name, unit, slope in (
+        *_measure_bundles(),
+        *_measure_nodes(),
+        *_measure_programs(),
+    ):
         print(
             f"| {name} | {unit} | {slope.intercept:.4g} | {slope.slope:.4g} "
             f"| {slope.error:.2g} |"
--- a/tools/workload.py
+++ b/tools/workload.py
@@ -12,7 +12,7 @@
     "Pause",
     "Plan",
     "Step",
-    "SubAgent",
+    "ChildProgram",
     "Turn",
     "Workload",
     "measure_budget",
@@ -45,13 +45,13 @@
 
 
 @frozen
-class SubAgent:
+class ChildProgram:
     """A sub-agent that draws on the budget of its program."""
 
     steps: "tuple[Step, ...]"
 
 
-Step = Turn | Call | Pause | SubAgent
+Step = Turn | Call | Pause | ChildProgram
 
 
 @frozen(kw_only=True)
@@ -113,7 +113,7 @@
             steps.append(b.call(b.rng.choice(["quotes", "price-check"])))
         if b.happens(0.1):
             child = [b.turn("lid-matching", (40, 120)) for _ in range(3)]
-            steps.append(SubAgent(tuple(child)))
+            steps.append(ChildProgram(tuple(child)))
         steps.append(b.turn("lid-matching", (20, 120)))
     if b.happens(0.3):
         steps.append(b.call("supplier-holds", once=True))
@@ -144,7 +144,7 @@
         steps += [b.pause(0.6), b.turn("case-review", (30, 150))]
         if b.happens(0.1):
             child = [b.turn("summaries", (60, 200)) for _ in range(2)]
-            steps.append(SubAgent(tuple(child)))
+            steps.append(ChildProgram(tuple(child)))
     return steps
 
 
@@ -236,7 +236,7 @@
     for step in steps:
         if isinstance(step, Turn):
             total += 2 * (len(step.text.encode()) + 64 + step.max_tokens)
-        elif isinstance(step, SubAgent):
+        elif isinstance(step, ChildProgram):
             total += measure_budget(step.steps)
         else:
             total += 1
@@ -248,6 +248,6 @@
     for step in steps:
         if isinstance(step, Pause):
             total += step.seconds
-        elif isinstance(step, SubAgent):
+        elif isinstance(step, ChildProgram):
             total += _sum_pauses(step.steps)
     return total
