--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	$(PYTHON) -m ruff check src standins tools tests
 	$(PYTHON) -m mypy
 
-test:
+test: env
 	$(PYTHON) -m pytest
 
 MATRIX_ARGS ?=
@@ -42,7 +42,7 @@
 		MATRIX_SEED=$$seed $(MAKE) matrix VENV=$(VENV) || exit 1; \
 	done
 
-run:
+run: env
 	$(PYTHON) -m tools.run_local $(RUN_ARGS)
 
 LOAD_ARGS ?= --local 4 --programs 200
--- a/tools/load.py
+++ b/tools/load.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+import aiohttp
 import msgspec
 import uvloop
 
@@ -86,7 +87,24 @@
         replicas = cluster.deployment.replicas.values()
         controls = [replica.control_url for replica in replicas]
         bundle = cluster.deployment.bundle
-        return await run_load(arguments, cluster.urls, bundle, controls)
+        before, begun = await _read_counts(cluster), time.monotonic()
+        report = await run_load(arguments, cluster.urls, bundle, controls)
+        seconds = time.monotonic() - begun
+        after = await _read_counts(cluster)
+        report["store"] = {
+            f"{name} per second": round((after[name] - before[name]) / seconds, 1)
+            for name in ("reads", "writes")
+        } | {"waiting watches": after["watches"]}
+        return report
+
+
+async def _read_counts(cluster: LocalCluster) -> dict[str, int]:
+    """Return the calls that the store's stand-in has counted."""
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(cluster.store.control_url + "/counts") as response,
+    ):
+        return await response.json()
 
 
 def _parse() -> argparse.Namespace:
--- a/tools/report.py
+++ b/tools/report.py
@@ -71,8 +71,9 @@
         "failed",
         "mismatches",
         "targets",
+        "store",
     ):
-        lines.append(f"{name}: {report[name] or 'none'}")
+        lines.append(f"{name}: {report.get(name) or 'none'}")
     return "\n".join(lines)
 
 
