Name targets, not their addresses, in the errors callers see

Cause: the golden session of the lost pickup showed the caller a target's internal address and two remedies that contradict each other. Change: clients know the replica's name; a request that may have run names its target and one remedy.

--- a/src/fireflyspread/_pools.py
+++ b/src/fireflyspread/_pools.py
@@ -1,8 +1,10 @@
-"""Clients of replicas, one for each base URL."""
+"""Clients of replicas, one for each name and base URL."""
 
 from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
 
+from fireflyspread.bundle import Replica
+
 __all__ = ["ReplicaPool"]
 
 
@@ -19,23 +21,24 @@
     Parameters
     ----------
     create : callable
-        Makes the client of a base URL.
+        Makes the client of a replica.
     session : optional
         Closed after all clients, when no other pool uses it.
     """
 
     def __init__(
-        self, create: Callable[[str], T], *, session: _Closable | None = None
+        self, create: Callable[[Replica], T], *, session: _Closable | None = None
     ) -> None:
         self._create = create
         self._session = session
-        self._clients: dict[str, T] = {}
+        self._clients: dict[tuple[str, str], T] = {}
 
-    def get(self, url: str) -> T:
-        """Return the client of the replica at ``url``."""
-        client = self._clients.get(url)
+    def get(self, replica: Replica) -> T:
+        """Return the client of a replica."""
+        key = (replica.name, replica.url)
+        client = self._clients.get(key)
         if client is None:
-            client = self._clients[url] = self._create(url)
+            client = self._clients[key] = self._create(replica)
         return client
 
     async def close(self) -> None:
--- a/src/fireflyspread/callers/_calls.py
+++ b/src/fireflyspread/callers/_calls.py
@@ -195,7 +195,9 @@
                 progress.is_dispatched = False
                 raise
             raise MayHaveRunError(
-                f"{exc.message}; the request may have run and will not be run again"
+                f"target {call.target.name} got the request and sent no whole answer "
+                f"({exc.code}); it may have run and will not be run again; ask the "
+                "target's operator before you order again"
             ) from exc
         finally:
             context.scheduler.release(ticket, result)
@@ -256,7 +258,7 @@
             idempotency_key=call.idempotency_key,
             fence=self._find_fence(call.target),
         )
-        return await self._context.services.get(ticket.replica.url).call(request)
+        return await self._context.services.get(ticket.replica).call(request)
 
     def _find_fence(self, target: Target) -> int:
         return self._context.bundles.get_active().fences.get(target.name, 0)
--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -6,7 +6,7 @@
 import msgspec
 from attrs import frozen
 
-from fireflyspread.bundle import ActiveBundle, Route, Target, TargetKind
+from fireflyspread.bundle import ActiveBundle, Replica, Route, Target, TargetKind
 from fireflyspread.callers._completion import complete
 from fireflyspread.callers._context import Context
 from fireflyspread.callers._outcomes import correct_outcome
@@ -162,7 +162,7 @@
             result = Result.CANCELLED
             usage = None
             try:
-                usage = await self._run_on(ticket.replica.name, ticket.replica.url)
+                usage = await self._run_on(ticket.replica)
                 result = Result.ANSWERED
                 return self._text, usage
             except TargetError as exc:
@@ -244,14 +244,14 @@
             program.budget.settle(0)
         program.stop_running(error if isinstance(error, Exception) else None)
 
-    async def _run_on(self, replica: str, url: str) -> Usage:
+    async def _run_on(self, replica: Replica) -> Usage:
         """Run the rest of the turn on one replica."""
         request = self._make_request()
         events: list[bytes] = []
-        self._hold_session(replica)
+        self._hold_session(replica.name)
         was_dispatched, self.is_dispatched = self.is_dispatched, True
         try:
-            async for chunk in self._context.engines.get(url).stream(request):
+            async for chunk in self._context.engines.get(replica).stream(request):
                 events.append(chunk)
                 await self._pass_on(chunk)
             text, usage = extract_answer(b"".join(events))
@@ -266,7 +266,7 @@
                 self._program.holder = None
             raise
         self._text += text
-        self._program.holder = replica
+        self._program.holder = replica.name
         return usage
 
     async def _end_at_limit(self) -> Usage:
--- a/src/fireflyspread/daemon/_build.py
+++ b/src/fireflyspread/daemon/_build.py
@@ -98,9 +98,9 @@
         cookie_jar=aiohttp.DummyCookieJar(),
     )
     engines: ReplicaPool[Engine] = ReplicaPool(
-        lambda url: HttpEngine(url, session=session), session=session
+        lambda replica: HttpEngine.from_config(replica, session), session=session
     )
     services: ReplicaPool[Service] = ReplicaPool(
-        lambda url: HttpService(url, session=session)
+        lambda replica: HttpService.from_config(replica, session)
     )
     return engines, services
--- a/src/fireflyspread/daemon/_targets.py
+++ b/src/fireflyspread/daemon/_targets.py
@@ -105,7 +105,7 @@
         sweeper = self._sweepers[replica.name]
         poller = ReplicaPoller(
             replica.name,
-            self._engines.get(replica.url),
+            self._engines.get(replica),
             self._clock,
             self._rng,
             on_load=self._take_load,
@@ -120,7 +120,7 @@
     def _make_sweeper(self, replica: Replica) -> SessionSweeper:
         return SessionSweeper(
             replica.name,
-            self._engines.get(replica.url),
+            self._engines.get(replica),
             self._rng,
             is_gone=self._is_gone,
             on_released=lambda program: self._take_released(program, replica.name),
--- a/tests/callers/test_continuation.py
+++ b/tests/callers/test_continuation.py
@@ -126,8 +126,9 @@
 
     async def test_goes_on_elsewhere(self, node: Node, second: EngineStandIn) -> None:
         """A stalled replica holds the turn until its deadline, or repeats events."""
-        for engine in (node.engine, second):
-            node.context.engines.get(engine.url)._stall_timeout = 0.2  # type: ignore[attr-defined]
+        target = node.context.bundles.get_active().targets["models"]
+        for replica in target.replicas:
+            node.context.engines.get(replica)._stall_timeout = 0.2  # type: ignore[attr-defined]
         stall_first(node, second)
         program = await open_program(node)
         path = f"/v1/programs/{program}/turns"
