Linger after a planned leave so that no relayed request is cut off

The node had left and closed its connections while another node, which reads the members document every 0.5 s, still relayed a request to it. Ruled out: the drain of its own requests (wait_idle had returned). Change: 1.5 s between the leave and the last wait for idle.

--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -34,6 +34,9 @@
 _ISOLATION_GRACE = 0.5
 _WATCH_INTERVAL = 0.1
 
+# Seconds; other nodes read the members document every 0.5 s.
+_LINGER = 1.5
+
 
 class NodeDaemon:
     """One node: its listeners, its tasks and its state."""
@@ -106,6 +109,9 @@
         # Listeners stay open: calls of programs that this node still owns arrive
         # through other nodes until the slots have changed hands.
         await self._recovery.membership.leave()
+        # Until the others have read that the slots moved, they relay requests here on
+        # connections that they keep open; closing these would cut such a request off.
+        await asyncio.sleep(_LINGER)
         await self._api.wait_idle()
 
     async def _close(self) -> None:
