Test that single commits go out at once and the lasting write rate stays flat

Change: two tests of group commit with an injected clock. Ruled out: a process test of readiness and rates; it stayed green in a scratch copy with the correction taken out (2 and 4 nodes), so it proved nothing and is not added. Measured: with _BURST_WRITES = 0 in a scratch copy the first test fails; both pass here. Conclusion: the write bound is guarded for awaited commits too.

--- a/tests/recovery/test_store_journal.py
+++ b/tests/recovery/test_store_journal.py
@@ -94,6 +94,24 @@
         await time.run_for(0.1)
         assert await read_back(store) == [make_record(n) for n in range(200)]
 
+    async def test_single_commits_do_not_wait(self, journal, store, time) -> None:
+        """A commit shortly after another waited for the rest of the interval."""
+        for number in range(5):
+            # Time stands still here, so a commit that waits would wait for ever.
+            async with asyncio.timeout(10):
+                await journal.commit(make_record(number))
+        assert store.writes == 5
+
+    async def test_rate_of_awaited_commits_is_flat(self, journal, store, time) -> None:
+        """Writes allowed at once after a pause must not raise the lasting rate."""
+        commits = []
+        for number in range(400):
+            commits.append(asyncio.ensure_future(journal.commit(make_record(number))))
+            await time.run_for(0.005)
+        await time.drive(asyncio.gather(*commits))
+        # 2 s at 20 writes/s, and 10 at once at the beginning.
+        assert store.writes <= 51
+
     async def test_splits_what_exceeds_one_value(self, journal, store, time) -> None:
         """Values over 1 MB would be refused by the store."""
         records = [make_record(n, padding=400_000) for n in range(3)]
