Treat a program as new until one of its turns has run

A first turn that was refused came back 0.1 to 0.4 s later and counted as a turn under way, because the book counted turns asked for; so the part of the burst that new programs must leave was bypassed by asking twice.

Change: a grant is new when all that was drawn is held or set aside for this turn. Log lines carry the budget and the remaining time of programs, and the fields are listed for the formatter.

--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -56,7 +56,6 @@
     record: ProgramRecord | None = None
     revision: int = 0
     used_at: float = 0.0
-    turns: int = 0
     lock: asyncio.Lock = field(factory=asyncio.Lock)
 
     def reserve(self, amount: int) -> bool:
@@ -66,6 +65,11 @@
         self.held -= amount
         return True
 
+    @property
+    def drawn(self) -> int:
+        """Tokens that nodes have drawn from the store, as far as this one knows."""
+        return 0 if self.record is None else self.record.budget - self.record.left
+
     @property
     def left(self) -> int:
         """Tokens that the store would still give, as far as this node knows."""
--- a/src/fireflyspread/budgets/_book.py
+++ b/src/fireflyspread/budgets/_book.py
@@ -63,7 +63,7 @@
     Attributes
     ----------
     is_new : bool
-        Whether the program was unknown on the granting node.
+        Whether the program has used nothing so far and no other turn of it runs.
     drawn : int
         Tokens that nodes have drawn from the store, as far as is known.
     """
@@ -147,14 +147,12 @@
         if account is None:
             account = self._accounts[program] = Account(program=program, budget=budget)
         account.used_at = self._clock.read_monotonic()
-        account.turns += 1
         if not account.reserve(most):
             async with account.lock:
                 if not account.reserve(most):
                     await self._fill(account, most, may_lend=may_lend)
-        record = account.record
-        drawn = 0 if record is None else record.budget - record.left
-        return Grant(most, account.turns == 1, drawn)
+        is_new = account.drawn + account.debt == account.held + most
+        return Grant(most, is_new, account.drawn)
 
     def note_drawn(self, program: str, budget: int, drawn: int) -> None:
         """Take note of what other nodes have drawn while this one could not.
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -296,6 +296,8 @@
             "event": self._splitter.last_id,
             "parts": None if prompt is None else len(prompt.parts),
             "prompt": None if prompt is None else prompt.input_tokens,
+            "budget": None if program is None else program.budget,
+            "program_left": None if program is None else program.remaining,
         }
 
 
--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -32,6 +32,8 @@
     "rates",
     "parts",
     "prompt",
+    "budget",
+    "program_left",
     "count",
     "order",
     "tokens",
--- a/tests/budgets/test_book.py
+++ b/tests/budgets/test_book.py
@@ -97,6 +97,22 @@
                 spent += await nodes.spend("a", 70)
         assert BUDGET - MOST < spent <= BUDGET
 
+    async def test_refused_first_turn_comes_back_as_new(self):
+        """Guards against programs that pass admission by asking a second time."""
+        book = Nodes("a").books["a"]
+        first = await book.grant("p", BUDGET, MOST)
+        book.give_back("p", first.tokens)
+        again = await book.grant("p", BUDGET, MOST)
+        book.give_back("p", again.tokens - 9)
+        later = await book.grant("p", BUDGET, MOST)
+        assert (first.is_new, again.is_new, later.is_new) == (True, True, False)
+
+    async def test_program_under_way_is_not_new_on_another_node(self):
+        """Guards against programs refused midway when their keeper is lost."""
+        nodes = Nodes("a", "b")
+        await nodes.spend("a", 9)
+        assert not (await nodes.books["b"].grant("p", BUDGET, MOST)).is_new
+
     async def test_turns_on_several_nodes_share_the_budget(self):
         """Guards against a budget for each node that a program visits."""
         nodes = Nodes("a", "b", "c")
