Note draws on the disks, so that a lost node's draws are not lent again

The store was away and the program's first keeper was removed; the next keeper had no record and lent the whole budget again.

Change: after a draw the drawer notes the total on the VMs with disks, beside the turn; a lender learns it with its loan. Notes that wait share one sync.

--- a/src/fireflyspread/budgets/_book.py
+++ b/src/fireflyspread/budgets/_book.py
@@ -11,6 +11,7 @@
 from attrs import frozen
 
 from fireflyspread.budgets._account import Account, ProgramRecord
+from fireflyspread.budgets._notes import BudgetNotes
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
     BudgetExceededError,
@@ -87,11 +88,8 @@
 
     Parameters
     ----------
-    find_lost_loan : callable
-        Returns the tokens that lost nodes have lent to a program.
-    note_loan : callable
-        Notes a loan (program, tokens) on disks; returns what other nodes have lent
-        to the program, or None if it is not there.
+    notes : BudgetNotes
+        Where loans and draws are noted.
     is_outage : callable
         Returns whether the store is known to be away for all nodes. Only then may a
         node lend: no other one can draw for the program meanwhile.
@@ -104,16 +102,15 @@
         node: str,
         clock: Clock,
         ask_holder: AskHolder,
-        find_lost_loan: Callable[[str], int],
-        note_loan: Callable[[str, int], Awaitable[int | None]],
+        notes: BudgetNotes,
         is_outage: Callable[[], bool],
     ) -> None:
         self._combiner = WriteCombiner(store)
         self._node = node
         self._clock = clock
         self._ask_holder = ask_holder
-        self._find_lost_loan = find_lost_loan
-        self._note_loan = note_loan
+        self._notes = notes
+        self._noting: set[asyncio.Task[None]] = set()
         self._is_outage = is_outage
         self._away_until = -math.inf
         self._accounts: dict[str, Account] = {}
@@ -163,7 +160,7 @@
         if account is None:
             account = self._accounts[program] = Account(program=program, budget=budget)
         account.used_at = self._clock.read_monotonic()
-        if account.record is None or account.record.left > budget - drawn:
+        if drawn > account.drawn:
             account.record = _assume_drawn(account, drawn)
             account.revision = 0
 
@@ -230,7 +227,7 @@
 
     def _assume_loss(self, account: Account) -> None:
         """Count as drawn what lost nodes have lent to a program."""
-        lost = min(account.budget, self._find_lost_loan(account.program))
+        lost = min(account.budget, self._notes.find_lost(account.program))
         drawn = {} if account.record is None else account.record.drawn
         if lost > drawn.get(_LOST, 0):
             account.record = ProgramRecord(
@@ -255,6 +252,7 @@
             account.revision = await self._combiner.write(write)
             account.record = record
             account.others = 0
+            self._note_draw(account)
             return True
         except WriteConflictError as exc:
             entry = exc.entry
@@ -263,6 +261,14 @@
         # An earlier write whose answer was lost shows up as a conflict with itself.
         return account.record is not None and account.record.write == record.write
 
+    def _note_draw(self, account: Account) -> None:
+        """Note what was drawn, beside the turn that waits for it."""
+        task = asyncio.create_task(
+            self._notes.note_draw(account.program, account.drawn)
+        )
+        self._noting.add(task)
+        task.add_done_callback(self._noting.discard)
+
     async def _lend(self, account: Account, most: int) -> None:
         """Hand out tokens that the store will be told of later.
 
@@ -274,16 +280,18 @@
         amount = min(account.left, amount)
         if not missing or not amount:
             return
-        others = None
+        noted = None
         if self._is_outage():
-            others = await self._note_loan(account.program, amount)
-        if others is None:
+            noted = await self._notes.note_loan(account.program, amount)
+        if noted is None:
             raise OverloadedError(
                 "the store is away and the program's budget cannot be drawn; retry",
                 retry_after=_AWAY_RETRY,
             )
         # Both of two nodes that lend at the same moment see the other's loan.
-        account.others = max(account.others, others)
+        account.others = max(account.others, noted.lent)
+        # The node that kept the program before may have drawn and be lost by now.
+        self.note_drawn(account.program, account.budget, noted.drawn)
         amount = min(amount, account.left)
         account.held += amount
         account.debt += amount
@@ -318,16 +326,17 @@
         while True:
             await asyncio.sleep(_FLUSH_INTERVAL)
             try:
-                if self._debtors:
-                    await asyncio.gather(
-                        *(self._settle(each) for each in tuple(self._debtors))
-                    )
+                await self.settle_loans()
                 if self._clock.read_monotonic() > expired_at + _EXPIRE_INTERVAL:
                     expired_at = self._clock.read_monotonic()
                     await self._expire()
             except StoreError as exc:
                 _LOG.warning("budget records not written: %s", exc)
 
+    async def settle_loans(self) -> None:
+        """Write to the store what was lent; raises ``StoreError``."""
+        await asyncio.gather(*(self._settle(each) for each in tuple(self._debtors)))
+
     async def _settle(self, program: str) -> None:
         account = self._accounts.get(program)
         if account is None:
--- a/src/fireflyspread/gateway/_loans.py
+++ b/src/fireflyspread/gateway/_loans.py
@@ -1,9 +1,10 @@
-"""Notes loans on VMs with a disk, and finds those of nodes that were lost."""
+"""Notes loans and draws on VMs with a disk, and finds the loans of lost nodes."""
 
 import asyncio
 import logging
 import time
 
+from fireflyspread.budgets import BudgetNotes, Noted
 from fireflyspread.exceptions import PeerError
 from fireflyspread.loans import Loan
 from fireflyspread.nodes import (
@@ -31,7 +32,7 @@
 _LIST_PAUSE = 0.1
 
 
-class LoanKeepers:
+class LoanKeepers(BudgetNotes):
     """The VMs that keep loans, as this node sees them."""
 
     def __init__(
@@ -51,7 +52,6 @@
         self._wanted.set()
 
     def find_lost(self, program: str) -> int:
-        """Return the tokens that processes which are gone have lent to a program."""
         if not self._loans:
             return 0
         alive = self._roster.list_incarnations()
@@ -61,15 +61,26 @@
             if loan.program == program and loan.lender not in alive
         )
 
-    async def note(self, program: str, tokens: int) -> int | None:
-        """Have a loan written to disks.
+    async def note_loan(self, program: str, tokens: int) -> Noted | None:
+        noted, asked = await self._note(program, tokens=tokens)
+        if len(noted) < min(_COPIES, max(1, asked)):
+            return None
+        return Noted(max(n.others for n in noted), max(n.drawn for n in noted))
+
+    async def note_draw(self, program: str, drawn: int) -> None:
+        noted, asked = await self._note(program, drawn=drawn)
+        if len(noted) < min(_COPIES, asked):
+            _LOG.warning(
+                "draw noted on %d of %d disks",
+                len(noted),
+                asked,
+                extra={"program": program, "tokens": drawn},
+            )
 
-        Returns
-        -------
-        int or None
-            What other nodes have lent to the program; None if too few disks have
-            the loan.
-        """
+    async def _note(
+        self, program: str, *, tokens: int = 0, drawn: int = 0
+    ) -> tuple[list[LoanNoted], int]:
+        """Return the answers of the disks that took a note, and how many were asked."""
         self._number += 1
         question = NoteLoan(
             node=self._node,
@@ -77,15 +88,14 @@
             program=program,
             tokens=tokens,
             number=self._number,
+            drawn=drawn,
         )
         addresses = self._roster.list_journals().values()
         answers = await asyncio.gather(
             *(self._ask(each, question, _NOTE_TIMEOUT) for each in addresses)
         )
-        noted = [answer.others for answer in answers if isinstance(answer, LoanNoted)]
-        if len(noted) < min(_COPIES, max(1, len(answers))):
-            return None
-        return max(noted)
+        noted = [answer for answer in answers if isinstance(answer, LoanNoted)]
+        return noted, len(answers)
 
     async def run(self) -> None:
         """Read the loans at the start and after each loss, until cancelled."""
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -202,8 +202,7 @@
             node=self._name,
             clock=self._clock,
             ask_holder=peers.take,
-            find_lost_loan=self._loans.find_lost,
-            note_loan=self._loans.note,
+            notes=self._loans,
             is_outage=lambda: self._exchange.is_outage(),
         )
         self._keepers = BudgetKeepers(
--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -15,6 +15,7 @@
 from fireflyspread.exceptions import FireflyError, PeerError, SettingsError, StoreError
 from fireflyspread.gateway._settings import LoanSettings
 from fireflyspread.loans._file import Loan, LoanFile
+from fireflyspread.loans._writer import LoanWriter
 from fireflyspread.logs import configure_logging
 from fireflyspread.nodes import (
     ListLoans,
@@ -39,8 +40,7 @@
 def register(server: PeerServer, file: LoanFile, clock: Clock, *, node: str) -> None:
     """Answer the nodes that lend."""
 
-    # One after the other, so that of two loans the second sees the first.
-    lock = asyncio.Lock()
+    writer = LoanWriter(file)
 
     async def note(message: NoteLoan) -> Message:
         loan = Loan(
@@ -49,17 +49,22 @@
             lender=message.incarnation,
             number=message.number,
             at=clock.read_wall(),
+            drawn=message.drawn,
         )
         try:
-            async with lock:
-                await asyncio.to_thread(file.append, loan)
+            await writer.append(loan)
         except OSError as exc:
             _LOG.error("loan not written: %s", exc, extra={"program": loan.program})
             raise PeerError(f"the disk refuses: {exc.strerror}; ask another") from exc
-        return LoanNoted(node=node, others=file.count_others(loan))
+        return LoanNoted(
+            node=node,
+            others=file.count_others(loan),
+            drawn=file.find_drawn(loan.program),
+        )
 
     async def list_all(message: ListLoans) -> Message:
-        return LoansListed(node=node, loans=tuple(file.list_recent()))
+        loans = tuple(loan for loan in file.list_recent() if loan.tokens)
+        return LoansListed(node=node, loans=loans)
 
     server.register(NoteLoan, note)
     server.register(ListLoans, list_all)
--- a/src/fireflyspread/loans/_file.py
+++ b/src/fireflyspread/loans/_file.py
@@ -1,8 +1,9 @@
-"""A file of loans that survives the loss of power."""
+"""A file of loans and draws that survives the loss of power."""
 
 import contextlib
 import logging
 import os
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 
 import msgspec
@@ -17,21 +18,25 @@
 # Seconds for which a loan matters: programs come back within a minute, and loans are
 # written to the store within a second of its return.
 KEPT_SECONDS = 150.0
-# Lines after which the file is written anew without old loans.
+# Lines added after which the file is written anew without old ones.
 _MOST_LINES = 20_000
 
 
 class Loan(msgspec.Struct, frozen=True, kw_only=True):
-    """Tokens that a node may hand out before the store knows of them.
+    """Tokens that a node may hand out before the store knows of them, or a draw.
 
     Attributes
     ----------
+    tokens : int
+        Tokens lent; 0 for a draw.
     lender : str
         Incarnation of the node.
     number : int
         Unique among the loans of the lender.
     at : float
         Unix seconds.
+    drawn : int
+        Tokens that all nodes had drawn from the store, if the writer had drawn.
     """
 
     program: str
@@ -39,6 +44,7 @@
     lender: str
     number: int
     at: float
+    drawn: int = 0
 
 
 class LoanFile:
@@ -53,7 +59,8 @@
     def __init__(self, folder: str | Path, clock: Clock) -> None:
         self._path = Path(folder) / _NAME
         self._clock = clock
-        self._loans: list[Loan] = []
+        self._programs: dict[str, list[Loan]] = {}
+        self._added = 0
         self._file: int | None = None
 
     def open(self) -> None:
@@ -65,40 +72,57 @@
             The disk refuses.
         """
         if self._path.exists():
-            self._loans = _parse(self._path.read_bytes())
+            self._keep(_parse(self._path.read_bytes()))
         self._rewrite()
 
-    def append(self, loan: Loan) -> None:
-        """Write a loan through to the disk; raises ``OSError``."""
+    def append(self, loans: Sequence[Loan]) -> None:
+        """Write loans through to the disk with one sync; raises ``OSError``."""
         if self._file is None:
             self.open()
         assert self._file is not None
-        os.write(self._file, msgspec.json.encode(loan) + b"\n")
+        _write_all(self._file, loans)
         os.fsync(self._file)
-        self._loans.append(loan)
-        if len(self._loans) > _MOST_LINES:
+        self._keep(loans)
+        self._added += len(loans)
+        if self._added > _MOST_LINES:
             self._rewrite()
 
     def list_recent(self) -> list[Loan]:
         """Return the loans that may not have been written to the store."""
         oldest = self._clock.read_wall() - KEPT_SECONDS
-        return [loan for loan in self._loans if loan.at >= oldest]
+        return [
+            loan
+            for loans in tuple(self._programs.values())
+            for loan in loans
+            if loan.at >= oldest
+        ]
 
     def count_others(self, loan: Loan) -> int:
         """Return the tokens that other nodes have lent to the program of ``loan``."""
+        oldest = self._clock.read_wall() - KEPT_SECONDS
         return sum(
             each.tokens
-            for each in self.list_recent()
-            if each.program == loan.program and each.lender != loan.lender
+            for each in self._programs.get(loan.program, ())
+            if each.at >= oldest and each.lender != loan.lender
         )
 
+    def find_drawn(self, program: str) -> int:
+        """Return the most tokens that were said to be drawn for a program."""
+        loans = self._programs.get(program, ())
+        return max((loan.drawn for loan in loans), default=0)
+
+    def _keep(self, loans: Iterable[Loan]) -> None:
+        for loan in loans:
+            self._programs.setdefault(loan.program, []).append(loan)
+
     def _rewrite(self) -> None:
-        self._loans = self.list_recent()
+        recent = self.list_recent()
+        self._programs, self._added = {}, 0
+        self._keep(recent)
         temporary = self._path.with_suffix(".new")
-        data = b"".join(msgspec.json.encode(loan) + b"\n" for loan in self._loans)
         file = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
         try:
-            os.write(file, data)
+            _write_all(file, recent)
             os.fsync(file)
         finally:
             os.close(file)
@@ -119,6 +143,12 @@
             self._file = None
 
 
+def _write_all(file: int, loans: Sequence[Loan]) -> None:
+    data = b"".join(msgspec.json.encode(loan) + b"\n" for loan in loans)
+    while data:
+        data = data[os.write(file, data) :]
+
+
 def _parse(data: bytes) -> list[Loan]:
     loans = []
     for line in data.splitlines():
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -168,11 +168,20 @@
 
 
 class NoteLoan(Message, frozen=True, kw_only=True):
-    """The sender lends to a program; write it to the disk."""
+    """The sender lends to a program, or has drawn for it; write it to the disk.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens lent; 0 for a draw.
+    drawn : int
+        Tokens that all nodes have drawn from the store, if the sender has drawn.
+    """
 
     program: str
     tokens: int
     number: int
+    drawn: int = 0
 
 
 class LoanNoted(Message, frozen=True, kw_only=True):
@@ -182,9 +191,12 @@
     ----------
     others : int
         Tokens that other nodes have lent to the program lately.
+    drawn : int
+        Most tokens that nodes said to have been drawn for the program.
     """
 
     others: int = 0
+    drawn: int = 0
 
 
 class ListLoans(Message, frozen=True, kw_only=True):
