Let a program begin only if its team's rate holds all its requests

Change: a home node's bucket keeps the demands of the programs it let begin, taken from budget and deadline of the first turn, and lets one begin only if the bucket will hold it too. Requests under way take tokens ahead and wait for them, up to 0.8 s; one that would wait longer is refused at once with the true time.

--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -6,7 +6,6 @@
 import xxhash
 
 from fireflyspread.budgets import BudgetKeepers, Reservation
-from fireflyspread.bundle import Team
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
     AuthenticationError,
@@ -15,7 +14,6 @@
     MayHaveRunError,
     NotFoundError,
     OverloadedError,
-    RateLimitedError,
 )
 from fireflyspread.forwarding._attempt import Attempt
 from fireflyspread.forwarding._backend import Backend
@@ -25,6 +23,7 @@
     TeamPolicy,
 )
 from fireflyspread.forwarding._config_holder import ConfigHolder
+from fireflyspread.forwarding._demand import estimate_demand
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
 from fireflyspread.limits import RateLimiter
 from fireflyspread.metrics import Metrics
@@ -34,12 +33,11 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Seconds that a request of a program under way waits for its team's rate. Aims are 1.3
-# to 1.7 times the idle time, and a refused request comes back no sooner.
-_RATE_PATIENCE = 0.15
-_LEAST_PAUSE = 0.01
-# Part of a team's burst that new programs leave to those under way.
-_KEPT_RATE = 0.4
+# Seconds, and part of the time left, that a request of a program under way waits for
+# its team's rate. A refused one comes back no sooner, and a program ends with the
+# first call that is refused twice. Callers give up a stream that is silent for 2 s.
+_RATE_PATIENCE = 0.8
+_PATIENT_FRACTION = 1 / 3
 
 
 class Forwarder:
@@ -137,8 +135,14 @@
             async with asyncio.timeout(max(0.0, left)):
                 reservation = await self._reserve(attempt)
                 if team is not None and team.rate is not None:
-                    is_new = reservation is not None and reservation.is_new
-                    await self._take_rate(team.rate, is_new=is_new)
+                    demand = None
+                    if reservation is not None and reservation.is_new:
+                        demand = estimate_demand(attempt.request)
+                    await self._limiter.acquire(
+                        team.rate,
+                        patience=min(_RATE_PATIENCE, _PATIENT_FRACTION * left),
+                        demand=demand,
+                    )
                 await attempt.run(reservation)
         except TimeoutError as exc:
             if attempt.may_have_run:
@@ -162,29 +166,6 @@
             program.program, program.budget, prompt.output_tokens
         )
 
-    async def _take_rate(self, team: Team, *, is_new: bool) -> None:
-        """Take one request of the team's rate.
-
-        A program that is under way waits shortly rather than being refused, since all
-        it did would be lost. A new one must leave some of the rate to those.
-
-        Raises
-        ------
-        RateLimitedError
-            The team has used its rate.
-        """
-        until = self._clock.read_monotonic() + _RATE_PATIENCE
-        while True:
-            try:
-                await self._limiter.acquire(team, keep=_KEPT_RATE if is_new else 0.0)
-                return
-            except RateLimitedError as exc:
-                pause = exc.retry_after
-                left = until - self._clock.read_monotonic()
-                if is_new or pause is None or pause > left:
-                    raise
-            await asyncio.sleep(max(_LEAST_PAUSE, pause))
-
     def _note_answer(self, request: ForwardRequest, attempt: Attempt) -> None:
         seconds = self._read_age(request)
         self._metrics.count("requests.answered")
--- a/src/fireflyspread/limits/_bucket.py
+++ b/src/fireflyspread/limits/_bucket.py
@@ -8,6 +8,8 @@
 
 from attrs import define, field
 
+from fireflyspread.limits._demand import Commitments
+
 __all__ = ["NO_SHARE", "Bucket", "HomeEstimate", "Segment", "Share", "Waiter"]
 
 # Sums of floating-point shares miss a whole token by less than this.
@@ -75,6 +77,8 @@
 class Bucket:
     """Tokens of one team, and the requests that wait for more.
 
+    The level is negative while tokens that have yet to accrue are taken.
+
     Tokens granted to another node still count against the burst until that node must
     have used or dropped them. Otherwise the bucket would fill again while they
     travel, and a window of time that begins meanwhile would see both.
@@ -89,6 +93,7 @@
     waiters: deque[Waiter] = field(factory=deque)
     collector: asyncio.Task[None] | None = None
     estimates: dict[str, HomeEstimate] = field(factory=dict)
+    commitments: Commitments = field(factory=Commitments)
     _reserves: deque[_Reserve] = field(factory=deque)
     _reserved: float = 0.0
 
@@ -125,6 +130,27 @@
         self.level = max(0.0, self.level - amount)
         return True
 
+    def find_wait(self, amount: float) -> float:
+        """Return the seconds until ``amount`` has accrued; may be infinite."""
+        missing = amount - self.level
+        if missing <= _ROUNDING:
+            return 0.0
+        return missing / self.share.rate if self.share.rate > 0.0 else math.inf
+
+    def take_ahead(self, amount: float, patience: float) -> float | None:
+        """Take tokens that accrue within ``patience`` seconds.
+
+        Returns
+        -------
+        float or None
+            Seconds after which they may be used; None if it takes longer.
+        """
+        wait = self.find_wait(amount)
+        if wait > patience:
+            return None
+        self.level -= amount
+        return wait
+
     def take_part(self, amount: float) -> float:
         """Take ``amount`` or, if there are fewer, all whole tokens.
 
@@ -132,7 +158,7 @@
         """
         part = amount
         if not self.take(part):
-            part = math.floor(self.level + _ROUNDING)
+            part = max(0.0, math.floor(self.level + _ROUNDING))
             self.take(part)
         return part
 
--- a/src/fireflyspread/limits/_limiter.py
+++ b/src/fireflyspread/limits/_limiter.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from fireflyspread.bundle import Team
+from fireflyspread.limits._demand import Demand
 
 __all__ = ["RateLimiter"]
 
@@ -14,14 +15,23 @@
 
     @abc.abstractmethod
     async def acquire(
-        self, team: Team, amount: float = 1.0, *, keep: float = 0.0
+        self,
+        team: Team,
+        amount: float = 1.0,
+        *,
+        patience: float = 0.0,
+        demand: Demand | None = None,
     ) -> None:
         """Take ``amount`` tokens of the team's rate.
 
         Parameters
         ----------
-        keep : float
-            Part of the burst that must be left for others of the team.
+        patience : float
+            Seconds to wait for tokens; a request that would wait longer is refused
+            at once.
+        demand : Demand or None
+            Of a program that begins with this request. It begins only if the rate
+            will also hold its other requests.
 
         Raises
         ------
--- a/src/fireflyspread/limits/_shares.py
+++ b/src/fireflyspread/limits/_shares.py
@@ -14,6 +14,7 @@
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import DrainingError, FireflyError, RateLimitedError
 from fireflyspread.limits._bucket import Bucket, HomeEstimate, Waiter
+from fireflyspread.limits._demand import Demand
 from fireflyspread.limits._ledger import ShareLedger
 from fireflyspread.limits._limiter import RateLimiter
 from fireflyspread.limits._token_peers import TokenGrant, TokenPeers
@@ -34,8 +35,8 @@
 # team that sends several times its rate.
 _SHORT_PAUSE = 0.02
 
-# Home nodes that are asked for tokens that must leave some for others.
-_MOST_SPARE_ASKS = 2
+# Home nodes that are asked whether a program may begin or a request may wait there.
+_MOST_OTHER_HOMES = 2
 
 # Home nodes that are asked for one request, so that its refusal comes soon.
 _MOST_ASKS = 8
@@ -171,16 +172,30 @@
         self._ledger.confirm()
 
     async def acquire(
-        self, team: Team, amount: float = 1.0, *, keep: float = 0.0
+        self,
+        team: Team,
+        amount: float = 1.0,
+        *,
+        patience: float = 0.0,
+        demand: Demand | None = None,
     ) -> None:
         self._require_authority()
         self._require_possible(team.name, amount)
         bucket = self._ledger.open(team.name)
-        if keep > 0.0:
-            await self._acquire_spare(bucket, amount, keep)
+        if demand is not None:
+            await self._begin(bucket, amount, demand)
             return
         if bucket.take(amount):
             return
+        try:
+            await self._collect_for(bucket, amount)
+        except RateLimitedError as exc:
+            if patience <= 0.0:
+                raise
+            await self._wait_ahead(bucket, amount, patience, exc)
+
+    async def _collect_for(self, bucket: Bucket, amount: float) -> None:
+        """Take tokens that this and the other home nodes have now."""
         waiter = Waiter(amount, asyncio.get_running_loop().create_future())
         bucket.waiters.append(waiter)
         if bucket.collector is None:
@@ -189,34 +204,103 @@
         # The process may have been paused since the tokens were taken.
         self._require_authority()
         if self._clock.read_monotonic() > served_at + ASK_TIMEOUT:
-            raise _make_error(team.name, ASK_TIMEOUT)
+            raise _make_error(bucket.name, ASK_TIMEOUT)
 
-    async def _acquire_spare(self, bucket: Bucket, amount: float, keep: float) -> None:
-        """Take tokens that leave enough for others; raises ``RateLimitedError``."""
-        if _has_spare(bucket, amount, keep) and bucket.take(amount):
+    async def _begin(self, bucket: Bucket, amount: float, demand: Demand) -> None:
+        """Take the first tokens of a program; raises ``RateLimitedError``."""
+        pause = self._try_begin(bucket, amount, demand)
+        if pause <= 0.0:
             return
-        view = self._ledger.view
-        epoch = 0 if view is None else view.epoch
         homes = self._list_reachable(bucket)
         homes.sort(key=lambda home: -self._estimate(home, bucket))
-        retry_after = min(
-            _UNKNOWN_RETRY,
-            self._ledger.forecast(bucket, amount + keep * bucket.share.burst),
-        )
-        for home in homes[:_MOST_SPARE_ASKS]:
-            try:
-                grant = await self._peers.acquire(
-                    home, bucket.name, amount, epoch, keep=keep
-                )
-            except FireflyError as exc:
-                _LOG.info("no tokens from %s: %s", home, exc)
-                now = self._clock.read_monotonic()
-                self._unreachable[home] = now + _UNREACHABLE_PAUSE
+        for home in homes[:_MOST_OTHER_HOMES]:
+            grant = await self._ask_one(home, bucket, amount, demand=demand)
+            if grant is None:
                 continue
             if grant.amount >= amount:
                 return
-            retry_after = min(retry_after, max(grant.retry_after, _SHORT_PAUSE))
-        raise _make_error(bucket.name, retry_after)
+            pause = min(pause, max(grant.retry_after, _SHORT_PAUSE))
+        raise _make_error(bucket.name, pause if pause < math.inf else _UNKNOWN_RETRY)
+
+    def _try_begin(self, bucket: Bucket, amount: float, demand: Demand) -> float:
+        """Let a program begin at this node's bucket if it holds its requests.
+
+        Returns
+        -------
+        float
+            0 if it begins; otherwise the seconds until it may, perhaps infinite.
+        """
+        now = self._clock.read_monotonic()
+        share = bucket.share
+        if share.rate <= 0.0:
+            return math.inf
+        shortfall = bucket.commitments.find_shortfall(
+            demand, level=bucket.level, rate=share.rate, burst=share.burst, now=now
+        )
+        if shortfall <= 0.0 and bucket.take(amount):
+            bucket.commitments.add(demand, now)
+            return 0.0
+        return max(_SHORT_PAUSE, shortfall / share.rate)
+
+    async def _wait_ahead(
+        self, bucket: Bucket, amount: float, patience: float, refusal: RateLimitedError
+    ) -> None:
+        """Wait for tokens at the home node that has them first.
+
+        Raises
+        ------
+        RateLimitedError
+            No home node has them within ``patience`` seconds.
+        """
+        self._ledger.open(bucket.name)
+        now = self._clock.read_monotonic()
+        waits = [(bucket.find_wait(amount), self._node)]
+        for home in self._list_reachable(bucket):
+            estimate = bucket.estimates.get(home)
+            until = now if estimate is None else estimate.empty_until
+            waits.append((max(0.0, until - now), home))
+        for _, home in sorted(waits)[:_MOST_OTHER_HOMES]:
+            if home == self._node:
+                wait = bucket.take_ahead(amount, patience)
+            else:
+                grant = await self._ask_one(home, bucket, amount, patience=patience)
+                had = grant is not None and grant.amount >= amount
+                wait = grant.delay if grant is not None and had else None
+            if wait is not None:
+                await self._sleep(bucket, wait)
+                return
+        raise refusal
+
+    async def _sleep(self, bucket: Bucket, wait: float) -> None:
+        """Wait until tokens that were taken ahead may be used."""
+        usable_at = self._clock.read_monotonic() + wait
+        await asyncio.sleep(wait)
+        # The process may have been paused meanwhile.
+        self._require_authority()
+        if self._clock.read_monotonic() > usable_at + ASK_TIMEOUT:
+            raise _make_error(bucket.name, ASK_TIMEOUT)
+
+    async def _ask_one(
+        self,
+        home: str,
+        bucket: Bucket,
+        amount: float,
+        *,
+        patience: float = 0.0,
+        demand: Demand | None = None,
+    ) -> TokenGrant | None:
+        """Ask one home node; None if it does not answer."""
+        view = self._ledger.view
+        epoch = 0 if view is None else view.epoch
+        try:
+            return await self._peers.acquire(
+                home, bucket.name, amount, epoch, patience=patience, demand=demand
+            )
+        except FireflyError as exc:
+            _LOG.info("no tokens from %s: %s", home, exc)
+            now = self._clock.read_monotonic()
+            self._unreachable[home] = now + _UNREACHABLE_PAUSE
+            return None
 
     def grant(
         self,
@@ -225,7 +309,8 @@
         epoch: int,
         *,
         asker: str = "",
-        keep: float = 0.0,
+        patience: float = 0.0,
+        demand: Demand | None = None,
     ) -> TokenGrant:
         """Take tokens from this node's share for another node.
 
@@ -237,8 +322,9 @@
         asker : str
             Name and incarnation of the asking node. It asks for a team once at a
             time, so its earlier grants have been used or dropped.
-        keep : float
-            Part of the burst that must be left; less than ``amount`` is not granted.
+        patience, demand
+            See ``RateLimiter.acquire``; with either, less than ``amount`` is not
+            granted.
 
         Raises
         ------
@@ -249,13 +335,11 @@
         if self._ledger.find_team(team) is None:
             return TokenGrant(0.0, _UNKNOWN_RETRY)
         bucket = self._ledger.open(team)
-        if keep > 0.0:
-            if _has_spare(bucket, amount, keep) and bucket.take(amount):
-                return TokenGrant(amount)
-            wanted = amount + keep * bucket.share.burst
-            return TokenGrant(
-                0.0, min(_UNKNOWN_RETRY, self._ledger.forecast(bucket, wanted))
-            )
+        if demand is not None:
+            pause = self._try_begin(bucket, amount, demand)
+            return TokenGrant(0.0, pause) if pause > 0.0 else TokenGrant(amount)
+        if patience > 0.0:
+            return self._grant_ahead(bucket, amount, patience)
         if asker:
             bucket.release(asker)
         part = bucket.take_part(amount)
@@ -268,6 +352,17 @@
             part, retry_after if retry_after < math.inf else _UNKNOWN_RETRY
         )
 
+    def _grant_ahead(
+        self, bucket: Bucket, amount: float, patience: float
+    ) -> TokenGrant:
+        wait = bucket.take_ahead(amount, patience)
+        if wait is None:
+            return TokenGrant(0.0, self._find_retry(bucket, amount))
+        expires = self._clock.read_monotonic() + wait + ASK_TIMEOUT
+        # Without the asker, whose next question does not mean that these are used.
+        bucket.reserve(amount, asker="", expires=expires)
+        return TokenGrant(amount, delay=wait)
+
     def dump(self) -> dict[str, Any]:
         view = self._ledger.view
         now = self._clock.read_monotonic()
@@ -297,6 +392,7 @@
             "burst": bucket.share.burst,
             "reserved": round(bucket.reserved, 3),
             "waiting": len(bucket.waiters),
+            "programs": len(bucket.commitments),
             "homes": list(self._list_homes(name)),
         }
 
@@ -362,7 +458,8 @@
         waiting = [w for w in bucket.waiters if not w.served.done()]
         for waiter in waiting:
             waiter.asks += 1
-        missing = sum(w.amount for w in waiting) - stock.total - bucket.level
+        held = stock.total + max(0.0, bucket.level)
+        missing = sum(w.amount for w in waiting) - held
         view = self._ledger.view
         epoch = 0 if view is None else view.epoch
         sent = self._clock.read_monotonic()
@@ -443,10 +540,6 @@
         return retry_after if retry_after < math.inf else _UNKNOWN_RETRY
 
 
-def _has_spare(bucket: Bucket, amount: float, keep: float) -> bool:
-    return bucket.level >= amount + keep * bucket.share.burst
-
-
 def _fail(bucket: Bucket, exc: Exception) -> None:
     while bucket.waiters:
         waiter = bucket.waiters.popleft()
--- a/src/fireflyspread/limits/_static.py
+++ b/src/fireflyspread/limits/_static.py
@@ -7,6 +7,7 @@
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import RateLimitedError
 from fireflyspread.limits._bucket import Bucket, Segment, Share
+from fireflyspread.limits._demand import Demand
 from fireflyspread.limits._limiter import RateLimiter
 
 __all__ = ["StaticSplitLimiter"]
@@ -27,7 +28,12 @@
         self._buckets: dict[str, Bucket] = {}
 
     async def acquire(
-        self, team: Team, amount: float = 1.0, *, keep: float = 0.0
+        self,
+        team: Team,
+        amount: float = 1.0,
+        *,
+        patience: float = 0.0,
+        demand: Demand | None = None,
     ) -> None:
         bucket = self._buckets.setdefault(team.name, Bucket(team.name))
         figures = self._teams.get(team.name, team)
@@ -35,7 +41,7 @@
             figures.rate / self._members, max(1.0, figures.burst / self._members)
         )
         bucket.accrue([Segment(self._clock.read_monotonic(), share)])
-        if bucket.level < amount + keep * share.burst or not bucket.take(amount):
+        if not bucket.take(amount):
             raise RateLimitedError(
                 f"team {team.name} has used its rate on this node; retry later",
                 retry_after=(amount - bucket.level) / share.rate,
--- a/src/fireflyspread/limits/_token_peers.py
+++ b/src/fireflyspread/limits/_token_peers.py
@@ -4,6 +4,8 @@
 
 from attrs import frozen
 
+from fireflyspread.limits._demand import Demand
+
 __all__ = ["TokenGrant", "TokenPeers"]
 
 
@@ -17,10 +19,13 @@
         Tokens taken from the share of the home node.
     retry_after : float
         Seconds after which it has a whole token again; 0 when it granted everything.
+    delay : float
+        Seconds after which the tokens may be used.
     """
 
     amount: float
     retry_after: float = 0.0
+    delay: float = 0.0
 
 
 class TokenPeers(abc.ABC):
@@ -34,14 +39,15 @@
         amount: float,
         epoch: int,
         *,
-        keep: float = 0.0,
+        patience: float = 0.0,
+        demand: Demand | None = None,
     ) -> TokenGrant:
         """Ask ``member`` for tokens of ``team``.
 
         Parameters
         ----------
-        keep : float
-            Part of its burst that the member must keep for others of the team.
+        patience, demand
+            See ``RateLimiter.acquire``.
 
         Raises
         ------
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -110,19 +110,36 @@
 
 
 class AcquireTokens(Message, frozen=True, kw_only=True):
-    """The sender is short of a team's rate tokens."""
+    """The sender is short of a team's rate tokens.
+
+    Attributes
+    ----------
+    patience : float
+        Seconds that the tokens may come later.
+    requests, seconds : float
+        Demand of a program that begins; 0 requests for other requests.
+    """
 
     team: str
     amount: float
     epoch: int
-    keep: float = 0.0
+    patience: float = 0.0
+    requests: float = 0.0
+    seconds: float = 0.0
 
 
 class TokensGranted(Message, frozen=True, kw_only=True):
-    """The amount was taken from the answerer's share before this was sent."""
+    """The amount was taken from the answerer's share before this was sent.
+
+    Attributes
+    ----------
+    delay : float
+        Seconds after which the tokens may be used.
+    """
 
     amount: float
     retry_after: float = 0.0
+    delay: float = 0.0
 
 
 class ReserveBudget(Message, frozen=True, kw_only=True):
--- a/src/fireflyspread/nodes/_tokens.py
+++ b/src/fireflyspread/nodes/_tokens.py
@@ -3,7 +3,13 @@
 from collections.abc import Callable
 
 from fireflyspread.exceptions import PeerError
-from fireflyspread.limits import ASK_TIMEOUT, ShareLimiter, TokenGrant, TokenPeers
+from fireflyspread.limits import (
+    ASK_TIMEOUT,
+    Demand,
+    ShareLimiter,
+    TokenGrant,
+    TokenPeers,
+)
 from fireflyspread.nodes._messages import AcquireTokens, Message, TokensGranted
 from fireflyspread.nodes._peers import PeerClient, PeerServer
 from fireflyspread.recovery import Member, NodeAddress
@@ -42,7 +48,8 @@
         amount: float,
         epoch: int,
         *,
-        keep: float = 0.0,
+        patience: float = 0.0,
+        demand: Demand | None = None,
     ) -> TokenGrant:
         found = self._find_member(member)
         if found is None:
@@ -53,12 +60,14 @@
             team=team,
             amount=amount,
             epoch=epoch,
-            keep=keep,
+            patience=patience,
+            requests=0.0 if demand is None else demand.requests,
+            seconds=0.0 if demand is None else demand.seconds,
         )
         answer = await self._client.ask(found.peers, question, timeout=ASK_TIMEOUT)
         if not isinstance(answer, TokensGranted):
             raise PeerError(f"{member} answered {type(answer).__name__}")
-        return TokenGrant(answer.amount, answer.retry_after)
+        return TokenGrant(answer.amount, answer.retry_after, answer.delay)
 
 
 def register_tokens(
@@ -67,18 +76,23 @@
     """Answer the questions of other nodes from the share of this node."""
 
     async def answer(message: AcquireTokens) -> Message:
+        demand = None
+        if message.requests > 0.0:
+            demand = Demand(requests=message.requests, seconds=message.seconds)
         grant = limiter.grant(
             message.team,
             message.amount,
             message.epoch,
             asker=message.incarnation,
-            keep=message.keep,
+            patience=message.patience,
+            demand=demand,
         )
         return TokensGranted(
             node=node,
             incarnation=incarnation,
             amount=grant.amount,
             retry_after=grant.retry_after,
+            delay=grant.delay,
         )
 
     server.register(AcquireTokens, answer)
