Let draws and loans of a program learn of each other

The store was silent until about 7 s; the lender went on taking it for away until 9.9 s, as a watch that began in the silence and the next one, 1.5 s long, had to end first. Meanwhile a new node drew the same budget from the store, not knowing of the loan.

Change: a draw is noted on the disks before any of it is handed out and hears what other nodes have lent; settled loans are noted too and count once. What a process has drawn without knowing shows in the record under its own name and is credited, also when another node asks for it. While the store is away watches wait 0.2 s.

--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -5,7 +5,11 @@
 import msgspec
 from attrs import define, field
 
-__all__ = ["Account", "ProgramRecord"]
+__all__ = ["LOST", "Account", "ProgramRecord", "find_node", "make_drawer"]
+
+# Drawer of what lost nodes may have lent.
+LOST = "lost"
+_SEPARATOR = "/"
 
 
 class ProgramRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -14,15 +18,12 @@
     Attributes
     ----------
     drawn : dict of str to int
-        Tokens by the name of the node that drew them. They count as spent until
-        that node gives them back.
-    write : str
-        Unique to one write, so that a lost answer can be resolved.
+        Tokens by the process that drew them, as ``make_drawer`` names it. They count
+        as spent until that process gives them back.
     """
 
     budget: int
     drawn: dict[str, int]
-    write: str
 
     @property
     def left(self) -> int:
@@ -38,6 +39,8 @@
     ----------
     held : int
         Tokens drawn and neither handed out nor set aside for a running turn.
+    mine : int
+        Tokens that this process has drawn from the store, as far as it knows.
     debt : int
         Tokens held or handed out that the store does not know of yet.
     others : int
@@ -51,6 +54,7 @@
     program: str
     budget: int
     held: int = 0
+    mine: int = 0
     debt: int = 0
     others: int = 0
     record: ProgramRecord | None = None
@@ -65,6 +69,24 @@
         self.held -= amount
         return True
 
+    def credit(self, drawn: int) -> None:
+        """Take note that the store has ``drawn`` tokens under this process's name.
+
+        Draws whose answer was lost show up here; they pay what was lent first.
+        """
+        surplus = max(0, drawn - self.mine)
+        paid = min(self.debt, surplus)
+        self.mine += surplus
+        self.debt -= paid
+        self.held += surplus - paid
+
+    def withhold(self, lent: int) -> int:
+        """Set aside what other nodes have lent and not yet drawn; return how much."""
+        excess = self.drawn + self.debt + lent - self.budget
+        withheld = max(0, min(self.held, excess))
+        self.held -= withheld
+        return withheld
+
     @property
     def drawn(self) -> int:
         """Tokens that nodes have drawn from the store, as far as this one knows."""
@@ -75,3 +97,14 @@
         """Tokens that the store would still give, as far as this node knows."""
         undrawn = self.budget if self.record is None else self.record.left
         return max(0, undrawn - self.debt - self.others)
+
+
+def make_drawer(node: str, incarnation: str) -> str:
+    """Return the name under which one process draws."""
+    return f"{node}{_SEPARATOR}{incarnation}"
+
+
+def find_node(drawer: str) -> str | None:
+    """Return the node of a drawer; None if no process can be asked for its tokens."""
+    node, separator, _ = drawer.rpartition(_SEPARATOR)
+    return node if separator else None
--- a/src/fireflyspread/budgets/_book.py
+++ b/src/fireflyspread/budgets/_book.py
@@ -4,14 +4,21 @@
 import logging
 import math
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import msgspec
 import xxhash
 from attrs import frozen
 
-from fireflyspread.budgets._account import Account, ProgramRecord
-from fireflyspread.budgets._notes import BudgetNotes
+from fireflyspread.budgets._account import (
+    LOST,
+    Account,
+    ProgramRecord,
+    find_node,
+    make_drawer,
+)
+from fireflyspread.budgets._notes import BudgetNotes, Noted
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
     BudgetExceededError,
@@ -20,6 +27,7 @@
     StoreError,
 )
 from fireflyspread.recovery import (
+    Entry,
     SnapshotStore,
     Write,
     WriteCombiner,
@@ -50,11 +58,10 @@
 _AWAY_SECONDS = 0.25
 # Seconds after which a turn may come back that this node must not lend to.
 _AWAY_RETRY = 0.3
-# Drawer of what lost nodes may have lent.
-_LOST = "lost"
 
-# Asks a node (name, program, tokens) for what it holds; returns what it gives.
-AskHolder = Callable[[str, str, int], Awaitable[int]]
+# Asks a node (name, program, tokens, what each process has drawn) for what it holds;
+# returns what it gives.
+AskHolder = Callable[[str, str, int, dict[str, int]], Awaitable[int]]
 
 
 @frozen
@@ -110,12 +117,11 @@
         self._clock = clock
         self._ask_holder = ask_holder
         self._notes = notes
-        self._noting: set[asyncio.Task[None]] = set()
+        self._noting: set[asyncio.Task[Noted | None]] = set()
         self._is_outage = is_outage
         self._away_until = -math.inf
         self._accounts: dict[str, Account] = {}
-        self._writes = 0
-        self._incarnation = secrets.token_hex(8)
+        self._drawer = make_drawer(node, secrets.token_hex(4))
         self._debtors: set[str] = set()
 
     async def grant(
@@ -171,10 +177,21 @@
             account.held += tokens
             account.used_at = self._clock.read_monotonic()
 
-    def give_up(self, program: str, amount: int) -> int:
-        """Give up to ``amount`` to another node that keeps the program now."""
+    def give_up(
+        self, program: str, amount: int, drawn: dict[str, int] | None = None
+    ) -> int:
+        """Give up to ``amount`` to another node that keeps the program now.
+
+        Parameters
+        ----------
+        drawn : dict of str to int or None
+            What each process has drawn by the store's record.
+        """
         account = self._accounts.get(program)
-        if account is None or account.debt:
+        if account is None:
+            return 0
+        account.credit((drawn or {}).get(self._drawer, 0))
+        if account.debt:
             return 0
         given = max(0, min(account.held, amount))
         account.held -= given
@@ -214,14 +231,12 @@
     async def _draw(self, account: Account, most: int) -> None:
         self._assume_loss(account)
         for _ in range(_DRAW_ATTEMPTS):
-            step = max(most - account.held, int(account.budget * _DRAW_FRACTION))
-            amount = min(account.left, step)
+            missing = most - account.held
+            step = max(missing, int(account.budget * _DRAW_FRACTION))
+            amount = min(account.left, step) if missing > 0 else 0
             if amount <= 0 and not account.debt:
                 return
-            debt = account.debt
-            if await self._write(account, amount + debt):
-                account.held += amount
-                account.debt -= debt
+            if await self._write(account, amount + account.debt):
                 return
         raise StoreError("the program's record keeps changing; retry")
 
@@ -229,45 +244,60 @@
         """Count as drawn what lost nodes have lent to a program."""
         lost = min(account.budget, self._notes.find_lost(account.program))
         drawn = {} if account.record is None else account.record.drawn
-        if lost > drawn.get(_LOST, 0):
+        if lost > drawn.get(LOST, 0):
             account.record = ProgramRecord(
-                budget=account.budget, drawn={**drawn, _LOST: lost}, write=""
+                budget=account.budget, drawn={**drawn, LOST: lost}
             )
 
     async def _write(self, account: Account, amount: int) -> bool:
-        """Add ``amount`` to what this node has drawn; False if the record moved on."""
-        if account.record is not None:
-            drawn = dict(account.record.drawn)
-        else:
-            drawn = {}
-        drawn[self._node] = drawn.get(self._node, 0) + amount
-        self._writes += 1
-        record = ProgramRecord(
-            budget=account.budget,
-            drawn=drawn,
-            write=f"{self._incarnation}-{self._writes}",
-        )
+        """Add ``amount`` to what this process drew; False if the record moved on."""
+        drawn = {} if account.record is None else dict(account.record.drawn)
+        drawn[self._drawer] = drawn.get(self._drawer, 0) + amount
+        record = ProgramRecord(budget=account.budget, drawn=drawn)
         write = Write(_make_key(account.program), _encode(record), account.revision)
         try:
             account.revision = await self._combiner.write(write)
-            account.record = record
-            account.others = 0
-            self._note_draw(account)
-            return True
         except WriteConflictError as exc:
-            entry = exc.entry
+            self._load(account, exc.entry)
+            return False
+        account.record = record
+        account.others = 0
+        # Before any of it is handed out, so that of a draw and another node's loan at
+        # the same moment one learns of the other.
+        noted = await self._notes.note_draw(account.program, account.drawn)
+        self._book_draw(account, noted)
+        return True
+
+    def _load(self, account: Account, entry: Entry | None) -> None:
+        """Take over the record that the store has."""
         account.record = None if entry is None else _decode(entry.value, account)
         account.revision = 0 if entry is None else entry.revision
-        # An earlier write whose answer was lost shows up as a conflict with itself.
-        return account.record is not None and account.record.write == record.write
+        if account.record is not None:
+            account.credit(account.record.drawn.get(self._drawer, 0))
+
+    def _book_draw(self, account: Account, noted: Noted) -> None:
+        """Book a draw beside what this and other nodes have lent."""
+        assert account.record is not None
+        debt = account.debt
+        account.credit(account.record.drawn[self._drawer])
+        if account.debt < debt:
+            self._start_note(
+                self._notes.note_loan(account.program, account.debt - debt)
+            )
+        withheld = account.withhold(_count_alive(account, noted.lent))
+        if withheld:
+            _LOG.info(
+                "budget withheld for another node's loan",
+                extra={"program": account.program, "tokens": withheld},
+            )
 
-    def _note_draw(self, account: Account) -> None:
-        """Note what was drawn, beside the turn that waits for it."""
-        task = asyncio.create_task(
-            self._notes.note_draw(account.program, account.drawn)
-        )
+    def _start_note(
+        self, work: Coroutine[Any, Any, Noted | None]
+    ) -> asyncio.Task[Noted | None]:
+        task = asyncio.create_task(work)
         self._noting.add(task)
         task.add_done_callback(self._noting.discard)
+        return task
 
     async def _lend(self, account: Account, most: int) -> None:
         """Hand out tokens that the store will be told of later.
@@ -289,7 +319,7 @@
                 retry_after=_AWAY_RETRY,
             )
         # Both of two nodes that lend at the same moment see the other's loan.
-        account.others = max(account.others, noted.lent)
+        account.others = max(account.others, _count_alive(account, noted.lent))
         # The node that kept the program before may have drawn and be lost by now.
         self.note_drawn(account.program, account.budget, noted.drawn)
         amount = min(amount, account.left)
@@ -302,12 +332,12 @@
 
     async def _ask_holders(self, account: Account, most: int) -> None:
         """Take over what other nodes hold that kept the program before."""
-        for node in () if account.record is None else account.record.drawn:
-            if node in (self._node, _LOST):
-                continue
+        drawn = {} if account.record is None else account.record.drawn
+        nodes = {find_node(drawer) for drawer in drawn} - {None, self._node}
+        for node in sorted(filter(None, nodes)):
             missing = most - account.held
             try:
-                given = await self._ask_holder(node, account.program, missing)
+                given = await self._ask_holder(node, account.program, missing, drawn)
             except PeerError as exc:
                 _LOG.warning(
                     "no allowance from %s: %s",
@@ -348,8 +378,7 @@
                 if not amount:
                     break
                 self._assume_loss(account)
-                if await self._write(account, amount):
-                    account.debt -= amount
+                await self._write(account, amount)
             if not account.debt:
                 self._debtors.discard(program)
 
@@ -385,18 +414,43 @@
 
     async def _hand_over(self, account: Account) -> None:
         async with account.lock:
-            amount, account.held = account.held, 0
-            debt, account.debt = account.debt, 0
-            await self._write(account, debt - amount)
+            await self._return_all(account)
+
+    async def _return_all(self, account: Account) -> None:
+        """Give what is held back to the store, less what was lent."""
+        for _ in range(_DRAW_ATTEMPTS):
+            mine = account.mine + account.debt - account.held
+            drawn = {} if account.record is None else dict(account.record.drawn)
+            record = ProgramRecord(
+                budget=account.budget, drawn={**drawn, self._drawer: mine}
+            )
+            write = Write(_make_key(account.program), _encode(record), account.revision)
+            try:
+                await self._combiner.write(write)
+            except WriteConflictError as exc:
+                self._load(account, exc.entry)
+                continue
+            account.held = account.debt = 0
+            return
+        _LOG.warning(
+            "allowance not given back, its record keeps changing",
+            extra={"program": account.program, "tokens": account.held},
+        )
 
     def dump(self) -> dict[str, object]:
         """Return the state as JSON types."""
         return {"accounts": len(self._accounts), "debtors": len(self._debtors)}
 
 
+def _count_alive(account: Account, lent: int) -> int:
+    """Return what was lent beyond the loans of lost nodes, which count as drawn."""
+    lost = 0 if account.record is None else account.record.drawn.get(LOST, 0)
+    return max(0, lent - lost)
+
+
 def _assume_drawn(account: Account, tokens: int) -> ProgramRecord:
-    drawn = {_LOST: min(account.budget, tokens)}
-    return ProgramRecord(budget=account.budget, drawn=drawn, write="")
+    drawn = {LOST: min(account.budget, tokens)}
+    return ProgramRecord(budget=account.budget, drawn=drawn)
 
 
 def _make_key(program: str) -> str:
@@ -417,6 +471,4 @@
             exc,
             extra={"program": account.program},
         )
-        return ProgramRecord(
-            budget=account.budget, drawn={_LOST: account.budget}, write=""
-        )
+        return ProgramRecord(budget=account.budget, drawn={LOST: account.budget})
--- a/src/fireflyspread/budgets/_notes.py
+++ b/src/fireflyspread/budgets/_notes.py
@@ -14,9 +14,9 @@
     Attributes
     ----------
     lent : int
-        Tokens that other nodes have lent to the program.
+        Tokens that other nodes have lent to the program and not drawn since.
     drawn : int
-        Tokens that nodes had drawn from the store, as far as was noted.
+        Tokens that nodes had drawn from the store, as other nodes have noted.
     """
 
     lent: int
@@ -32,12 +32,15 @@
 
     @abc.abstractmethod
     async def note_loan(self, program: str, tokens: int) -> Noted | None:
-        """Note a loan; returns None if it is not on enough disks."""
+        """Note a loan, or with negative ``tokens`` that it was drawn from the store.
+
+        Returns None if the note is not on enough disks.
+        """
 
     @abc.abstractmethod
-    async def note_draw(self, program: str, drawn: int) -> None:
+    async def note_draw(self, program: str, drawn: int) -> Noted:
         """Note the tokens that all nodes have drawn from the store for a program.
 
-        Best effort: it matters only if the node that draws is lost and the store is
-        away afterwards. What is not noted is logged.
+        Best effort: it matters only around outages of the store. What is not noted is
+        logged.
         """
--- a/src/fireflyspread/gateway/_loans.py
+++ b/src/fireflyspread/gateway/_loans.py
@@ -44,6 +44,7 @@
         self._incarnation = incarnation
         self._loans: dict[tuple[str, int], Loan] = {}
         self._number = 0
+        self._asking: set[asyncio.Task[Message | None]] = set()
         self._wanted = asyncio.Event()
         self.is_complete = False
 
@@ -55,11 +56,12 @@
         if not self._loans:
             return 0
         alive = self._roster.list_incarnations()
-        return sum(
+        lost = sum(
             loan.tokens
             for loan in self._loans.values()
             if loan.program == program and loan.lender not in alive
         )
+        return max(0, lost)
 
     async def note_loan(self, program: str, tokens: int) -> Noted | None:
         noted, asked = await self._note(program, tokens=tokens)
@@ -67,20 +69,24 @@
             return None
         return Noted(max(n.others for n in noted), max(n.drawn for n in noted))
 
-    async def note_draw(self, program: str, drawn: int) -> None:
+    async def note_draw(self, program: str, drawn: int) -> Noted:
         noted, asked = await self._note(program, drawn=drawn)
-        if len(noted) < min(_COPIES, asked):
+        if asked and len(noted) < min(_COPIES, asked):
             _LOG.warning(
                 "draw noted on %d of %d disks",
                 len(noted),
                 asked,
                 extra={"program": program, "tokens": drawn},
             )
+        return Noted(
+            max((n.others for n in noted), default=0),
+            max((n.drawn for n in noted), default=0),
+        )
 
     async def _note(
         self, program: str, *, tokens: int = 0, drawn: int = 0
     ) -> tuple[list[LoanNoted], int]:
-        """Return the answers of the disks that took a note, and how many were asked."""
+        """Return the answers of a majority of the disks, and how many were asked."""
         self._number += 1
         question = NoteLoan(
             node=self._node,
@@ -91,11 +97,21 @@
             drawn=drawn,
         )
         addresses = self._roster.list_journals().values()
-        answers = await asyncio.gather(
-            *(self._ask(each, question, _NOTE_TIMEOUT) for each in addresses)
-        )
-        noted = [answer for answer in answers if isinstance(answer, LoanNoted)]
-        return noted, len(answers)
+        tasks = [
+            asyncio.create_task(self._ask(each, question, _NOTE_TIMEOUT))
+            for each in addresses
+        ]
+        self._asking.update(tasks)
+        noted: list[LoanNoted] = []
+        for task in asyncio.as_completed(tasks):
+            answer = await task
+            if isinstance(answer, LoanNoted):
+                noted.append(answer)
+            # Any two majorities share a disk, so the rest need not be waited for.
+            if 2 * len(noted) > len(tasks):
+                break
+        self._asking.difference_update([task for task in tasks if task.done()])
+        return noted, len(tasks)
 
     async def run(self) -> None:
         """Read the loans at the start and after each loss, until cancelled."""
--- a/src/fireflyspread/gateway/_peers.py
+++ b/src/fireflyspread/gateway/_peers.py
@@ -93,9 +93,13 @@
         question = ReturnBudget(node=self._node, program=program, tokens=tokens)
         await self._ask(node, question, timeout=_ASK_TIMEOUT)
 
-    async def take(self, node: str, program: str, amount: int) -> int:
+    async def take(
+        self, node: str, program: str, amount: int, drawn: dict[str, int]
+    ) -> int:
         """Return what ``node`` gives up of a program it kept before."""
-        question = TakeAllowance(node=self._node, program=program, amount=amount)
+        question = TakeAllowance(
+            node=self._node, program=program, amount=amount, drawn=drawn
+        )
         answer = await self._ask(node, question, timeout=_ASK_TIMEOUT)
         if not isinstance(answer, AllowanceTaken):
             raise PeerError(f"{node} answered {type(answer).__name__}")
@@ -130,7 +134,7 @@
         return BudgetReserved(node=node, tokens=0)
 
     async def give_up(message: TakeAllowance) -> Message:
-        amount = book.give_up(message.program, message.amount)
+        amount = book.give_up(message.program, message.amount, message.drawn)
         _LOG.info(
             "allowance given up",
             extra={"program": message.program, "node": message.node, "tokens": amount},
--- a/src/fireflyspread/loans/_file.py
+++ b/src/fireflyspread/loans/_file.py
@@ -28,7 +28,7 @@
     Attributes
     ----------
     tokens : int
-        Tokens lent; 0 for a draw.
+        Tokens lent; negative when they were drawn afterwards, 0 for other draws.
     lender : str
         Incarnation of the node.
     number : int
@@ -98,13 +98,14 @@
         ]
 
     def count_others(self, loan: Loan) -> int:
-        """Return the tokens that other nodes have lent to the program of ``loan``."""
+        """Return the tokens that other nodes lent to a program and have not drawn."""
         oldest = self._clock.read_wall() - KEPT_SECONDS
-        return sum(
+        lent = sum(
             each.tokens
             for each in self._programs.get(loan.program, ())
             if each.at >= oldest and each.lender != loan.lender
         )
+        return max(0, lent)
 
     def find_drawn(self, program: str) -> int:
         """Return the most tokens that were said to be drawn for a program."""
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -190,7 +190,7 @@
     Attributes
     ----------
     tokens : int
-        Tokens lent; 0 for a draw.
+        Tokens lent; negative when they were drawn afterwards, 0 for other draws.
     drawn : int
         Tokens that all nodes have drawn from the store, if the sender has drawn.
     """
@@ -227,10 +227,17 @@
 
 
 class TakeAllowance(Message, frozen=True, kw_only=True):
-    """The sender keeps a program now and wants what is held here."""
+    """The sender keeps a program now and wants what is held here.
+
+    Attributes
+    ----------
+    drawn : dict of str to int
+        What each process has drawn by the store's record.
+    """
 
     program: str
     amount: int
+    drawn: dict[str, int] = {}
 
 
 class AllowanceTaken(Message, frozen=True, kw_only=True):
--- a/src/fireflyspread/platform/_kv_store.py
+++ b/src/fireflyspread/platform/_kv_store.py
@@ -21,7 +21,7 @@
 
 # Seconds that a watch may take beyond its own waiting time before its connection
 # counts as silent. The store answers in about 4 ms.
-_WATCH_SLACK = 1.0
+_WATCH_SLACK = 0.45
 # Seconds that one watch waits at the store when it is used as an endless stream.
 _WATCH_WAIT = 5.0
 
--- a/src/fireflyspread/recovery/_follower.py
+++ b/src/fireflyspread/recovery/_follower.py
@@ -16,6 +16,9 @@
 # delay after an outage small beside the 2 s in which a configuration must apply.
 _FIRST_DELAY = 0.05
 _MAX_DELAY = 0.4
+# Seconds that a watch waits while the store is away. A silent store answers nothing,
+# so its return shows at the end of the first watch that it does answer.
+_AWAY_WAIT = 0.2
 
 
 class PrefixListener(abc.ABC):
@@ -102,8 +105,9 @@
             self._listener.replace(snapshot.entries)
             self._revision = snapshot.revision
             return
+        wait = min(self._wait, _AWAY_WAIT) if self._is_away else self._wait
         changes, self._revision = await self._store.wait_changes(
-            self._prefix, self._revision, wait=self._wait
+            self._prefix, self._revision, wait=wait
         )
         self._note_return()
         for change in changes:
--- a/tests/budgets/test_book.py
+++ b/tests/budgets/test_book.py
@@ -41,16 +41,19 @@
         loans = self._nodes.loans
         key = program, self._lender
         loans[key] = loans.get(key, 0) + tokens
-        lent = sum(
-            amount
-            for (each, owner), amount in loans.items()
-            if each == program and owner != self._lender
-        )
-        return Noted(lent, self._nodes.drawn.get(program, 0))
+        return Noted(self._count_others(program), self._nodes.drawn.get(program, 0))
 
-    async def note_draw(self, program: str, drawn: int) -> None:
+    async def note_draw(self, program: str, drawn: int) -> Noted:
         known = self._nodes.drawn.get(program, 0)
         self._nodes.drawn[program] = max(known, drawn)
+        return Noted(self._count_others(program), self._nodes.drawn[program])
+
+    def _count_others(self, program: str) -> int:
+        return sum(
+            amount
+            for (each, owner), amount in self._nodes.loans.items()
+            if each == program and owner != self._lender
+        )
 
 
 class Nodes:
@@ -71,10 +74,12 @@
     def restart(self, name: str) -> AllowanceBook:
         """Start a node that remembers nothing."""
 
-        async def ask(node: str, program: str, amount: int) -> int:
+        async def ask(
+            node: str, program: str, amount: int, drawn: dict[str, int]
+        ) -> int:
             if node not in self.books:
                 raise PeerError(f"{node} is gone")
-            return self.books[node].give_up(program, amount)
+            return self.books[node].give_up(program, amount, drawn)
 
         self.starts[name] = self.starts.get(name, 0) + 1
         lender = f"{name}-{self.starts[name]}"
@@ -158,6 +163,31 @@
         assert await nodes.spend("a", 10) == 10
         assert await nodes.spend("a", 10) == 10
 
+    async def test_draw_whose_answer_was_lost_is_not_lost(self):
+        """Guards against programs told that their budget is spent after a slow store.
+
+        Seen on a played day: 12 of 507 programs ended with 402 beside a slow store.
+        """
+        nodes = Nodes("a", "b")
+        nodes.store.lose_answers = 1
+        with pytest.raises(StoreError):
+            await nodes.spend("a")
+        spent = await nodes.spend("b")
+        nodes.clock.advance(1.0)
+        spent += await nodes.spend("a")
+        spent += await nodes.spend("b")
+        assert spent == 3 * MOST
+
+    async def test_draw_of_the_process_before_stays_lost(self):
+        """Guards against tokens of a killed process that its successor hands out."""
+        nodes = Nodes("a", "b")
+        spent = await nodes.spend("a")
+        nodes.restart("a")
+        with pytest.raises(BudgetExceededError):
+            for _ in range(100):
+                spent += await nodes.spend("a")
+        assert spent <= BUDGET
+
     async def test_one_transaction_for_many_programs(self):
         """Guards against store calls that grow with the programs that wait."""
         nodes = Nodes("a")
@@ -268,6 +298,36 @@
                 spent += await nodes.spend("b", 70, may_lend=True)
         assert spent <= BUDGET + MOST
 
+    async def test_draw_counts_loans_that_are_not_settled(self):
+        """Guards against a new node that draws what another one has lent.
+
+        Seen in a hunt: the store was back, the lender had not noticed yet, and a
+        program with a budget of 576 got 891 tokens.
+        """
+        nodes = Nodes("a", "b")
+        nodes.store.is_away = nodes.is_outage = True
+        spent = 0
+        for _ in range(2):
+            spent += await nodes.spend("a", may_lend=True)
+        nodes.store.is_away = nodes.is_outage = False
+        with pytest.raises(BudgetExceededError):
+            for _ in range(100):
+                spent += await nodes.spend("b")
+        assert spent <= BUDGET
+
+    async def test_settled_loans_count_once(self):
+        """Guards against programs refused for what was lent and drawn since."""
+        nodes = Nodes("a", "b")
+        nodes.store.is_away = nodes.is_outage = True
+        spent = await nodes.spend("a", may_lend=True)
+        nodes.store.is_away = nodes.is_outage = False
+        nodes.clock.advance(1.0)
+        await nodes.books["a"].settle_loans()
+        await asyncio.sleep(0)
+        spent += await nodes.spend("b")
+        spent += await nodes.spend("b")
+        assert spent == BUDGET
+
     async def test_nothing_is_lent_without_a_disk(self):
         """Guards against loans that no restart could know of."""
         nodes = Nodes("a")
@@ -321,9 +381,6 @@
                     nodes.restart(name)
                 elif step in ("away", "back"):
                     nodes.store.is_away = nodes.is_outage = step == "away"
-                    if step == "back":
-                        for book in nodes.books.values():
-                            await book.settle_loans()
                 else:
                     may_lend = step == "lend"
                     try:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -142,8 +142,8 @@
     async def note_loan(self, program: str, tokens: int) -> Noted | None:
         return None
 
-    async def note_draw(self, program: str, drawn: int) -> None:
-        """Nothing is noted."""
+    async def note_draw(self, program: str, drawn: int) -> Noted:
+        return Noted(0, drawn)
 
 
 class NoPeers(AllowancePeers):
@@ -258,7 +258,9 @@
             metrics=Metrics(),
         )
 
-    async def _ask(self, node: str, program: str, amount: int) -> int:
+    async def _ask(
+        self, node: str, program: str, amount: int, drawn: dict[str, int]
+    ) -> int:
         raise PeerError("there are no others")
 
     def make_request(self, path: str, **options: object) -> ForwardRequest:
--- a/tests/recovery/test_roster.py
+++ b/tests/recovery/test_roster.py
@@ -20,6 +20,7 @@
     WriteConflictError,
 )
 from tests.recovery.snapshot_store import MemoryStore
+from tests.routing.virtual_time import run_virtual
 
 
 async def _wait_for(check) -> None:
@@ -95,6 +96,56 @@
         task.cancel()
 
 
+class _SilentStore(MemoryStore):
+    """Takes watches and does not answer those that begin while it is silent."""
+
+    silent_until = 0.0
+    # Seconds beyond a watch's own wait after which the platform's client gives up.
+    patience = 0.45
+
+    async def wait_changes(self, prefix, after, *, wait):
+        loop = asyncio.get_running_loop()
+        if loop.time() < self.silent_until:
+            await asyncio.sleep(wait + self.patience)
+            raise StoreError("no answer; retry")
+        await asyncio.sleep(wait)
+        return (), after
+
+
+class _TimedListener(_Listener):
+    returned_at = 0.0
+
+    def note_return(self) -> None:
+        super().note_return()
+        self.returned_at = asyncio.get_running_loop().time()
+
+
+class TestSilentStore:
+    @pytest.mark.parametrize("length", [0.5, 2.0, 3.3, 6.1, 9.4])
+    def test_return_is_seen_in_time(self, length):
+        """Guards against nodes that lend while the store is back.
+
+        A node may take the store for away only for the 2 s in which registrations
+        come back. Seen in a hunt: 2.9 s.
+        """
+
+        async def play() -> float:
+            loop = asyncio.get_running_loop()
+            store, listener = _SilentStore(), _TimedListener()
+            follower = PrefixFollower(
+                store, "p/", listener, rng=random.Random(1), wait=1.5
+            )
+            task = asyncio.create_task(follower.run())
+            await asyncio.sleep(3.0)
+            store.silent_until = loop.time() + length
+            await asyncio.sleep(length + 10.0)
+            task.cancel()
+            assert not follower.is_away
+            return max(0.0, listener.returned_at - store.silent_until)
+
+        assert run_virtual(play()) <= 2.0
+
+
 class _Member:
     """One node's roster with its tasks."""
 
