Do not let draws wait for disks that are gone

Change: a draw waits 0.1 s at most and passes over a disk that did not answer in the last second; the address of an emptied VM is removed.

--- a/src/fireflyspread/gateway/_listeners.py
+++ b/src/fireflyspread/gateway/_listeners.py
@@ -7,6 +7,7 @@
 from fireflyspread.exceptions import BundleError, StoreError
 from fireflyspread.forwarding import ConfigHolder, ForwardingConfig
 from fireflyspread.recovery import (
+    JOURNALS_PREFIX,
     Change,
     Entry,
     PrefixListener,
@@ -111,8 +112,12 @@
         for _ in range(_ORDER_ATTEMPTS):
             try:
                 # Every node tries; the first one's answer stays.
-                await self._store.write_all([Write(key, value, 0)])
+                result = await self._store.write_all([Write(key, value, 0)])
                 _LOG.info("order to empty a VM answered", extra={"order": order})
+                if isinstance(result, int):
+                    # Otherwise every draw would wait for a disk that is gone.
+                    name = order.removeprefix(self._order_prefix)
+                    await self._store.delete(JOURNALS_PREFIX + name)
                 return
             except StoreError as exc:
                 _LOG.warning("order %s not answered: %s", order, exc)
--- a/src/fireflyspread/gateway/_loans.py
+++ b/src/fireflyspread/gateway/_loans.py
@@ -25,6 +25,10 @@
 _COPIES = 2
 # Seconds for one message with its write to a disk, which takes up to 60 ms when slow.
 _NOTE_TIMEOUT = 0.3
+# The same for a draw, for which a turn waits although the store has it.
+_DRAW_TIMEOUT = 0.1
+# Seconds for which draws pass over a disk that did not answer.
+_UNREACHABLE_PAUSE = 1.0
 _LIST_TIMEOUT = 0.4
 # Seconds within which a node that starts waits for the loans; VMs with a disk may
 # start at the same moment.
@@ -44,6 +48,7 @@
         self._incarnation = incarnation
         self._loans: dict[tuple[str, int], Loan] = {}
         self._number = 0
+        self._unreachable: dict[str, float] = {}
         self._asking: set[asyncio.Task[Message | None]] = set()
         self._wanted = asyncio.Event()
         self.is_complete = False
@@ -64,13 +69,22 @@
         return max(0, lost)
 
     async def note_loan(self, program: str, tokens: int) -> Noted | None:
-        noted, asked = await self._note(program, tokens=tokens)
+        addresses = list(self._roster.list_journals().values())
+        noted, asked = await self._note(
+            addresses, program, tokens=tokens, timeout=_NOTE_TIMEOUT
+        )
         if len(noted) < min(_COPIES, max(1, asked)):
             return None
         return Noted(max(n.others for n in noted), max(n.drawn for n in noted))
 
     async def note_draw(self, program: str, drawn: int) -> Noted:
-        noted, asked = await self._note(program, drawn=drawn)
+        now = time.monotonic()
+        addresses = list(self._roster.list_journals().values())
+        reachable = [a for a in addresses if self._unreachable.get(a, 0.0) <= now]
+        noted, _ = await self._note(
+            reachable, program, drawn=drawn, timeout=_DRAW_TIMEOUT
+        )
+        asked = len(addresses)
         if asked and len(noted) < min(_COPIES, asked):
             _LOG.warning(
                 "draw noted on %d of %d disks",
@@ -84,7 +98,13 @@
         )
 
     async def _note(
-        self, program: str, *, tokens: int = 0, drawn: int = 0
+        self,
+        addresses: list[str],
+        program: str,
+        *,
+        tokens: int = 0,
+        drawn: int = 0,
+        timeout: float,
     ) -> tuple[list[LoanNoted], int]:
         """Return the answers of a majority of the disks, and how many were asked."""
         self._number += 1
@@ -96,9 +116,8 @@
             number=self._number,
             drawn=drawn,
         )
-        addresses = self._roster.list_journals().values()
         tasks = [
-            asyncio.create_task(self._ask(each, question, _NOTE_TIMEOUT))
+            asyncio.create_task(self._ask(each, question, timeout))
             for each in addresses
         ]
         self._asking.update(tasks)
@@ -145,5 +164,6 @@
         try:
             return await self._client.ask(address, question, timeout=timeout)
         except PeerError as exc:
+            self._unreachable[address] = time.monotonic() + _UNREACHABLE_PAUSE
             _LOG.info("keeper of loans does not answer: %s", exc)
             return None
