Rank programs that cannot be in time behind the others

The prompt tokens read (3.14 million for 6,008 turns) are near what the turns add, so placement is not what binds.

Change: the keeper of a budget tells with each turn what the program has used and the time it had; a turn whose program would be late even on idle replicas gets an engine priority behind all classes.

A test checks that every field given to a log line is written.

--- a/src/fireflyspread/routing/__init__.py
+++ b/src/fireflyspread/routing/__init__.py
@@ -3,6 +3,12 @@
 from fireflyspread.routing._directory import ReplicaDirectory, ReplicaRecord
 from fireflyspread.routing._health import ReplicaHealth
 from fireflyspread.routing._hints import CacheHints, Hint
+from fireflyspread.routing._pace import (
+    Pace,
+    Progress,
+    judge_pace,
+    rank_engine_work,
+)
 from fireflyspread.routing._placement import (
     LeastReportedLoadPlacement,
     Placement,
@@ -30,9 +36,11 @@
     "Hint",
     "LeastReportedLoadPlacement",
     "LoadReport",
+    "Pace",
     "Placement",
     "PolicyScheduler",
     "PrefixAwarePlacement",
+    "Progress",
     "PromptCache",
     "PromptPlacement",
     "Quarantine",
@@ -48,4 +56,6 @@
     "Ticket",
     "Work",
     "draw_backoff",
+    "judge_pace",
+    "rank_engine_work",
 ]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,9 +1,12 @@
 """Log lines carry the ids of what they are about."""
 
+import ast
 import json
 import logging
+from pathlib import Path
 
-from fireflyspread.logs import JsonFormatter, TextFormatter
+import fireflyspread
+from fireflyspread.logs import FIELDS, JsonFormatter, TextFormatter
 
 
 def make_record(**extra: object) -> logging.LogRecord:
@@ -27,3 +30,31 @@
         """The ids are in text lines too."""
         line = TextFormatter().format(make_record(operator="ana", version=3))
         assert line.endswith("rolled it version=3 operator=ana")
+
+
+def _list_extra_keys() -> set[str]:
+    """Return the constant keys of all dictionaries passed as ``extra``."""
+    keys: set[str] = set()
+    for path in Path(fireflyspread.__file__).parent.rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(node, ast.Call):
+                continue
+            for keyword in node.keywords:
+                if keyword.arg == "extra" and isinstance(keyword.value, ast.Dict):
+                    keys.update(
+                        key.value
+                        for key in keyword.value.keys
+                        if isinstance(key, ast.Constant) and isinstance(key.value, str)
+                    )
+    return keys
+
+
+class TestFields:
+    def test_no_field_is_dropped(self):
+        """Guards against fields that the formatter leaves out without a word."""
+        assert _list_extra_keys() <= set(FIELDS)
+
+    def test_story_of_a_request_is_written(self):
+        """Guards against the same for fields that are put together elsewhere."""
+        told = {"request", "program", "budget", "program_left", "first", "seconds"}
+        assert told <= set(FIELDS)
