--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -49,8 +49,6 @@
         The store's record as last seen at ``revision``.
     used_at : float
         Monotonic seconds.
-    seconds : float
-        Longest time that a turn said to be left for the program.
     """
 
     program: str
@@ -62,7 +60,6 @@
     record: ProgramRecord | None = None
     revision: int = 0
     used_at: float = 0.0
-    seconds: float = 0.0
     lock: asyncio.Lock = field(factory=asyncio.Lock)
 
     def reserve(self, amount: int) -> bool:
--- a/src/fireflyspread/budgets/_book.py
+++ b/src/fireflyspread/budgets/_book.py
@@ -74,17 +74,11 @@
         Whether the program has used nothing so far and no other turn of it runs.
     drawn : int
         Tokens that nodes have drawn from the store, as far as is known.
-    used : int
-        Tokens that the program has used or set aside before this turn, at most.
-    seconds : float
-        Longest time that a turn of the program said to be left; 0 if none said so.
     """
 
     tokens: int
     is_new: bool
     drawn: int = 0
-    used: int = 0
-    seconds: float = 0.0
 
 
 class AllowanceBook:
@@ -131,13 +125,7 @@
         self._debtors: set[str] = set()
 
     async def grant(
-        self,
-        program: str,
-        budget: int,
-        most: int,
-        *,
-        remaining: float = 0.0,
-        may_lend: bool = False,
+        self, program: str, budget: int, most: int, *, may_lend: bool = False
     ) -> Grant:
         """Set ``most`` tokens aside for a turn; give back what it does not use.
 
@@ -145,8 +133,6 @@
         ----------
         budget : int
             Tokens that all turns of the program may generate.
-        remaining : float
-            Seconds until the program should have finished, if it tells.
         may_lend : bool
             Whether this node may lend, if the store is away for all nodes.
 
@@ -168,9 +154,8 @@
             async with account.lock:
                 if not account.reserve(most):
                     await self._fill(account, most, may_lend=may_lend)
-        account.seconds = max(account.seconds, remaining)
-        used = max(0, account.drawn + account.debt - account.held - most)
-        return Grant(most, used == 0, account.drawn, used, account.seconds)
+        is_new = account.drawn + account.debt == account.held + most
+        return Grant(most, is_new, account.drawn)
 
     def note_drawn(self, program: str, budget: int, drawn: int) -> None:
         """Take note of what other nodes have drawn while this one could not.
--- a/src/fireflyspread/budgets/_keepers.py
+++ b/src/fireflyspread/budgets/_keepers.py
@@ -30,16 +30,9 @@
 
     @abc.abstractmethod
     async def grant(
-        self,
-        node: str,
-        program: str,
-        budget: int,
-        most: int,
-        *,
-        remaining: float,
-        may_lend: bool,
+        self, node: str, program: str, budget: int, most: int, *, may_lend: bool
     ) -> Grant:
-        """Ask ``node`` to set tokens aside; see ``AllowanceBook.grant``.
+        """Ask ``node`` to set tokens aside.
 
         Raises
         ------
@@ -69,14 +62,10 @@
     ----------
     is_new : bool
         Whether this is the first turn of its program.
-    used, seconds
-        See ``Grant``.
     """
 
     def __init__(self, grant: Grant, give_back: Callable[[int], None]) -> None:
         self.is_new = grant.is_new
-        self.used = grant.used
-        self.seconds = grant.seconds
         self._left = grant.tokens
         self._give_back = give_back
         self._is_open = True
@@ -117,10 +106,8 @@
         self._unreachable: dict[str, float] = {}
         self._returns: set[asyncio.Task[None]] = set()
 
-    async def reserve(
-        self, program: str, budget: int, most: int, *, remaining: float = 0.0
-    ) -> Reservation:
-        """Set ``most`` tokens aside for a turn; see ``AllowanceBook.grant``.
+    async def reserve(self, program: str, budget: int, most: int) -> Reservation:
+        """Set ``most`` tokens aside for a turn.
 
         Raises
         ------
@@ -136,12 +123,7 @@
             for keeper in keepers[:_LENDERS] if may_lend else keepers:
                 try:
                     return await self._ask(
-                        keeper,
-                        program,
-                        budget,
-                        most,
-                        remaining=remaining,
-                        may_lend=may_lend,
+                        keeper, program, budget, most, may_lend=may_lend
                     )
                 except (PeerError, StoreError) as exc:
                     _LOG.info(
@@ -155,19 +137,10 @@
         )
 
     async def _ask(
-        self,
-        keeper: str,
-        program: str,
-        budget: int,
-        most: int,
-        *,
-        remaining: float,
-        may_lend: bool,
+        self, keeper: str, program: str, budget: int, most: int, *, may_lend: bool
     ) -> Reservation:
         if keeper == self._node:
-            grant = await self._book.grant(
-                program, budget, most, remaining=remaining, may_lend=may_lend
-            )
+            grant = await self._book.grant(program, budget, most, may_lend=may_lend)
             await self._tell_first(keeper, program, budget, grant)
             return Reservation(grant, lambda left: self._book.give_back(program, left))
         now = self._clock.read_monotonic()
@@ -175,7 +148,7 @@
             raise PeerError(f"{keeper} did not answer a moment ago")
         try:
             grant = await self._peers.grant(
-                keeper, program, budget, most, remaining=remaining, may_lend=may_lend
+                keeper, program, budget, most, may_lend=may_lend
             )
         except PeerError:
             self._unreachable[keeper] = now + _UNREACHABLE_PAUSE
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -24,16 +24,7 @@
 )
 from fireflyspread.forwarding._events import EventSplitter
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
-from fireflyspread.routing import (
-    Pace,
-    Progress,
-    ReplicaDirectory,
-    Result,
-    Scheduler,
-    Work,
-    judge_pace,
-    rank_engine_work,
-)
+from fireflyspread.routing import ReplicaDirectory, Result, Scheduler, Work
 
 __all__ = ["Attempt"]
 
@@ -46,6 +37,11 @@
 _MOST_REFUSALS = 6
 # Bytes of an answer that are collected before any is passed on.
 _COLLECTED_BYTES = 1 << 20
+# Priorities of engines are 0 to 9 with 5 as the default. Programs that are late rank
+# behind all others; they earn little any more.
+_BASE_PRIORITY = 3
+_MOST_RANK = 3
+_LATE_PRIORITY = 8
 
 
 class Attempt:
@@ -240,21 +236,15 @@
     def _rank(self) -> int | None:
         if self._traits is None or self._traits.engine is None:
             return None
+        program = self.request.program
+        if program is not None and program.remaining is not None:
+            waited = self._clock.read_monotonic() - self.request.received_at
+            if program.remaining - waited < 0:
+                return _LATE_PRIORITY
         rank = self.route.priority
         if self.team is not None and self.team.priority is not None:
             rank = self.team.priority
-        program = self.request.program
-        if program is None or program.remaining is None:
-            return rank_engine_work(rank, Pace.STEADY)
-        waited = self._clock.read_monotonic() - self.request.received_at
-        progress = None
-        if self._reservation is not None and program.budget is not None:
-            progress = Progress(
-                budget=program.budget,
-                used=self._reservation.used,
-                seconds=self._reservation.seconds,
-            )
-        return rank_engine_work(rank, judge_pace(program.remaining - waited, progress))
+        return _BASE_PRIORITY + min(_MOST_RANK, max(0, rank))
 
     def _make_work(self) -> Work:
         request = self.request
--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -163,10 +163,7 @@
         if program is None or program.budget is None or prompt is None:
             return None
         return await self._budgets.reserve(
-            program.program,
-            program.budget,
-            prompt.output_tokens,
-            remaining=max(0.0, program.remaining or 0.0),
+            program.program, program.budget, prompt.output_tokens
         )
 
     def _note_answer(self, request: ForwardRequest, attempt: Attempt) -> None:
--- a/src/fireflyspread/gateway/_peers.py
+++ b/src/fireflyspread/gateway/_peers.py
@@ -61,21 +61,13 @@
         return await self._client.ask(found.peers, question, timeout=timeout)
 
     async def grant(
-        self,
-        node: str,
-        program: str,
-        budget: int,
-        most: int,
-        *,
-        remaining: float,
-        may_lend: bool,
+        self, node: str, program: str, budget: int, most: int, *, may_lend: bool
     ) -> Grant:
         question = ReserveBudget(
             node=self._node,
             program=program,
             budget=budget,
             most=most,
-            remaining=remaining,
             may_lend=may_lend,
         )
         answer = await self._ask(node, question, timeout=_RESERVE_TIMEOUT)
@@ -87,9 +79,7 @@
             raise StoreError(answer.reason)
         if answer.code:
             raise OverloadedError(answer.reason, retry_after=_RETRY)
-        return Grant(
-            answer.tokens, answer.is_new, answer.drawn, answer.used, answer.seconds
-        )
+        return Grant(answer.tokens, answer.is_new, answer.drawn)
 
     async def note_drawn(
         self, node: str, program: str, budget: int, drawn: int
@@ -125,7 +115,6 @@
                 message.program,
                 message.budget,
                 message.most,
-                remaining=message.remaining,
                 may_lend=message.may_lend,
             )
         except (BudgetExceededError, OverloadedError, StoreError) as exc:
@@ -133,12 +122,7 @@
                 node=node, tokens=0, code=exc.code, reason=exc.message
             )
         return BudgetReserved(
-            node=node,
-            tokens=grant.tokens,
-            is_new=grant.is_new,
-            drawn=grant.drawn,
-            used=grant.used,
-            seconds=grant.seconds,
+            node=node, tokens=grant.tokens, is_new=grant.is_new, drawn=grant.drawn
         )
 
     async def note_drawn(message: NoteDrawn) -> Message:
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -148,7 +148,6 @@
     program: str
     budget: int
     most: int
-    remaining: float = 0.0
     may_lend: bool = False
 
 
@@ -164,8 +163,6 @@
     tokens: int
     is_new: bool = False
     drawn: int = 0
-    used: int = 0
-    seconds: float = 0.0
     code: str = ""
     reason: str = ""
 
--- a/src/fireflyspread/routing/__init__.py
+++ b/src/fireflyspread/routing/__init__.py
@@ -3,12 +3,6 @@
 from fireflyspread.routing._directory import ReplicaDirectory, ReplicaRecord
 from fireflyspread.routing._health import ReplicaHealth
 from fireflyspread.routing._hints import CacheHints, Hint
-from fireflyspread.routing._pace import (
-    Pace,
-    Progress,
-    judge_pace,
-    rank_engine_work,
-)
 from fireflyspread.routing._placement import (
     LeastReportedLoadPlacement,
     Placement,
@@ -36,11 +30,9 @@
     "Hint",
     "LeastReportedLoadPlacement",
     "LoadReport",
-    "Pace",
     "Placement",
     "PolicyScheduler",
     "PrefixAwarePlacement",
-    "Progress",
     "PromptCache",
     "PromptPlacement",
     "Quarantine",
@@ -56,6 +48,4 @@
     "Ticket",
     "Work",
     "draw_backoff",
-    "judge_pace",
-    "rank_engine_work",
 ]
--- a/tests/budgets/test_keepers.py
+++ b/tests/budgets/test_keepers.py
@@ -38,14 +38,7 @@
         return self.make(self.names[0])._rank(program)[0]
 
     async def grant(
-        self,
-        node: str,
-        program: str,
-        budget: int,
-        most: int,
-        *,
-        remaining: float,
-        may_lend: bool,
+        self, node: str, program: str, budget: int, most: int, *, may_lend: bool
     ) -> Grant:
         if node in self.gone:
             raise PeerError(f"{node} does not answer")
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -150,14 +150,7 @@
     """A node without others."""
 
     async def grant(
-        self,
-        node: str,
-        program: str,
-        budget: int,
-        most: int,
-        *,
-        remaining: float,
-        may_lend: bool,
+        self, node: str, program: str, budget: int, most: int, *, may_lend: bool
     ) -> Grant:
         raise PeerError("there are no others")
 
