Send budget writes beside a transaction that takes long

A node sent one transaction after the other; with 0.24 s for an answer a write took up to 0.48 s, turns wait 0.4 s, and first turns got 503 from every node. One lost answer held up all writes for 1 s.

Ruled out: an outage, rates, the rolling restart alone.

Change: while a transaction is not answered after 0.02 s, further ones are sent beside it, eight at most. The new test failed before (36 of 39 writes).

--- a/src/fireflyspread/recovery/_combiner.py
+++ b/src/fireflyspread/recovery/_combiner.py
@@ -18,6 +18,14 @@
 
 _LOG = logging.getLogger(__name__)
 
+# Transactions that may wait for their answer at the same time. A slow store takes
+# 0.24 s for one, and a lost answer holds one until the client gives up after 1 s;
+# turns wait 0.4 s for their write.
+_MOST_IN_FLIGHT = 8
+# Seconds that writes wait for the transaction before them. Longer than the store
+# needs as a rule (4 ms), so that a healthy store gets no more calls.
+_COMBINING_SECONDS = 0.02
+
 
 class WriteConflictError(Exception):
     """The key of a write was not at the expected revision.
@@ -43,13 +51,14 @@
     """Sends what waits as one transaction while the one before it is answered.
 
     The number of store calls therefore follows the time that the store needs and not
-    the number of writes. The tasks must not write the same key at the same time.
+    the number of writes. When the store takes long, further transactions are sent
+    beside the one that waits. The tasks must not write the same key at the same time.
     """
 
     def __init__(self, store: SnapshotStore) -> None:
         self._store = store
         self._pending: deque[_Pending] = deque()
-        self._sender: asyncio.Task[None] | None = None
+        self._senders: set[asyncio.Task[None]] = set()
 
     async def write(self, write: Write) -> int:
         """Do one conditional write and return its revision.
@@ -62,20 +71,26 @@
             The store did not take the write; ``StoreUncertainError`` when it may
             have taken effect or may still do so.
         """
-        done = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        done = loop.create_future()
         self._pending.append(_Pending(write, done))
-        if self._sender is None:
-            self._sender = asyncio.create_task(self._send_all())
+        if self._senders:
+            loop.call_later(_COMBINING_SECONDS, self._start)
+        else:
+            self._start()
         return await done
 
+    def _start(self) -> None:
+        if self._pending and len(self._senders) < _MOST_IN_FLIGHT:
+            task = asyncio.create_task(self._send_all())
+            self._senders.add(task)
+            task.add_done_callback(self._senders.discard)
+
     async def _send_all(self) -> None:
-        try:
-            while self._pending:
-                count = min(WRITES_PER_TRANSACTION, len(self._pending))
-                batch = [self._pending.popleft() for _ in range(count)]
-                await self._send([each for each in batch if not each.done.done()])
-        finally:
-            self._sender = None
+        while self._pending:
+            count = min(WRITES_PER_TRANSACTION, len(self._pending))
+            batch = [self._pending.popleft() for _ in range(count)]
+            await self._send([each for each in batch if not each.done.done()])
 
     async def _send(self, batch: list[_Pending]) -> None:
         while batch:
--- a/tests/recovery/test_roster.py
+++ b/tests/recovery/test_roster.py
@@ -56,6 +56,59 @@
         assert await combiner.write(Write("k", b"v", 0)) > 0
 
 
+class _SlowStore(MemoryStore):
+    """Takes long for each transaction, and loses some answers."""
+
+    seconds = 0.24
+    lost = frozenset({2})
+    transactions = 0
+
+    async def write_all(self, writes):
+        self.transactions += 1
+        if self.transactions in self.lost:
+            await asyncio.sleep(1.0)
+            raise StoreError("no answer; retry")
+        await asyncio.sleep(self.seconds)
+        return await super().write_all(writes)
+
+
+class TestSlowStore:
+    def test_writes_do_not_wait_for_each_other(self):
+        """Guards against a slow store or one lost answer that holds up all writers.
+
+        Seen in the incident inc-47e9: turns wait 0.4 s for their write, so nearly all
+        first turns got 503 while the store took 0.24 s.
+        """
+
+        async def play() -> list[float]:
+            combiner, loop = WriteCombiner(_SlowStore()), asyncio.get_running_loop()
+
+            async def write(number: int) -> float:
+                start = loop.time()
+                await combiner.write(Write(f"k{number}", b"v", 0))
+                return loop.time() - start
+
+            tasks = []
+            for number in range(40):
+                tasks.append(asyncio.create_task(write(number)))
+                await asyncio.sleep(0.05)
+            results = await asyncio.gather(*tasks, return_exceptions=True)
+            return [each for each in results if isinstance(each, float)]
+
+        seconds = run_virtual(play())
+        assert len(seconds) == 39
+        assert max(seconds) < 0.4
+
+    async def test_fast_store_gets_no_more_calls(self):
+        """Guards against a call for each write."""
+        store = _SlowStore()
+        store.seconds, store.lost = 0.004, frozenset()
+        combiner = WriteCombiner(store)
+        writes = [combiner.write(Write(f"k{n}", b"v", 0)) for n in range(64)]
+        await asyncio.gather(*writes)
+        assert store.transactions <= 1 + 64 // 16
+
+
 class _Listener(PrefixListener):
     def __init__(self) -> None:
         self.keys: dict[str, bytes] = {}
