Log the fingerprint of a request, and serve counts of suspected ones

The log lines of the incident could not tell whether different request ids were the same request, nor whether the quarantine of a gateway had any evidence. "request failed on a replica" and the line at the end of a request now have the field fingerprint; fingerprints_suspect and fingerprints_quarantined are served as gauges.

No change of behaviour: tests/forwarding, tests/test_logs.py and tests/operators/test_docs.py pass.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -104,6 +104,9 @@
         self._sends = 0
         self._status = 0
         self._first_byte_at = 0.0
+        self._fingerprint = xxhash.xxh3_128_hexdigest(
+            b"\0".join((request.request_target.encode(), request.body))
+        )
 
     async def run(self, reservation: Reservation | None) -> None:
         """Send the request to replicas until one of them answers it.
@@ -275,9 +278,7 @@
             team="" if self.team is None else self.team.name,
             weight=1.0,
             program=program.id if program else request.id,
-            fingerprint=xxhash.xxh3_128_hexdigest(
-                b"\0".join((request.request_target.encode(), request.body))
-            ),
+            fingerprint=self._fingerprint,
             cost=float(prompt.expected_output_tokens) if prompt else 1.0,
             deadline=self.deadline,
             excluded=frozenset(self._failed_replicas),
@@ -290,6 +291,7 @@
             exc.message,
             extra={
                 "request": self.request.id,
+                "fingerprint": self._fingerprint,
                 "replica": self.replica,
                 "result": result,
                 "may_have_run": self.may_have_run,
@@ -303,6 +305,7 @@
         program, prompt = self.request.program, self.request.prompt
         return {
             "request": self.request.id,
+            "fingerprint": self._fingerprint,
             "program": None if program is None else program.id,
             "team": None if self.team is None else self.team.name,
             "route": self.route.name,
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -327,11 +327,14 @@
         return web.Response(body=self._metrics.render(), content_type="text/plain")
 
     def _list_gauges(self) -> list[tuple[str, float]]:
+        quarantine = self._scheduler.quarantine
         return [
             ("requests.running", self._forwarder.running),
             ("config.version", self._configs.version),
             ("store.away", float(self._followers[0].is_store_unavailable)),
             ("members.known", len(self._roster.list_peers()) + 1),
+            ("fingerprints.suspect", len(quarantine.list_suspects())),
+            ("fingerprints.quarantined", len(quarantine.list_quarantined())),
         ]
 
     def dump(self) -> dict[str, Any]:
--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -13,6 +13,7 @@
 # Keys of ``extra`` that are written, in this order; the formatters drop all others.
 FIELDS = (
     "request",
+    "fingerprint",
     "program",
     "team",
     "node",
