--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import sys
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -231,9 +232,9 @@
             for replica in replicas:
                 await replica.start()
                 address = await self._get_address(replica.instance, replica.url)
-                self.store.put(
-                    f"servers/{replica.instance}",
-                    replica.make_registration(service, address=address),
+                self._register(service, replica, address)
+                replica.on_restart = partial(
+                    self._register_again, service, replica, address
                 )
         self.put_config(make_config(3))
         url = self.store.url
@@ -257,6 +258,18 @@
             await asyncio.sleep(0.025)
         raise AssertionError("not all nodes know all loan servers")
 
+    def _register(self, service: str, replica: PlatformReplica, address: str) -> None:
+        self.store.put(
+            f"servers/{replica.instance}",
+            replica.make_registration(service, address=address),
+        )
+
+    def _register_again(
+        self, service: str, replica: PlatformReplica, address: str, previous: str
+    ) -> None:
+        self.store.remove(f"servers/{previous}")
+        self._register(service, replica, address)
+
     async def _get_address(self, name: str, url: str) -> str:
         """Return the address of a process, or of a new proxy in front of it."""
         address = url.removeprefix("http://")
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 from collections import Counter
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -27,6 +28,10 @@
     ----------
     break_streams : int
         Number of next streams whose connection is reset in the middle of an event.
+    crash_on : str
+        A request whose path or body contains this text crashes the replica.
+    crash_seconds : float
+        Seconds until the replica is back after such a crash.
     refuse : int
         Number of next requests that are refused as not run.
     work : float
@@ -34,6 +39,8 @@
     """
 
     break_streams: int = 0
+    crash_on: str = ""
+    crash_seconds: float = 0.5
     refuse: int = 0
     work: float = 0.002
 
@@ -68,6 +75,10 @@
     ----------
     runs : list of Run
         Requests in the order of their start.
+    crash_count : int
+        Crashes so far; after each one the replica returns as another instance.
+    on_restart : callable
+        Called with the previous instance when the replica is back after a crash.
     """
 
     faults_class = ReplicaFaults
@@ -77,7 +88,10 @@
     ) -> None:
         super().__init__(**options)
         self.instance = instance
+        self.crash_count = 0
+        self.on_restart: Callable[[str], None] = lambda previous: None
         self.runs: list[Run] = []
+        self._name = instance
         self._event_count = events
         self._stamps = itertools.count(1)
         self._active = 0
@@ -86,6 +100,18 @@
         """Answer every path."""
         app.router.add_route("*", "/{path:.*}", self._answer)
 
+    def crash(self, seconds: float) -> None:
+        """Reset all connections, and return as another instance after ``seconds``."""
+        self.crash_count += 1
+        super().crash(seconds)
+
+        async def restart() -> None:
+            await asyncio.sleep(seconds)
+            previous, self.instance = self.instance, f"{self._name}.{self.crash_count}"
+            self.on_restart(previous)
+
+        self.track_task(asyncio.get_running_loop().create_task(restart()))
+
     def make_registration(
         self, service: str, *, state: str = "ready", address: str | None = None
     ) -> bytes:
@@ -133,6 +159,9 @@
         self.runs.append(run)
         self._active += 1
         try:
+            if await self._is_crashing(request):
+                self.crash(self.faults.crash_seconds)
+                await asyncio.Event().wait()
             if "/stream" in request.path:
                 with contextlib.suppress(ConnectionError):
                     # A replica stops its work when the node disconnects.
@@ -144,6 +173,12 @@
         finally:
             self._active -= 1
 
+    async def _is_crashing(self, request: web.Request) -> bool:
+        marker = self.faults.crash_on
+        return bool(marker) and (
+            marker in request.path or marker.encode() in await request.read()
+        )
+
     async def _stream(
         self, request: web.Request, run: Run, headers: dict[str, str]
     ) -> web.StreamResponse:
