--- a/src/fireflyspread/_http_client.py
+++ b/src/fireflyspread/_http_client.py
@@ -1,5 +1,6 @@
 """Helpers of HTTP clients, shared by the packages for engines and services."""
 
+import asyncio
 from collections.abc import Iterator
 from contextlib import contextmanager
 from urllib.parse import quote
@@ -17,6 +18,7 @@
 )
 
 __all__ = [
+    "accepts_connection",
     "check_status",
     "join_url",
     "open_client_session",
@@ -28,6 +30,9 @@
 # that the server is closing looks like a crash, so the client closes it first.
 _KEEPALIVE_SECONDS = 4.0
 _MAX_ERROR_BODY_BYTES = 64 * 1024
+# Seconds. A VM whose process has crashed refuses connections at once; a VM that is
+# down does not answer.
+_PROBE_TIMEOUT = 0.3
 
 
 def open_client_session(*, connect_timeout: float = 1.0) -> aiohttp.ClientSession:
@@ -51,6 +56,18 @@
     )
 
 
+async def accepts_connection(url: str) -> bool:
+    """Return whether a TCP connection to the host of ``url`` can be made."""
+    address = URL(url)
+    try:
+        async with asyncio.timeout(_PROBE_TIMEOUT):
+            _, writer = await asyncio.open_connection(address.host, address.port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 def join_url(base: str, *parts: str) -> URL:
     """Return ``base`` with each of ``parts`` quoted as one path segment."""
     path = "".join("/" + quote(part, safe="") for part in parts)
--- a/src/fireflyspread/daemon/_exchange.py
+++ b/src/fireflyspread/daemon/_exchange.py
@@ -107,13 +107,10 @@
             epoch=self._membership.epoch,
             bundle_version=self._bundles.version,
             leaving=self._leaving_vms.list_observed(),
-            quarantined=self._quarantine.list_quarantined(),
-            suspects=self._quarantine.list_suspects(),
+            crashes=self._quarantine.make_report(),
         )
 
     def _handle_hello(self, hello: Hello) -> None:
         self._feed.announce(hello.node, hello.bundle_version)
         self._leaving_vms.merge(hello.leaving)
-        self._quarantine.merge(
-            hello.node, quarantined=hello.quarantined, suspects=hello.suspects
-        )
+        self._quarantine.merge(hello.node, hello.crashes)
--- a/src/fireflyspread/exceptions.py
+++ b/src/fireflyspread/exceptions.py
@@ -221,7 +221,7 @@
 
 
 class QuarantinedError(FireflyError):
-    """The request was in flight when two different replicas crashed."""
+    """Requests equal to this one were in flight when several replicas crashed."""
 
     code = "request_quarantined"
     status = 422
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -65,6 +65,8 @@
         Whether a replica may have run the request.
     replica : str or None
         Replica on which the request was placed last.
+    fingerprint : str
+        Equal for all attempts of a team with the same request.
     """
 
     def __init__(
@@ -101,12 +103,11 @@
         self._reservation: Reservation | None = None
         self._failed_replicas: set[str] = set()
         self._ran_on: set[str] = set()
+        self._broken_on: set[str] = set()
         self._sends = 0
         self._status = 0
         self._first_byte_at = 0.0
-        self._fingerprint = xxhash.xxh3_128_hexdigest(
-            b"\0".join((request.request_target.encode(), request.body))
-        )
+        self.fingerprint = _compute_fingerprint(request, team)
 
     async def run(self, reservation: Reservation | None) -> None:
         """Send the request to replicas until one of them answers it.
@@ -128,23 +129,43 @@
                 result = Result.ANSWERED
                 return
             except TargetError as exc:
-                result = _classify(exc)
+                result = self._classify(exc, ticket.replica)
+                # Remains a crash if the deadline passes during the probe, because a VM
+                # that is down does not answer.
+                if isinstance(
+                    exc, ReplicaCrashedError
+                ) and await self._backend.accepts_connection(ticket.replica):
+                    result = Result.BROKEN
                 self._failed_replicas.add(ticket.replica.name)
                 self._log_failure(exc, result)
-                if not self._may_retry(exc):
+                if not self._may_retry(exc, result):
                     raise
             finally:
                 self._scheduler.release(ticket, result)
 
-    def _may_retry(self, exc: TargetError) -> bool:
+    def _classify(self, exc: TargetError, replica: Replica) -> Result:
+        match exc:
+            case TargetUnreachableError() if replica.name in self._broken_on:
+                return Result.CRASHED
+            case TargetUnreachableError():
+                return Result.UNREACHABLE
+            case _ if exc.outcome is Outcome.NOT_RUN:
+                return Result.REFUSED
+            case ReplicaCrashedError():
+                return Result.CRASHED
+            case _:
+                return Result.BROKEN
+
+    def _may_retry(self, exc: TargetError, result: Result) -> bool:
         if len(self._failed_replicas) > _MAX_FAILED_REPLICAS:
             return False
         if exc.outcome is Outcome.NOT_RUN and not self.may_have_run:
             return True
         if not self.route.is_repeatable:
             return False
-        # A replica that accepts no connection has stopped, so its run does not count.
-        if isinstance(exc, TargetUnreachableError) and self.replica:
+        # The run on a replica that has stopped does not count. The quarantine bounds
+        # the number of replicas that a request crashes.
+        if result in (Result.UNREACHABLE, Result.CRASHED) and self.replica:
             self._ran_on.discard(self.replica)
         return len(self._ran_on) < self.route.max_replicas
 
@@ -158,6 +179,7 @@
                 raise
             except ReplicaCrashedError as exc:
                 self._ran_on.add(replica.name)
+                self._broken_on.add(replica.name)
                 self._splitter.discard_partial_event()
                 if last or not self.route.is_repeatable:
                     raise
@@ -278,7 +300,7 @@
             team="" if self.team is None else self.team.name,
             weight=1.0,
             program=program.id if program else request.id,
-            fingerprint=self._fingerprint,
+            fingerprint=self.fingerprint,
             cost=float(prompt.expected_output_tokens) if prompt else 1.0,
             deadline=self.deadline,
             excluded=frozenset(self._failed_replicas),
@@ -291,7 +313,7 @@
             exc.message,
             extra={
                 "request": self.request.id,
-                "fingerprint": self._fingerprint,
+                "fingerprint": self.fingerprint,
                 "replica": self.replica,
                 "result": result,
                 "may_have_run": self.may_have_run,
@@ -305,7 +327,7 @@
         program, prompt = self.request.program, self.request.prompt
         return {
             "request": self.request.id,
-            "fingerprint": self._fingerprint,
+            "fingerprint": self.fingerprint,
             "program": None if program is None else program.id,
             "team": None if self.team is None else self.team.name,
             "route": self.route.name,
@@ -324,11 +346,16 @@
         }
 
 
-def _classify(exc: TargetError) -> Result:
-    match exc:
-        case TargetUnreachableError():
-            return Result.UNREACHABLE
-        case _ if exc.outcome is Outcome.NOT_RUN:
-            return Result.REFUSED
-        case _:
-            return Result.BROKEN
+def _compute_fingerprint(request: ForwardRequest, team: TeamPolicy | None) -> str:
+    """Return a hash of what a replica gets of a request, without the caller's ids."""
+    state = xxhash.xxh3_128()
+    for part in (
+        ("" if team is None else team.name).encode(),
+        request.method.encode(),
+        request.host.encode(),
+        request.request_target.encode(),
+        request.body,
+    ):
+        state.update(len(part).to_bytes(8, "big"))
+        state.update(part)
+    return state.hexdigest()
--- a/src/fireflyspread/forwarding/_backend.py
+++ b/src/fireflyspread/forwarding/_backend.py
@@ -89,3 +89,10 @@
         TargetError
             The response belongs to another request.
         """
+
+    @abc.abstractmethod
+    async def accepts_connection(self, replica: Replica) -> bool:
+        """Return whether the replica listens, so that a broken connection is no crash.
+
+        Opens a connection and closes it without a request.
+        """
--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -136,6 +136,8 @@
         )
 
     async def _admit_and_run(self, attempt: Attempt, team: TeamPolicy | None) -> None:
+        # Before the rate and the budget, which such a request would use up.
+        self._scheduler.check_quarantine(attempt.fingerprint)
         remaining = attempt.deadline - self._clock.read_monotonic()
         reservation: Reservation | None = None
         try:
--- a/src/fireflyspread/gateway/_listeners.py
+++ b/src/fireflyspread/gateway/_listeners.py
@@ -16,7 +16,7 @@
 )
 from fireflyspread.routing import ReplicaDirectory, ReplicaRecord
 
-__all__ = ["OperatorListener", "RegistrationListener"]
+__all__ = ["OperatorListener", "PrefixSplitter", "RegistrationListener"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -26,6 +26,46 @@
 _ACKNOWLEDGE_INTERVAL = 0.5
 
 
+class PrefixSplitter(PrefixListener):
+    """Passes the keys under one prefix to a listener of their own.
+
+    Parameters
+    ----------
+    listener : PrefixListener
+        Gets the keys under ``prefix``.
+    default : PrefixListener
+        Gets all other keys.
+    """
+
+    def __init__(
+        self, prefix: str, listener: PrefixListener, *, default: PrefixListener
+    ) -> None:
+        self._prefix = prefix
+        self._listener = listener
+        self._default = default
+
+    def replace(self, entries: tuple[Entry, ...]) -> None:
+        # The listener first: when the other one has its entries, the node is ready.
+        self._listener.replace(
+            tuple(entry for entry in entries if entry.key.startswith(self._prefix))
+        )
+        self._default.replace(
+            tuple(entry for entry in entries if not entry.key.startswith(self._prefix))
+        )
+
+    def apply(self, change: Change) -> None:
+        is_split = change.key.startswith(self._prefix)
+        (self._listener if is_split else self._default).apply(change)
+
+    def handle_outage(self) -> None:
+        self._listener.handle_outage()
+        self._default.handle_outage()
+
+    def handle_reconnect(self) -> None:
+        self._listener.handle_reconnect()
+        self._default.handle_reconnect()
+
+
 class RegistrationListener(PrefixListener):
     """Updates the directory of replicas from their registrations."""
 
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -1,6 +1,7 @@
 """Builds and runs a gateway node."""
 
 import asyncio
+import functools
 import logging
 import random
 import secrets
@@ -14,7 +15,12 @@
 from fireflyspread.clock import Clock, SystemClock
 from fireflyspread.exceptions import SettingsError, StoreError
 from fireflyspread.forwarding import ConfigHolder, Forwarder, ForwardingConfig
-from fireflyspread.gateway._listeners import OperatorListener, RegistrationListener
+from fireflyspread.gateway._crashes import CRASHES_PREFIX, CrashExchange
+from fireflyspread.gateway._listeners import (
+    OperatorListener,
+    PrefixSplitter,
+    RegistrationListener,
+)
 from fireflyspread.gateway._loans import ReplicatedLoanLog
 from fireflyspread.gateway._peers import (
     ConfigExchange,
@@ -54,6 +60,8 @@
     Roster,
 )
 from fireflyspread.routing import (
+    CrashSeriesPolicy,
+    Isolation,
     PolicyScheduler,
     PromptPlacement,
     Quarantine,
@@ -95,6 +103,11 @@
 # Consecutive broken answers before a replica is ejected; healthy replicas break single
 # answers too.
 _CONSECUTIVE_BROKEN = 3
+# Seconds within which the reports of other nodes on a crash have arrived.
+_CRASH_REPORT_SECONDS = 0.2
+# Seconds for which a suspect waits until its replica is idle. Programs have a second or
+# two in all, and other nodes send to the replica meanwhile.
+_MAX_ISOLATION_WAIT = 0.5
 # Seconds after which changed limits of a team are active on all nodes.
 _LIMITS_DELAY = 2.0
 # Tokens of a team's burst per home node. With fewer homes, each knows more precisely
@@ -140,7 +153,15 @@
             self._clock,
             self._rng,
             placement=self._placement,
-            quarantine=Quarantine(self._clock),
+            quarantine=Quarantine(
+                self._clock,
+                policy=CrashSeriesPolicy(),
+                incarnation=self._incarnation,
+                settle_seconds=_CRASH_REPORT_SECONDS,
+            ),
+            isolation_factory=functools.partial(
+                Isolation, max_wait=_MAX_ISOLATION_WAIT, waits_for_repeated=False
+            ),
             retries=RetryBudget(fraction=0.3, burst=50.0),
             health_factory=lambda clock: ReplicaHealth(
                 clock, slow_factor=_SLOW_FACTOR, consecutive_broken=_CONSECUTIVE_BROKEN
@@ -215,6 +236,16 @@
             list_members=self._roster.list_names,
         )
         register_budget_handlers(self._server, self._accounts, node=self._name)
+        self._crash_exchange = CrashExchange(
+            self._client,
+            self._roster,
+            self._store,
+            self._scheduler.quarantine,
+            node=self._name,
+            incarnation=self._incarnation,
+            rng=self._rng,
+        )
+        self._crash_exchange.register(self._server)
 
     def _build_forwarder(self) -> None:
         self._backend = ReplicaClient(self._clock)
@@ -243,6 +274,9 @@
         registrations = RegistrationListener(
             self._directory, prefix=REGISTRATIONS_PREFIX, decode=decode_registration
         )
+        roster = PrefixSplitter(
+            CRASHES_PREFIX, self._crash_exchange, default=self._roster
+        )
         watches = [
             (OPERATORS_PREFIX, operators, _OPERATORS_WATCH_TIMEOUT, 0.0),
             (
@@ -251,7 +285,7 @@
                 _REGISTRATIONS_WATCH_TIMEOUT,
                 _REGISTRATIONS_BATCH_DELAY,
             ),
-            (ROSTER_PREFIX, self._roster, _ROSTER_WATCH_TIMEOUT, _ROSTER_BATCH_DELAY),
+            (ROSTER_PREFIX, roster, _ROSTER_WATCH_TIMEOUT, _ROSTER_BATCH_DELAY),
         ]
         self._followers = [
             PrefixFollower(
@@ -300,6 +334,7 @@
         self._spawn(self._roster.run())
         self._spawn(self._accounts.run())
         self._spawn(self._exchange.run())
+        self._spawn(self._crash_exchange.run())
         self._spawn(self._loan_log.run())
         self._spawn(self._expire_directory())
         _LOG.info(
--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -40,6 +40,7 @@
     "order",
     "tokens",
     "attempt",
+    "rank",
     "result",
     "may_have_run",
     "event",
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -4,6 +4,7 @@
 
 from fireflyspread.exceptions import PeerError, UnsupportedVersionError
 from fireflyspread.loans import Loan
+from fireflyspread.routing import CrashReport
 
 __all__ = [
     "MESSAGE_VERSION",
@@ -14,6 +15,7 @@
     "BundleFetched",
     "ConfigFetched",
     "ConfirmFence",
+    "ExchangeCrashes",
     "Failed",
     "FenceConfirmed",
     "FetchBundle",
@@ -68,17 +70,14 @@
         Version of the bundle in force.
     leaving : tuple of str
         VMs that the sender has seen leaving in the VM list.
-    quarantined : tuple of str
-        Fingerprints of requests that crash replicas.
-    suspects : tuple of str
-        Fingerprints of requests that were in flight at one crash.
+    crashes : CrashReport
+        Crashes of replicas that the sender has seen.
     """
 
     epoch: int
     bundle_version: int
     leaving: tuple[str, ...] = ()
-    quarantined: tuple[str, ...] = ()
-    suspects: tuple[str, ...] = ()
+    crashes: CrashReport = msgspec.field(default_factory=CrashReport)
 
 
 class RenewAuthority(Message, frozen=True, kw_only=True):
@@ -372,6 +371,12 @@
     records: tuple[bytes, ...]
 
 
+class ExchangeCrashes(Message, frozen=True, kw_only=True):
+    """The crash report of the sender; the receiver answers with its own."""
+
+    report: CrashReport
+
+
 class ConfirmFence(Message, frozen=True, kw_only=True):
     """Asks whether the node still acts on a target under an older bundle."""
 
@@ -425,6 +430,7 @@
     | RecordsHeld
     | TakeRecords
     | RecordsTaken
+    | ExchangeCrashes
     | ConfirmFence
     | FenceConfirmed
     | Failed
--- a/src/fireflyspread/platform/_front.py
+++ b/src/fireflyspread/platform/_front.py
@@ -9,7 +9,7 @@
 from multidict import CIMultiDict
 
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import FireflyError, Outcome
+from fireflyspread.exceptions import FireflyError, Outcome, QuarantinedError
 from fireflyspread.forwarding import (
     CallerLimits,
     Forwarder,
@@ -112,6 +112,10 @@
 
     def _make_error(self, request: web.BaseRequest, exc: FireflyError) -> web.Response:
         status = exc.status
+        if isinstance(exc, QuarantinedError):
+            # Callers of the platform know no other status for requests that have not
+            # run and that are worth a later try only.
+            status = 503
         if status in _NOT_RUN_STATUSES and exc.outcome is not Outcome.NOT_RUN:
             status = 502
         headers = {}
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from fireflyspread._http_client import accepts_connection
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
@@ -222,6 +223,9 @@
             )
         return reply
 
+    async def accepts_connection(self, replica: Replica) -> bool:
+        return await accepts_connection(replica.url)
+
     def _get_max_idle(self, replica: Replica, dispatch: Dispatch, now: float) -> float:
         if dispatch.is_repeatable:
             return _KEEPALIVE_SECONDS
--- a/src/fireflyspread/routing/__init__.py
+++ b/src/fireflyspread/routing/__init__.py
@@ -1,8 +1,10 @@
 """Scheduling of requests: which one runs next, and on which replica."""
 
+from fireflyspread.routing._crashes import Crash, CrashReport
 from fireflyspread.routing._directory import ReplicaDirectory, ReplicaRecord
 from fireflyspread.routing._health import ReplicaHealth
 from fireflyspread.routing._hints import CacheHint, CacheHints
+from fireflyspread.routing._isolation import Isolation
 from fireflyspread.routing._placement import (
     LeastReportedLoadPlacement,
     Placement,
@@ -12,6 +14,11 @@
 from fireflyspread.routing._policy import PolicyScheduler
 from fireflyspread.routing._prompt_placement import PromptCache, PromptPlacement
 from fireflyspread.routing._quarantine import Quarantine
+from fireflyspread.routing._quarantine_policy import (
+    CrashSeriesPolicy,
+    IsolationPolicy,
+    QuarantinePolicy,
+)
 from fireflyspread.routing._queue import FairQueue, FifoQueue, Queue
 from fireflyspread.routing._retries import RetryBudget, draw_backoff
 from fireflyspread.routing._scheduler import (
@@ -26,8 +33,13 @@
 __all__ = [
     "CacheHint",
     "CacheHints",
+    "Crash",
+    "CrashReport",
+    "CrashSeriesPolicy",
     "FairQueue",
     "FifoQueue",
+    "Isolation",
+    "IsolationPolicy",
     "LeastReportedLoadPlacement",
     "LoadReport",
     "Placement",
@@ -36,6 +48,7 @@
     "PromptCache",
     "PromptPlacement",
     "Quarantine",
+    "QuarantinePolicy",
     "Queue",
     "ReplicaDirectory",
     "ReplicaHealth",
--- /dev/null
+++ b/src/fireflyspread/routing/_crashes.py
@@ -0,0 +1,124 @@
+"""Crashes of replicas, as nodes report them to each other."""
+
+from attrs import Factory, define, field, frozen
+
+from fireflyspread.bundle import Replica
+
+__all__ = ["Crash", "CrashReport", "MergedCrash", "Sighting", "identify_process"]
+
+
+def identify_process(replica: Replica) -> str:
+    """Return a name that differs after a restart if the platform reports restarts."""
+    return f"{replica.name}@{replica.vm}"
+
+
+@frozen(kw_only=True)
+class Crash:
+    """A crash of a replica, as one node saw it.
+
+    Attributes
+    ----------
+    id : str
+        Equal in the reports of all nodes about the same crash.
+    process : str
+        The replica that crashed. A restarted replica is another process if the
+        platform tells the two apart.
+    at : float
+        Unix seconds.
+    ranks : dict of str to int
+        Fingerprints of the node's requests that were in flight and that no replica has
+        answered since. The rank counts crashes one after the other: a request that was
+        sent before its node knew of any crash with the same fingerprint has rank 1, one
+        that was sent after a crash of rank 1 has rank 2.
+    is_alone : bool
+        Whether the node sent nothing else to the replica.
+    is_shared : bool
+        Whether the replica reported requests of other nodes.
+    """
+
+    id: str
+    process: str
+    at: float
+    ranks: dict[str, int] = Factory(dict)
+    is_alone: bool = False
+    is_shared: bool = False
+
+
+@frozen(kw_only=True)
+class CrashReport:
+    """What one node tells the others about crashes.
+
+    A newer report of a node replaces the older one.
+
+    Attributes
+    ----------
+    incarnation : str
+        Unique to one run of the node's process.
+    number : int
+        Increases with each change within an incarnation.
+    crashes : tuple of Crash
+        Crashes that the node saw.
+    answered : tuple of (str, str)
+        Crash id and fingerprint of requests that the node has seen answered since the
+        crash, as long as another node lists them.
+    """
+
+    incarnation: str = ""
+    number: int = 0
+    crashes: tuple[Crash, ...] = ()
+    answered: tuple[tuple[str, str], ...] = ()
+
+
+@define
+class MergedCrash:
+    """A crash with the requests of all nodes; ``Crash`` describes the attributes.
+
+    Attributes
+    ----------
+    reporters : int
+        Number of nodes that reported it.
+    """
+
+    process: str
+    at: float
+    ranks: dict[str, int] = field(factory=dict)
+    reporters: int = 0
+    is_alone: bool = False
+    is_shared: bool = False
+
+    def add(self, crash: Crash) -> None:
+        """Add the report of one more node."""
+        self.at = min(self.at, crash.at)
+        for fingerprint, rank in crash.ranks.items():
+            self.ranks[fingerprint] = max(rank, self.ranks.get(fingerprint, 0))
+        self.reporters += 1
+        self.is_alone = self.reporters == 1 and crash.is_alone
+        self.is_shared |= crash.is_shared
+
+
+@frozen(kw_only=True)
+class Sighting:
+    """One crash as evidence against one fingerprint.
+
+    Attributes
+    ----------
+    at : float
+        Unix seconds.
+    is_alone : bool
+        Whether no node is known to have sent another request to the replica.
+    is_shared : bool
+        Whether the replica reported requests of other nodes.
+    max_other_crashes : int
+        Unexplained crashes, this one included, of the other request in flight then that
+        has most of them; 0 if there was none.
+    is_outage : bool
+        Whether several replicas crashed at about the same time.
+    """
+
+    process: str
+    at: float
+    rank: int
+    is_alone: bool
+    is_shared: bool
+    max_other_crashes: int
+    is_outage: bool
--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -5,6 +5,7 @@
 
 from attrs import frozen
 
+from fireflyspread.routing._crashes import identify_process
 from fireflyspread.routing._placement import ReplicaState
 from fireflyspread.routing._quarantine import Quarantine
 from fireflyspread.routing._scheduler import Result, Ticket, Work
@@ -40,8 +41,8 @@
 
     A suspect starts when its replica is idle. After ``max_wait`` it starts beside the
     requests that still run there: most suspects are not the cause of a crash, and an
-    answer clears them in this case too. A suspect that was in flight at crashes of two
-    replicas always waits for an idle replica.
+    answer clears them in this case too. With ``waits_for_repeated`` a suspect that was
+    in flight at crashes of two replicas always waits for an idle replica.
 
     Parameters
     ----------
@@ -54,6 +55,8 @@
         replica may be reserved in any case.
     max_wait : float
         Seconds from the reservation of a replica.
+    waits_for_repeated : bool
+        Whether ``max_wait`` holds only for suspects of a single crash.
     """
 
     def __init__(
@@ -63,11 +66,13 @@
         *,
         max_reserved_fraction: float = 0.34,
         max_wait: float = 3.0,
+        waits_for_repeated: bool = True,
     ) -> None:
         self._quarantine = quarantine
         self._rng = rng
         self._max_reserved_fraction = max_reserved_fraction
         self._max_wait = max_wait
+        self._waits_for_repeated = waits_for_repeated
         self._reservations: dict[str, tuple[str, float]] = {}
 
     def place(
@@ -78,7 +83,7 @@
         Reserves a replica if the suspect has none yet and the limit allows it.
         """
         request, _ = self._reservations.get(work.fingerprint, (work.request, now))
-        if request != work.request:
+        if request != work.request or self._quarantine.is_pending(work.fingerprint):
             return None
         reserved = list(state.iterate_reserved())
         for replica in reserved:
@@ -106,7 +111,8 @@
             return replica
         _, reserved_at = self._reservations[work.fingerprint]
         must_be_alone = (
-            len(self._quarantine.get_crashed_replicas(work.fingerprint)) >= 2
+            self._waits_for_repeated
+            and len(self._quarantine.get_crashed_replicas(work.fingerprint)) >= 2
         )
         if must_be_alone or now - reserved_at < self._max_wait:
             return None
@@ -123,7 +129,7 @@
             and state.health.may_use(replica.replica.name)
         ]
         crashed = self._quarantine.get_crashed_replicas(work.fingerprint)
-        free = [r for r in free if r.replica.name not in crashed] or free
+        free = [r for r in free if identify_process(r.replica) not in crashed] or free
         # Other nodes do not see this choice before the next load report. If all nodes
         # chose the least loaded replica, their suspects would share it.
         return self._rng.choice(free) if free else None
@@ -148,18 +154,22 @@
         leaving_vms: frozenset[str],
     ) -> None:
         """Report to the quarantine how a request ended, and end its isolation."""
-        fingerprint, name = ticket.work.fingerprint, ticket.replica.name
-        # A replica on a leaving VM is expected to stop.
-        if result is Result.CRASHED and ticket.replica.vm not in leaving_vms:
+        fingerprint, process = ticket.work.fingerprint, identify_process(ticket.replica)
+        # A replica that has left its target, or on a leaving VM, is expected to stop.
+        is_expected = (
+            ticket.replica.vm in leaving_vms
+            or ticket.replica.name not in run.state.replicas
+        )
+        if result is Result.CRASHED and not is_expected:
             self._quarantine.record_crash(
                 fingerprint,
-                name,
+                process,
                 ticket.started_at,
                 alone=run.is_alone,
                 shared=run.replica.is_shared(),
             )
         elif result is Result.ANSWERED:
             self._quarantine.record_answer(fingerprint, isolated=run.is_isolated)
-        self._quarantine.finish(fingerprint, name)
+        self._quarantine.finish(fingerprint, process)
         if run.is_isolated:
             self.release(ticket.work, run.state)
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -10,6 +10,7 @@
 from fireflyspread.bundle import Target
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import OverloadedError
+from fireflyspread.routing._crashes import identify_process
 from fireflyspread.routing._health import ReplicaHealth
 from fireflyspread.routing._isolation import Isolation, RunningRequest
 from fireflyspread.routing._placement import (
@@ -63,6 +64,8 @@
     refuses_early : bool
         Whether a request that is not expected to start before its deadline is
         refused at once.
+    isolation_factory : callable
+        Returns the isolation of suspects.
     """
 
     def __init__(
@@ -78,6 +81,7 @@
         max_queued_requests: int = 2_000,
         report_ttl: float = 3.0,
         refuses_early: bool = True,
+        isolation_factory: Callable[[Quarantine, random.Random], Isolation] = Isolation,
     ) -> None:
         self._clock = clock
         self._queue_factory = queue_factory
@@ -96,7 +100,7 @@
         self._ticker: asyncio.TimerHandle | None = None
         self._target_of_replica: dict[str, TargetState] = {}
         self.quarantine = quarantine or Quarantine(clock)
-        self._isolation = Isolation(self.quarantine, rng)
+        self._isolation = isolation_factory(self.quarantine, rng)
 
     @classmethod
     def from_config(
@@ -136,6 +140,11 @@
         finally:
             timer.cancel()
 
+    def check_quarantine(self, fingerprint: str) -> None:
+        remaining = self.quarantine.read_remaining(fingerprint)
+        if remaining:
+            raise make_quarantined(fingerprint, remaining)
+
     def _get_target(self, target: Target) -> TargetState:
         state = self._targets.get(target.name)
         if state is None:
@@ -153,8 +162,7 @@
         return state
 
     def _admit(self, work: Work, state: TargetState) -> None:
-        if self.quarantine.is_quarantined(work.fingerprint):
-            raise make_quarantined(work)
+        self.check_quarantine(work.fingerprint)
         now = self._clock.read_monotonic()
         if not any(
             replica.replica.name not in work.excluded
@@ -254,7 +262,8 @@
                 continue
             if self.quarantine.is_quarantined(work.fingerprint):
                 self._drop(state, entry)
-                set_error(entry, make_quarantined(work))
+                remaining = self.quarantine.read_remaining(work.fingerprint)
+                set_error(entry, make_quarantined(work.fingerprint, remaining))
                 return True
             if not self.quarantine.is_suspect(work.fingerprint):
                 continue
@@ -300,7 +309,7 @@
             self._isolation.release(work, state)
         state.queue.take(entry)
         state.start(replica, work)
-        self.quarantine.start(work.fingerprint, name)
+        self.quarantine.start(work.fingerprint, identify_process(replica.replica))
         self._running_requests[work.request, name] = RunningRequest(
             state, replica, is_isolated, is_alone
         )
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -1,134 +1,123 @@
 """Quarantine of requests that crash replicas."""
 
-from collections import Counter
-
-from attrs import define, field
+import logging
+import secrets
+from collections.abc import Callable
+from typing import Any
 
 from fireflyspread.clock import Clock
+from fireflyspread.routing._crash_evidence import CrashEvidence
+from fireflyspread.routing._crashes import CrashReport
+from fireflyspread.routing._quarantine_policy import IsolationPolicy, QuarantinePolicy
+from fireflyspread.routing._verdicts import Judge, Verdicts
 
 __all__ = ["Quarantine"]
 
+_LOG = logging.getLogger(__name__)
 
-@define
-class _Crash:
-    """One crash of one replica.
-
-    Attributes
-    ----------
-    at : float
-        Monotonic seconds.
-    fingerprints : frozenset of str
-        In flight on the replica at the crash.
-    """
-
-    at: float
-    replica: str
-    fingerprints: frozenset[str]
-
-
-@define
-class _Suspect:
-    """A fingerprint that was in flight at crashes.
-
-    Attributes
-    ----------
-    expires_at : float
-        Monotonic seconds when the suspicion ends.
-    replicas : set of str
-        Replicas that crashed with it in flight.
-    alone_crashes : int
-        Crashes while this node sent nothing else to the replica.
-    has_exclusive_crash : bool
-        Whether one of these was of a replica that reported no requests of other nodes.
-    """
-
-    expires_at: float
-    replicas: set[str] = field(factory=set)
-    alone_crashes: int = 0
-    has_exclusive_crash: bool = False
-
-    def is_proven(self) -> bool:
-        """Return whether no other request can be the cause."""
-        if self.has_exclusive_crash:
-            return len(self.replicas) >= 2
-        return self.alone_crashes >= 2 and len(self.replicas) >= 3
+# Evidence is kept for this multiple of the length of a quarantine, so that a request
+# that crashes replicas still is isolated afterwards instead of crashing as many again.
+_EVIDENCE_FACTOR = 6
+# Seconds after which the evidence is checked for crashes that are too old.
+_MAX_VERDICT_AGE = 10.0
 
 
 class Quarantine:
     """Finds the requests that crash replicas.
 
-    Every fingerprint in flight at a crash becomes a suspect. Suspects run in
-    isolation. A suspect that is answered in isolation is cleared. One that was in
-    flight at crashes of two different replicas, at least once alone, is quarantined:
-    only a crash while alone distinguishes it from other requests in flight.
-
-    Alone means that this node sent nothing else to the replica. If the replica
-    reported requests of other nodes, one of these may be the cause. Then it takes two
-    crashes while alone and three different replicas in all.
+    Each request in flight at a crash is evidence against its fingerprint. Nodes
+    exchange reports of what they saw, and each one judges the union of all reports, so
+    that a crash counts wherever the request was sent.
 
-    When several replicas crash together, the cause is a rack or a zone. Then only
-    fingerprints in flight on more than one of them are suspected, because isolating
-    all requests of a lost zone would use up the remaining capacity.
+    Once a fingerprint is proven to crash replicas, the crashes with it in flight are
+    explained and do not count against others.
 
     Parameters
     ----------
+    policy : QuarantinePolicy or None
+        How much evidence is needed; ``IsolationPolicy`` by default.
+    incarnation : str or None
+        Unique to one run of this process; random by default.
     ttl : float
-        Seconds until a suspicion or a quarantine ends.
+        Seconds from the last crash until a suspicion or a quarantine ends.
+    settle_seconds : float
+        Seconds after the last crash before a quarantine begins. In this time other
+        nodes report their requests that were in flight, one of which may be the cause.
     outage_window : float
         Seconds within which crashes of ``min_outage_replicas`` count as one outage.
     min_outage_replicas : int
         Different replicas that crash in an outage.
+
+    Attributes
+    ----------
+    on_change : callable
+        Called after each change of this node's report, with whether it concerns a
+        suspect or a request that has become one.
     """
 
     def __init__(
         self,
         clock: Clock,
         *,
+        policy: QuarantinePolicy | None = None,
+        incarnation: str | None = None,
         ttl: float = 600.0,
+        settle_seconds: float = 0.0,
         outage_window: float = 2.0,
         min_outage_replicas: int = 3,
     ) -> None:
         self._clock = clock
-        self._ttl = ttl
-        self._outage_window = outage_window
-        self._min_outage_replicas = min_outage_replicas
-        self._in_flight: dict[str, Counter[str]] = {}
-        self._crashes: list[_Crash] = []
-        self._suspects: dict[str, _Suspect] = {}
-        self._quarantined: dict[str, float] = {}
-        self._cleared: dict[str, float] = {}
-        self._peer_reports: dict[str, tuple[float, frozenset[str]]] = {}
-        self._peer_suspects: frozenset[str] = frozenset()
-        self._peer_quarantined: dict[str, float] = {}
-
-    def start(self, fingerprint: str, replica: str) -> None:
+        self._policy = policy or IsolationPolicy()
+        self._evidence = CrashEvidence(
+            clock,
+            incarnation=incarnation or secrets.token_hex(6),
+            ttl=_EVIDENCE_FACTOR * ttl,
+        )
+        self._judgement = Judge(
+            evidence=self._evidence,
+            policy=self._policy,
+            ttl=ttl,
+            settle_seconds=settle_seconds,
+            outage_window=outage_window,
+            min_outage_replicas=min_outage_replicas,
+        )
+        self.on_change: Callable[[bool], None] = lambda is_urgent: None
+        # Ranks of the requests in flight, by process and fingerprint.
+        self._in_flight: dict[str, dict[str, list[int]]] = {}
+        self._verdicts = Verdicts()
+        # Number of the report of which ``on_change`` was told last.
+        self._announced = 0
+        self._judged_at = -float("inf")
+
+    def start(self, fingerprint: str, process: str) -> None:
         """Record that a request was sent to a replica."""
-        self._in_flight.setdefault(replica, Counter())[fingerprint] += 1
+        ranks = self._in_flight.setdefault(process, {}).setdefault(fingerprint, [])
+        ranks.append(1 + self._evidence.read_rank(fingerprint))
 
-    def finish(self, fingerprint: str, replica: str) -> None:
+    def finish(self, fingerprint: str, process: str) -> None:
         """Record that a request ended, with any result."""
-        counter = self._in_flight.get(replica)
-        if counter is None:
+        in_flight = self._in_flight.get(process)
+        if in_flight is None or fingerprint not in in_flight:
             return
-        counter[fingerprint] -= 1
-        if counter[fingerprint] <= 0:
-            del counter[fingerprint]
-        if not counter:
-            del self._in_flight[replica]
+        in_flight[fingerprint].pop(0)
+        if not in_flight[fingerprint]:
+            del in_flight[fingerprint]
+        if not in_flight:
+            del self._in_flight[process]
 
     def record_crash(
         self,
         fingerprint: str,
-        replica: str,
+        process: str,
         started_at: float,
         *,
         alone: bool,
         shared: bool = False,
     ) -> None:
-        """Suspect what was in flight when a replica closed a connection.
+        """Record what was in flight when a replica crashed.
 
         Call this before ``finish``. Further requests cut off by the same crash are
-        ignored.
+        part of it already.
 
         Parameters
         ----------
@@ -139,142 +128,147 @@
         shared : bool
             Whether the replica reported requests of other nodes.
         """
-        now = self._clock.read_monotonic()
-        self._crashes = [c for c in self._crashes if c.at > now - self._ttl][-256:]
-        for crash in self._crashes:
-            if crash.replica == replica and started_at <= crash.at:
-                return
-        fingerprints = frozenset(self._in_flight.get(replica, ())) | {fingerprint}
-        alone = alone and len(fingerprints) == 1
-        self._crashes.append(_Crash(now, replica, fingerprints))
-        for each in fingerprints:
-            suspect = self._add_suspect(each, replica, now)
-            suspect.alone_crashes += alone
-            suspect.has_exclusive_crash |= alone and not shared
-            if suspect.is_proven():
-                self._quarantined[each] = now + self._ttl
-                del self._suspects[each]
-                self._clear_explained()
-        self._clear_outage(now)
-
-    def _add_suspect(self, fingerprint: str, replica: str, now: float) -> _Suspect:
-        self._cleared.pop(fingerprint, None)
-        suspect = self._suspects.setdefault(fingerprint, _Suspect(now + self._ttl))
-        suspect.expires_at = now + self._ttl
-        suspect.replicas.add(replica)
-        return suspect
-
-    def _clear_explained(self) -> None:
-        """Clear suspects of a single shared crash, now that a cause is known.
-
-        If that crash had another cause, the next one makes them suspects again.
-        """
-        self._suspects = {
-            fingerprint: suspect
-            for fingerprint, suspect in self._suspects.items()
-            if suspect.alone_crashes or len(suspect.replicas) > 1
-        }
-
-    def _clear_outage(self, now: float) -> None:
-        recent = [c for c in self._crashes if c.at >= now - self._outage_window]
-        if len({crash.replica for crash in recent}) < self._min_outage_replicas:
+        self._refresh()
+        in_flight = self._in_flight.get(process, {})
+        ranks = {name: max(found) for name, found in in_flight.items()}
+        ranks.setdefault(fingerprint, 1 + self._evidence.read_rank(fingerprint))
+        crash = self._evidence.add(
+            process,
+            ranks,
+            started_at,
+            fingerprint=fingerprint,
+            alone=alone,
+            shared=shared,
+        )
+        if crash is None:
             return
-        counts = Counter(f for crash in recent for f in crash.fingerprints)
-        for fingerprint, count in counts.items():
-            suspect = self._suspects.get(fingerprint)
-            if count == 1 and suspect is not None and not suspect.alone_crashes:
-                del self._suspects[fingerprint]
+        _LOG.warning(
+            "replica crashed with requests in flight",
+            extra={
+                "fingerprint": fingerprint,
+                "replica": process,
+                "rank": crash.ranks[fingerprint],
+                "count": len(crash.ranks),
+            },
+        )
+        self._judge(is_urgent=max(crash.ranks.values()) > 1)
 
     def record_answer(self, fingerprint: str, *, isolated: bool) -> None:
-        """Clear a suspect that was answered in isolation.
+        """Drop the evidence against a request that was answered, if the policy does."""
+        if not self._policy.is_cleared(isolated=isolated):
+            return
+        was_suspect = fingerprint in self._verdicts.suspects
+        crashes = self._evidence.clear(fingerprint)
+        if not crashes:
+            return
+        _LOG.info(
+            "request in flight at crashes was answered since",
+            extra={"fingerprint": fingerprint, "count": crashes},
+        )
+        # Requests that were in flight beside this one may be the only suspects now.
+        self._judge(is_urgent=was_suspect)
 
-        Other answers are to requests sent before the suspicion, or by a node that did
-        not know of it.
-        """
-        if isolated and self.is_suspect(fingerprint):
-            self._suspects.pop(fingerprint, None)
-            self._cleared[fingerprint] = self._clock.read_monotonic() + self._ttl
+    def make_report(self) -> CrashReport:
+        """Return what this node knows, for the other nodes."""
+        self._refresh()
+        return self._evidence.make_report()
 
-    def merge(
-        self, node: str, suspects: tuple[str, ...], quarantined: tuple[str, ...]
-    ) -> None:
-        """Merge the suspects and quarantined fingerprints that another node found.
+    def list_reporters(self) -> set[str]:
+        """Return the other nodes whose reports still count."""
+        return self._evidence.list_reporters()
 
-        The suspects of a node replace those that it reported before. A quarantine
-        lasts from the first report, so nodes do not prolong it by repeating it.
-        """
-        now = self._clock.read_monotonic()
-        before = self._peer_reports.get(node)
-        self._peer_reports[node] = (now + self._ttl, frozenset(suspects))
-        if before is None or before[1] != self._peer_reports[node][1]:
-            self._merge_peer_suspects()
-        for fingerprint in quarantined:
-            if not (
-                fingerprint in self._quarantined
-                or fingerprint in self._peer_quarantined
-            ):
-                self._peer_quarantined[fingerprint] = now + self._ttl
-                self._clear_explained()
+    def merge(self, node: str, report: CrashReport) -> None:
+        """Replace what another node has reported."""
+        if self._evidence.apply(node, report):
+            self._judge()
+
+    def restore(self, report: CrashReport) -> None:
+        """Take over the report that the previous process of this node has left."""
+        self._evidence.restore(report)
+        self._judge()
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether the fingerprint must run in isolation."""
-        now = self._clock.read_monotonic()
-        suspect = self._suspects.get(fingerprint)
-        if suspect is not None and suspect.expires_at > now:
-            return True
-        if fingerprint not in self._peer_suspects:
-            return False
-        return self._cleared.get(fingerprint, 0.0) <= now
+        self._refresh()
+        return fingerprint in self._verdicts.suspects
+
+    def is_pending(self, fingerprint: str) -> bool:
+        """Return whether a suspect must not start before the other nodes' reports."""
+        self._refresh()
+        return fingerprint in self._verdicts.pending
 
     def is_quarantined(self, fingerprint: str) -> bool:
         """Return whether the fingerprint must not run."""
-        now = self._clock.read_monotonic()
-        return (
-            self._quarantined.get(fingerprint, 0.0) > now
-            or self._peer_quarantined.get(fingerprint, 0.0) > now
-        )
+        return self.read_remaining(fingerprint) > 0
+
+    def read_remaining(self, fingerprint: str) -> float:
+        """Return the seconds until the quarantine of a fingerprint ends, or 0."""
+        self._refresh()
+        until = self._verdicts.quarantined.get(fingerprint)
+        return 0.0 if until is None else max(0.0, until - self._clock.read_wall())
 
     def has_entries(self) -> bool:
         """Return whether any request may be suspected or quarantined."""
-        return bool(
-            self._suspects
-            or self._quarantined
-            or self._peer_quarantined
-            or self._peer_suspects
-        )
+        return bool(self._verdicts.suspects or self._verdicts.quarantined)
 
     def get_crashed_replicas(self, fingerprint: str) -> frozenset[str]:
-        """Return the replicas that crashed with the fingerprint in flight."""
-        suspect = self._suspects.get(fingerprint)
-        return frozenset() if suspect is None else frozenset(suspect.replicas)
+        """Return the processes that crashed with the fingerprint in flight."""
+        return frozenset(
+            self._evidence.merged[crash_id].process
+            for crash_id in self._evidence.crashes_of.get(fingerprint, ())
+        )
 
     def list_suspects(self) -> tuple[str, ...]:
-        """Return the suspects that this node found, to report to other nodes."""
-        self._expire()
-        return tuple(sorted(self._suspects))
+        """Return the fingerprints that must run in isolation."""
+        self._refresh()
+        return tuple(sorted(self._verdicts.suspects))
 
     def list_quarantined(self) -> tuple[str, ...]:
-        """Return what this node has quarantined, to report to other nodes."""
-        self._expire()
-        return tuple(sorted(self._quarantined))
-
-    def _merge_peer_suspects(self) -> None:
-        self._peer_suspects = frozenset[str]().union(
-            *(suspects for _, suspects in self._peer_reports.values())
+        """Return the fingerprints that must not run."""
+        self._refresh()
+        return tuple(sorted(self._verdicts.quarantined))
+
+    def _refresh(self) -> None:
+        """Judge again if time alone may have changed a verdict."""
+        now = self._clock.read_wall()
+        verdicts = self._verdicts
+        if (
+            now - self._judged_at >= _MAX_VERDICT_AGE
+            or any(until <= now for until in verdicts.quarantined.values())
+            or (
+                verdicts.pending
+                and min(verdicts.pending.values()) <= self._clock.read_monotonic()
+            )
+        ):
+            self._judge()
+
+    def _judge(self, *, is_urgent: bool = False) -> None:
+        """Derive the verdicts from the evidence, and announce changes of the report."""
+        self._evidence.expire()
+        self._judged_at = self._clock.read_wall()
+        before = self._verdicts
+        self._verdicts = self._judgement.judge(
+            wall=self._judged_at, monotonic=self._clock.read_monotonic()
         )
-
-    def _expire(self) -> None:
-        now = self._clock.read_monotonic()
-        self._suspects = {f: s for f, s in self._suspects.items() if s.expires_at > now}
-        self._quarantined = {f: t for f, t in self._quarantined.items() if t > now}
-        self._cleared = {f: t for f, t in self._cleared.items() if t > now}
-        if any(until <= now for until, _ in self._peer_reports.values()):
-            self._peer_reports = {
-                node: report
-                for node, report in self._peer_reports.items()
-                if report[0] > now
-            }
-            self._merge_peer_suspects()
-        self._peer_quarantined = {
-            f: t for f, t in self._peer_quarantined.items() if t > now
-        }
+        self._log_changes(before)
+        if self._evidence.number != self._announced:
+            self._announced = self._evidence.number
+            self.on_change(is_urgent)
+
+    def _log_changes(self, before: Verdicts) -> None:
+        for fingerprint in self._verdicts.quarantined.keys() - before.quarantined:
+            _LOG.warning(
+                "request quarantined because replicas crashed with it",
+                extra=self._describe(fingerprint),
+            )
+        for fingerprint in before.quarantined.keys() - self._verdicts.quarantined:
+            _LOG.info("quarantine ended", extra=self._describe(fingerprint))
+        for fingerprint in self._verdicts.suspects - before.suspects:
+            _LOG.info(
+                "request suspected of crashing replicas",
+                extra=self._describe(fingerprint),
+            )
+
+    def _describe(self, fingerprint: str) -> dict[str, Any]:
+        replicas = sorted(self.get_crashed_replicas(fingerprint))
+        return {"fingerprint": fingerprint, "replica": replicas}
--- a/src/fireflyspread/routing/_refusals.py
+++ b/src/fireflyspread/routing/_refusals.py
@@ -6,7 +6,6 @@
     QuarantinedError,
 )
 from fireflyspread.routing._queue import QueueEntry
-from fireflyspread.routing._scheduler import Work
 
 __all__ = ["make_overloaded", "make_quarantined", "set_error"]
 
@@ -20,10 +19,12 @@
         entry.future.set_exception(error)
 
 
-def make_quarantined(work: Work) -> QuarantinedError:
+def make_quarantined(fingerprint: str, remaining: float) -> QuarantinedError:
+    """Return the error for a quarantine that ends in ``remaining`` seconds."""
     return QuarantinedError(
-        f"request {work.request} matches one that crashed at least two "
-        "replicas; change the request"
+        f"requests equal to this one crashed several replicas (fingerprint "
+        f"{fingerprint}); change the request",
+        retry_after=remaining,
     )
 
 
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -118,6 +118,10 @@
             The request is known to crash replicas.
         """
 
+    @abc.abstractmethod
+    def check_quarantine(self, fingerprint: str) -> None:
+        """Raise ``QuarantinedError`` for a request that is known to crash replicas."""
+
     @abc.abstractmethod
     def release(self, ticket: Ticket, result: Result, *, tokens: int = 0) -> None:
         """End a request on its replica; ``tokens`` is the number it used."""
--- /dev/null
+++ b/src/fireflyspread/routing/_verdicts.py
@@ -0,0 +1,132 @@
+"""Verdicts on the requests that were in flight when replicas crashed."""
+
+from attrs import Factory, frozen
+
+from fireflyspread.routing._crash_evidence import CrashEvidence
+from fireflyspread.routing._crashes import Sighting
+from fireflyspread.routing._quarantine_policy import QuarantinePolicy
+
+__all__ = ["Judge", "Verdicts"]
+
+
+@frozen(kw_only=True)
+class Verdicts:
+    """What the evidence shows.
+
+    Attributes
+    ----------
+    suspects : frozenset of str
+        Fingerprints whose requests must run in isolation.
+    pending : dict of str to float
+        Suspects with enough evidence for a quarantine, and the monotonic seconds until
+        which reports of other nodes may still arrive.
+    quarantined : dict of str to float
+        Fingerprints whose requests must not run, and the Unix seconds at which the
+        quarantine ends.
+    """
+
+    suspects: frozenset[str] = frozenset()
+    pending: dict[str, float] = Factory(dict)
+    quarantined: dict[str, float] = Factory(dict)
+
+
+@frozen(kw_only=True)
+class Judge:
+    """Derives verdicts from the evidence, the same on all nodes with equal evidence.
+
+    ``Quarantine`` describes the attributes.
+    """
+
+    evidence: CrashEvidence
+    policy: QuarantinePolicy
+    ttl: float
+    settle_seconds: float
+    outage_window: float
+    min_outage_replicas: int
+
+    def judge(self, *, wall: float, monotonic: float) -> Verdicts:
+        """Return the verdicts at a time, given on both clocks."""
+        crashes_of = self.evidence.crashes_of
+        # The order decides which of two fingerprints explains the crashes that both
+        # have in common.
+        candidates = sorted(
+            (f for f, ids in crashes_of.items() if len(ids) >= self.policy.min_crashes),
+            key=lambda f: (-len(crashes_of[f]), f),
+        )
+        if not candidates:
+            return Verdicts()
+        outages = self._find_outages()
+        proven: dict[str, float] = {}
+        pending: dict[str, float] = {}
+        for fingerprint in candidates:
+            sightings = self._list_sightings(fingerprint, proven, outages)
+            if not self.policy.is_proven(sightings):
+                continue
+            settled_at = self._find_last_report(fingerprint) + self.settle_seconds
+            if settled_at > monotonic:
+                pending[fingerprint] = settled_at
+            else:
+                proven[fingerprint] = self.ttl + max(s.at for s in sightings)
+        quarantined = {f: until for f, until in proven.items() if until > wall}
+        suspects = (proven.keys() | pending.keys()) - quarantined.keys()
+        for fingerprint in candidates:
+            sightings = self._list_sightings(fingerprint, proven, outages)
+            recent = [s for s in sightings if s.at > wall - self.ttl]
+            if fingerprint not in quarantined and self.policy.is_suspect(recent):
+                suspects.add(fingerprint)
+        return Verdicts(
+            suspects=frozenset(suspects), pending=pending, quarantined=quarantined
+        )
+
+    def _find_last_report(self, fingerprint: str) -> float:
+        """Return when this node learned of the last crash, in monotonic seconds."""
+        ids = self.evidence.crashes_of[fingerprint]
+        return max(self.evidence.learned_at[crash_id] for crash_id in ids)
+
+    def _list_sightings(
+        self, fingerprint: str, proven: dict[str, float], outages: frozenset[str]
+    ) -> list[Sighting]:
+        """Return the crashes that no other, proven fingerprint explains."""
+        sightings = []
+        for crash_id in self.evidence.crashes_of[fingerprint]:
+            crash = self.evidence.merged[crash_id]
+            others = crash.ranks.keys() - {fingerprint}
+            if others & proven.keys():
+                continue
+            sightings.append(
+                Sighting(
+                    process=crash.process,
+                    at=crash.at,
+                    rank=crash.ranks[fingerprint],
+                    is_alone=crash.is_alone,
+                    is_shared=crash.is_shared,
+                    max_other_crashes=max(
+                        (self._count_crashes(other, proven) for other in others),
+                        default=0,
+                    ),
+                    is_outage=crash_id in outages,
+                )
+            )
+        return sightings
+
+    def _count_crashes(self, fingerprint: str, proven: dict[str, float]) -> int:
+        """Return the number of crashes that count against a fingerprint."""
+        merged = self.evidence.merged
+        return sum(
+            not (merged[crash_id].ranks.keys() - {fingerprint}) & proven.keys()
+            for crash_id in self.evidence.crashes_of[fingerprint]
+        )
+
+    def _find_outages(self) -> frozenset[str]:
+        """Return the crashes that happened together with crashes of other replicas."""
+        crashes = sorted(self.evidence.merged.items(), key=lambda item: item[1].at)
+        found: set[str] = set()
+        first = 0
+        for last, (_, crash) in enumerate(crashes):
+            while crashes[first][1].at < crash.at - self.outage_window:
+                first += 1
+            together = crashes[first : last + 1]
+            processes = {each.process for _, each in together}
+            if len(processes) >= self.min_outage_replicas:
+                found.update(crash_id for crash_id, _ in together)
+        return frozenset(found)
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -41,9 +41,11 @@
 from fireflyspread.limits import StaticSplitLimiter
 from fireflyspread.metrics import Metrics
 from fireflyspread.routing import (
+    CrashSeriesPolicy,
     LoadReport,
     PolicyScheduler,
     PromptPlacement,
+    Quarantine,
     ReplicaDirectory,
     ReplicaRecord,
 )
@@ -60,6 +62,8 @@
         Body; the connection breaks at a None.
     is_lost : bool
         Whether the connection breaks after the request ran, before any answer.
+    is_crash : bool
+        Whether the replica crashes when the request begins to run.
     """
 
     status: int = 200
@@ -69,6 +73,7 @@
     is_wrong_instance: bool = False
     is_unreachable: bool = False
     is_lost: bool = False
+    is_crash: bool = False
     load: LoadReport | None = None
 
 
@@ -94,26 +99,38 @@
 
 
 class FakeBackend(Backend):
-    """Replicas with scripted answers; records which replica got and ran requests."""
+    """Replicas with scripted answers; records which replica got and ran requests.
+
+    Attributes
+    ----------
+    crashed : set of str
+        Replicas that accept no connection.
+    """
 
     def __init__(self, answer: Callable[[str, int], Answer]) -> None:
         self._answer = answer
         self.sent: list[tuple[str, Dispatch]] = []
         self.ran: list[str] = []
+        self.crashed: set[str] = set()
 
     async def send(
         self, request: ForwardRequest, replica: Replica, dispatch: Dispatch
     ) -> Reply:
         answer = self._answer(replica.name, len(self.sent))
         self.sent.append((replica.name, dispatch))
-        if answer.is_unreachable:
+        if answer.is_unreachable or replica.name in self.crashed:
             raise TargetUnreachableError("no connection; try another replica")
         if not (answer.is_refusal or answer.is_wrong_instance):
             self.ran.append(replica.name)
-        if answer.is_lost:
+        if answer.is_crash:
+            self.crashed.add(replica.name)
+        if answer.is_lost or answer.is_crash:
             raise ReplicaCrashedError("no answer; retry if repeatable")
         return FakeReply(answer)
 
+    async def accepts_connection(self, replica: Replica) -> bool:
+        return replica.name not in self.crashed
+
 
 class FakeSink(ResponseSink):
     """Records a response."""
@@ -247,7 +264,12 @@
             loan_log=NoLoanLog(),
             is_outage=lambda: False,
         )
-        self.scheduler = PolicyScheduler(clock, rng, placement=PromptPlacement(rng))
+        self.scheduler = PolicyScheduler(
+            clock,
+            rng,
+            placement=PromptPlacement(rng),
+            quarantine=Quarantine(clock, policy=CrashSeriesPolicy()),
+        )
         self.forwarder = Forwarder(
             configs=configs,
             limiter=limiter,
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -12,6 +12,7 @@
     NotFoundError,
     Outcome,
     OverloadedError,
+    QuarantinedError,
     RateLimitedError,
 )
 from tests.forwarding.fakes import (
@@ -155,6 +156,76 @@
         assert caught.value.outcome is Outcome.NOT_RUN
 
 
+class TestCrashes:
+    """Requests under which replicas end."""
+
+    replicas = tuple(f"r{n}" for n in range(8))
+
+    @pytest.mark.parametrize("path", ["/prices/1", "/turns/1"])
+    async def test_one_attempt_crashes_three_replicas_at_most(self, path):
+        """Guards against an attempt that goes on to the next replica without end."""
+        harness = Harness(lambda name, n: Answer(is_crash=True), replicas=self.replicas)
+        with pytest.raises(FireflyError) as caught:
+            await harness.forward(path)
+        assert caught.value.status == 502
+        assert len(harness.backend.crashed) == 3
+        with pytest.raises(QuarantinedError) as refused:
+            await harness.forward(path)
+        assert refused.value.outcome is Outcome.NOT_RUN
+        assert refused.value.retry_after > 60
+        assert len(harness.backend.crashed) == 3
+
+    async def test_order_that_crashes_replicas_is_refused(self):
+        """Guards against crashes that go unseen because an order is not sent again."""
+        harness = Harness(lambda name, n: Answer(is_crash=True), replicas=self.replicas)
+        for _ in range(3):
+            with pytest.raises(FireflyError) as caught:
+                await harness.forward("/orders/1")
+            assert caught.value.status == 502
+        with pytest.raises(QuarantinedError):
+            await harness.forward("/orders/1")
+        assert len(harness.backend.crashed) == 3
+
+    async def test_refused_request_uses_no_rate(self):
+        """Guards against a team that pays for requests that cannot be served."""
+        harness = Harness(lambda name, n: Answer(is_crash=True), replicas=self.replicas)
+        with pytest.raises(FireflyError):
+            await harness.forward("/prices/1", key="jar-key")
+        with pytest.raises(QuarantinedError):
+            await harness.forward("/prices/1", key="jar-key")
+
+    async def test_lost_answers_of_a_running_replica_are_no_crashes(self):
+        """Guards against a quarantine for resets and lost answers."""
+        harness = Harness(lambda name, n: Answer(is_lost=n < 20))
+        for _ in range(20):
+            with pytest.raises(FireflyError):
+                await harness.forward("/orders/1")
+        sink = await harness.forward("/orders/1")
+        assert sink.body == b"ok"
+
+    async def test_equal_request_of_another_team_is_served(self):
+        """Guards against one team that takes a request away from the others."""
+        harness = Harness(
+            lambda name, n: Answer(is_crash=n < 3), replicas=self.replicas
+        )
+        for _ in range(3):
+            with pytest.raises(FireflyError):
+                await harness.forward("/orders/1")
+        sink = await harness.forward("/orders/1", key="jar-key")
+        assert sink.body == b"ok"
+
+    async def test_request_survives_two_crashes(self):
+        """Guards against a request that fails because two replicas ended under it."""
+
+        def answer(name: str, n: int) -> Answer:
+            return Answer(is_crash=len(harness.backend.crashed) < 2)
+
+        harness = Harness(answer, replicas=self.replicas)
+        sink = await harness.forward("/prices/1")
+        assert sink.body == b"ok"
+        assert harness.scheduler.quarantine.list_suspects() == ()
+
+
 class TestStreams:
     async def test_stream_resumes_after_a_break_inside_an_event(self):
         """Guards against missing, duplicate or joined events after a broken stream."""
--- /dev/null
+++ b/tests/routing/test_crash_series.py
@@ -0,0 +1,267 @@
+"""Quarantine after a series of crashes, judged by several nodes."""
+
+from attrs import define, field
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fireflyspread.clock import ManualClock
+from fireflyspread.routing import CrashSeriesPolicy, Quarantine
+from tests.effort import scale_examples
+
+
+@define
+class Nodes:
+    """Quarantines of several nodes that exchange reports.
+
+    Attributes
+    ----------
+    in_flight : list of (int, str, str, float)
+        Node, fingerprint, process and start of each request in flight.
+    """
+
+    clock: ManualClock
+    quarantines: list[Quarantine]
+    in_flight: list[tuple[int, str, str, float]] = field(factory=list)
+
+    @classmethod
+    def with_size(cls, size: int) -> "Nodes":
+        """Return ``size`` nodes without evidence."""
+        clock = ManualClock()
+        return cls(clock, [cls.make_quarantine(clock) for _ in range(size)])
+
+    @staticmethod
+    def make_quarantine(clock: ManualClock) -> Quarantine:
+        """Return the quarantine of a node that starts."""
+        return Quarantine(clock, policy=CrashSeriesPolicy())
+
+    def send(self, node: int, fingerprint: str, process: str) -> None:
+        """Send a request."""
+        self.quarantines[node].start(fingerprint, process)
+        now = self.clock.read_monotonic()
+        self.in_flight.append((node, fingerprint, process, now))
+
+    def answer(self, node: int, fingerprint: str, process: str) -> None:
+        """Answer a request."""
+        found = next(e for e in self.in_flight if e[:3] == (node, fingerprint, process))
+        self.in_flight.remove(found)
+        self.quarantines[node].record_answer(fingerprint, isolated=False)
+        self.quarantines[node].finish(fingerprint, process)
+
+    def crash(self, process: str) -> None:
+        """Cut off all requests on a replica."""
+        cut = [each for each in self.in_flight if each[2] == process]
+        self.in_flight = [each for each in self.in_flight if each[2] != process]
+        for node, fingerprint, _, started_at in cut:
+            quarantine = self.quarantines[node]
+            quarantine.record_crash(fingerprint, process, started_at, alone=False)
+            quarantine.finish(fingerprint, process)
+        self.clock.advance(1.0)
+
+    def exchange(self) -> None:
+        """Give the report of each node to all others."""
+        for sender, quarantine in enumerate(self.quarantines):
+            report = quarantine.make_report()
+            for receiver, other in enumerate(self.quarantines):
+                if receiver != sender:
+                    other.merge(f"n{sender}", report)
+
+    def run(self, node: int, fingerprint: str, process: str) -> None:
+        """Send a request that crashes the replica, and tell all nodes."""
+        self.send(node, fingerprint, process)
+        self.crash(process)
+        self.exchange()
+
+    def is_quarantined(self, fingerprint: str) -> list[bool]:
+        """Return the verdict of each node."""
+        return [each.is_quarantined(fingerprint) for each in self.quarantines]
+
+
+class TestSeries:
+    """CrashSeriesPolicy."""
+
+    def test_crashes_count_at_whichever_node_they_happen(self) -> None:
+        """Guards against nodes that each allow a request three crashes."""
+        nodes = Nodes.with_size(3)
+        for number in range(3):
+            assert nodes.is_quarantined("p") == [False] * 3
+            nodes.run(number, "p", f"r{number}")
+        assert nodes.is_quarantined("p") == [True] * 3
+
+    def test_requests_beside_it_are_not_suspects(self) -> None:
+        """Guards against isolating innocent requests of crashes with a known cause."""
+        nodes = Nodes.with_size(2)
+        for number in range(3):
+            nodes.send(1, "beside", f"r{number}")
+            nodes.send(0, f"other{number}", f"r{number}")
+            nodes.run(0, "p", f"r{number}")
+        assert nodes.is_quarantined("beside") == [False, False]
+        assert all(each.list_suspects() for each in nodes.quarantines)
+        nodes.run(0, "p", "r8")
+        assert nodes.is_quarantined("p") == [True, True]
+        assert [each.list_suspects() for each in nodes.quarantines] == [(), ()]
+
+    def test_simultaneous_crashes_count_once(self) -> None:
+        """Guards against a quarantine of a popular request after an outage."""
+        nodes = Nodes.with_size(4)
+        for outage in range(2):
+            for node in range(4):
+                for replica in range(5):
+                    nodes.send(node, "popular", f"r{replica}.{outage}")
+            for replica in range(5):
+                nodes.crash(f"r{replica}.{outage}")
+            nodes.exchange()
+        assert nodes.is_quarantined("popular") == [False] * 4
+
+    def test_answer_at_any_node_ends_the_series(self) -> None:
+        """Guards against a quarantine of requests that are answered in between."""
+        nodes = Nodes.with_size(3)
+        for number in range(9):
+            nodes.run(number % 3, "same", f"r{number}")
+            nodes.send((number + 1) % 3, "same", "healthy")
+            nodes.answer((number + 1) % 3, "same", "healthy")
+            nodes.exchange()
+        assert nodes.is_quarantined("same") == [False] * 3
+        assert [each.list_suspects() for each in nodes.quarantines] == [()] * 3
+
+    def test_two_suspects_of_the_same_crashes_are_told_apart(self) -> None:
+        """Guards against a quarantine of the one that was only beside the other."""
+        nodes = Nodes.with_size(2)
+        for number in range(4):
+            nodes.send(1, "beside", f"r{number}")
+            nodes.run(0, "p", f"r{number}")
+        assert nodes.is_quarantined("beside") == [False, False]
+        nodes.send(1, "beside", "r9")
+        nodes.answer(1, "beside", "r9")
+        nodes.exchange()
+        assert nodes.is_quarantined("p") == [True, True]
+        assert nodes.is_quarantined("beside") == [False, False]
+
+    def test_suspects_that_never_separate_are_quarantined_in_turn(self) -> None:
+        """Guards against replicas that crash without an end because of a tie."""
+        nodes = Nodes.with_size(2)
+        for number in range(5):
+            nodes.send(1, "p", f"r{number}")
+            nodes.run(0, "q", f"r{number}")
+        assert nodes.is_quarantined("p") == [True, True]
+        assert nodes.is_quarantined("q") == [False, False]
+        for number in range(3):
+            nodes.run(number % 2, "q", f"later{number}")
+        assert nodes.is_quarantined("q") == [True, True]
+
+    def test_verdict_waits_for_the_reports_of_other_nodes(self) -> None:
+        """Guards against a quarantine of the only suspect that one node knows."""
+        nodes = Nodes.with_size(2)
+        nodes.quarantines = [
+            Quarantine(nodes.clock, policy=CrashSeriesPolicy(), settle_seconds=1.5)
+            for _ in range(2)
+        ]
+        for number in range(3):
+            nodes.send(1, "p", f"r{number}")
+            nodes.send(0, "beside", f"r{number}")
+            nodes.crash(f"r{number}")
+            assert nodes.quarantines[0].is_pending("beside") == (number == 2)
+            assert not nodes.quarantines[0].is_quarantined("beside")
+            nodes.exchange()
+        nodes.clock.advance(1.0)
+        assert nodes.is_quarantined("beside") == [False, False]
+        assert nodes.is_quarantined("p") == [False, False]
+
+    def test_restarted_node_continues_with_its_report(self) -> None:
+        """Guards against a restart that gives a request three more crashes."""
+        nodes = Nodes.with_size(2)
+        for number in range(2):
+            nodes.run(0, "p", f"r{number}")
+        reports = [each.make_report() for each in nodes.quarantines]
+        nodes.quarantines = [Nodes.make_quarantine(nodes.clock) for _ in range(2)]
+        for quarantine, report in zip(nodes.quarantines, reports, strict=True):
+            quarantine.restore(report)
+        nodes.exchange()
+        nodes.run(1, "p", "r2")
+        assert nodes.is_quarantined("p") == [True, True]
+
+    def test_one_crash_is_enough_after_the_end_of_a_quarantine(self) -> None:
+        """Guards against three more crashes each time a quarantine ends."""
+        nodes = Nodes.with_size(1)
+        for number in range(3):
+            nodes.run(0, "p", f"r{number}")
+        nodes.clock.advance(600)
+        assert nodes.is_quarantined("p") == [False]
+        assert nodes.quarantines[0].is_suspect("p")
+        nodes.run(0, "p", "r9")
+        assert nodes.is_quarantined("p") == [True]
+
+    def test_request_cut_off_by_a_known_crash_is_no_further_crash(self) -> None:
+        """Guards against a crash that counts again for each node that reports it."""
+        nodes = Nodes.with_size(3)
+        for node in range(3):
+            nodes.send(node, "same", "r1")
+        found = list(nodes.in_flight)
+        for node, fingerprint, process, started_at in found:
+            nodes.quarantines[node].record_crash(
+                fingerprint, process, started_at, alone=False
+            )
+            nodes.exchange()
+        for quarantine in nodes.quarantines:
+            assert quarantine.get_crashed_replicas("same") == {"r1"}
+            assert not quarantine.is_suspect("same")
+
+
+_STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["send", "answer", "crash", "exchange"]),
+        st.integers(0, 2),
+        st.sampled_from("abcd"),
+        st.integers(0, 3),
+    ),
+    max_size=60,
+)
+
+
+class TestProperties:
+    """Quarantine with CrashSeriesPolicy under any sequence of events."""
+
+    @given(_STEPS)
+    @settings(derandomize=True, max_examples=scale_examples(300))
+    def test_only_what_was_not_answered_in_three_crashes(self, steps) -> None:
+        """Guards against a quarantine of a request with fewer crashes in a row."""
+        nodes = Nodes.with_size(3)
+        incarnations = [0] * 4
+        crashes: dict[str, set[str]] = {}
+        for action, node, fingerprint, index in steps:
+            process = f"r{index}.{incarnations[index]}"
+            if action == "send":
+                nodes.send(node, fingerprint, process)
+            elif action == "answer":
+                if any(e[:3] == (node, fingerprint, process) for e in nodes.in_flight):
+                    nodes.answer(node, fingerprint, process)
+                    nodes.exchange()
+                    crashes[fingerprint] = set()
+            elif action == "crash":
+                for _, cut, at, _ in nodes.in_flight:
+                    if at == process:
+                        crashes.setdefault(cut, set()).add(process)
+                nodes.crash(process)
+                incarnations[index] += 1
+            else:
+                nodes.exchange()
+            for quarantine in nodes.quarantines:
+                for found in quarantine.list_quarantined():
+                    assert len(crashes[found]) >= 3
+
+    @given(st.permutations(range(4)), st.integers(1, 5))
+    @settings(derandomize=True, max_examples=scale_examples(100))
+    def test_nodes_agree_in_whatever_order_reports_arrive(self, order, count) -> None:
+        """Guards against nodes with different verdicts on the same reports."""
+        nodes = Nodes.with_size(4)
+        for number in range(count):
+            nodes.send((number + 1) % 4, "beside", f"r{number}")
+            nodes.send(number % 4, "p", f"r{number}")
+            nodes.crash(f"r{number}")
+            if number % 2:
+                nodes.exchange()
+        nodes.exchange()
+        late = Nodes.make_quarantine(nodes.clock)
+        for sender in order:
+            late.merge(f"n{sender}", nodes.quarantines[sender].make_report())
+        assert late.list_quarantined() == nodes.quarantines[0].list_quarantined()
+        assert late.list_suspects() == nodes.quarantines[0].list_suspects()
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -11,6 +11,8 @@
 from fireflyspread.bundle import Replica, Target, TargetKind
 from fireflyspread.exceptions import OverloadedError, QuarantinedError
 from fireflyspread.routing import (
+    Crash,
+    CrashReport,
     LoadReport,
     PolicyScheduler,
     Result,
@@ -66,6 +68,13 @@
     return PolicyScheduler(clock, random.Random(1), **options)
 
 
+def make_suspect_report(fingerprint: str) -> CrashReport:
+    """Return a report about a crash of another replica."""
+    now = LoopClock(asyncio.get_running_loop()).read_wall()
+    crash = Crash(id="other#0", process="other", at=now, ranks={fingerprint: 1})
+    return CrashReport(incarnation="n2", number=1, crashes=(crash,))
+
+
 async def start(
     scheduler: PolicyScheduler, work: Work, target: Target
 ) -> asyncio.Task[Ticket]:
@@ -227,7 +236,7 @@
         """Guards against a suspect whose crash cuts off other requests."""
         scheduler, target = make_scheduler(), make_target(1, concurrency=4)
         other = await scheduler.acquire(make_work("o"), target)
-        scheduler.quarantine.merge("n2", ("p",), ())
+        scheduler.quarantine.merge("n2", make_suspect_report("p"))
         suspect = await start(scheduler, make_work("p"), target)
         late = await start(scheduler, make_work("late"), target)
         await asyncio.sleep(1)
@@ -248,7 +257,7 @@
         """
         scheduler, target = make_scheduler(), make_target(1, concurrency=4)
         await scheduler.acquire(make_work("o"), target)
-        scheduler.quarantine.merge("n2", ("p",), ())
+        scheduler.quarantine.merge("n2", make_suspect_report("p"))
         loop = asyncio.get_running_loop()
         before = loop.time()
         ticket = await scheduler.acquire(make_work("p"), target)
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 
 from fireflyspread.clock import ManualClock
-from fireflyspread.routing import Quarantine
+from fireflyspread.routing import Crash, CrashReport, Quarantine
 from tests.effort import scale_examples
 
 _STEPS = st.lists(
@@ -18,6 +18,22 @@
 )
 
 
+def make_report(number: int, *crashes: Crash) -> CrashReport:
+    """Return a report of another node."""
+    return CrashReport(incarnation="other", number=number, crashes=crashes)
+
+
+def make_crash(process: str, *fingerprints: str, alone: bool = False) -> Crash:
+    """Return a crash that another node has seen at the start of the clock."""
+    return Crash(
+        id=f"{process}#0",
+        process=process,
+        at=ManualClock().read_wall(),
+        ranks=dict.fromkeys(fingerprints, 1),
+        is_alone=alone,
+    )
+
+
 class TestRecordCrash:
     """Quarantine.record_crash."""
 
@@ -96,7 +112,7 @@
         """
         clock = ManualClock()
         quarantine = Quarantine(clock)
-        quarantine.merge("n2", ("b",), ())
+        quarantine.merge("n2", make_report(1, make_crash("r9", "b")))
         quarantine.start("b", "r1")
         quarantine.record_crash("b", "r1", clock.read_monotonic(), alone=False)
         quarantine.record_answer("b", isolated=False)
@@ -140,19 +156,45 @@
     def test_newer_suspects_replace_older(self) -> None:
         """Guards against isolating a suspect that its node has cleared."""
         quarantine = Quarantine(ManualClock())
-        quarantine.merge("n2", ("a", "b"), ())
-        quarantine.merge("n2", ("b",), ())
+        quarantine.merge("n2", make_report(1, make_crash("r1", "a", "b")))
+        assert quarantine.list_suspects() == ("a", "b")
+        quarantine.merge("n2", make_report(2, make_crash("r1", "b")))
         assert not quarantine.is_suspect("a")
         assert quarantine.is_suspect("b")
 
+    def test_older_report_is_ignored(self) -> None:
+        """Guards against a delayed message that replaces newer evidence."""
+        quarantine = Quarantine(ManualClock())
+        quarantine.merge("n2", make_report(2, make_crash("r1", "b")))
+        quarantine.merge("n2", make_report(1))
+        assert quarantine.is_suspect("b")
+
+    def test_report_of_a_restarted_node_keeps_the_evidence_before(self) -> None:
+        """Guards against a restart that takes evidence away from the other nodes."""
+        quarantine = Quarantine(ManualClock())
+        quarantine.merge("n2", make_report(7, make_crash("r1", "b")))
+        quarantine.merge("n2", CrashReport(incarnation="next", number=1))
+        assert quarantine.is_suspect("b")
+
     def test_repetition_does_not_prolong(self) -> None:
         """Guards against nodes that prolong a quarantine by repeating it."""
         clock = ManualClock()
         quarantine = Quarantine(clock, ttl=10)
-        for _ in range(9):
-            quarantine.merge("n2", (), ("p",))
+        crashes = (make_crash("r1", "p"), make_crash("r2", "p", alone=True))
+        for number in range(9):
+            quarantine.merge("n2", make_report(number + 1, *crashes))
             clock.advance(1)
         assert quarantine.is_quarantined("p")
-        assert quarantine.list_quarantined() == ()
+        assert quarantine.make_report().crashes == ()
         clock.advance(2)
         assert not quarantine.is_quarantined("p")
+
+    def test_crash_with_requests_of_two_nodes_proves_nothing(self) -> None:
+        """Guards against a quarantine for the crash of another node's request."""
+        quarantine = Quarantine(ManualClock())
+        quarantine.merge("n2", make_report(1, make_crash("r2", "x")))
+        for replica, alone in (("r1", False), ("r2", True)):
+            quarantine.start("p", replica)
+            quarantine.record_crash("p", replica, 0.0, alone=alone)
+            quarantine.finish("p", replica)
+        assert not quarantine.is_quarantined("p")
--- a/tools/policy_simulation.py
+++ b/tools/policy_simulation.py
@@ -183,14 +183,10 @@
         while True:
             await asyncio.sleep(0.5)
             for i, node in enumerate(self._nodes):
-                quarantine = node.scheduler.quarantine
+                report = node.scheduler.quarantine.make_report()
                 for other in self._nodes:
                     if other is not node:
-                        other.scheduler.quarantine.merge(
-                            f"n{i}",
-                            quarantine.list_suspects(),
-                            quarantine.list_quarantined(),
-                        )
+                        other.scheduler.quarantine.merge(f"n{i}", report)
 
     async def _start_programs(self) -> None:
         loop = asyncio.get_running_loop()
