Do not continue a large answer with the bytes of another run

A caller of a repeatable route got an answer made of two runs: the first megabyte of one and the whole body of another, complete to look at.

Cause: answers above 1 MiB are passed on in chunks; when the connection of the replica broke after that, the request was sent again as if nothing had been passed on. A stream goes on after its last event, a body cannot.

test_large_answer_cut_off_is_not_continued_by_another failed before (no error was raised).

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -105,6 +105,7 @@
         self._ran_on: set[str] = set()
         self._broken_on: set[str] = set()
         self._sends = 0
+        self._has_started_body = False
         self._status = 0
         self._first_byte_at = 0.0
         self.fingerprint = _compute_fingerprint(request, team)
@@ -161,7 +162,7 @@
             return False
         if exc.outcome is Outcome.NOT_RUN and not self.may_have_run:
             return True
-        if not self.route.is_repeatable:
+        if not self._may_repeat():
             return False
         # The run on a replica that has stopped does not count. The quarantine bounds
         # the number of replicas that a request crashes.
@@ -169,6 +170,13 @@
             self._ran_on.discard(self.replica)
         return len(self._ran_on) < self.route.max_replicas
 
+    def _may_repeat(self) -> bool:
+        """Return whether the request may run again.
+
+        Unlike a stream, a body cannot be continued by another run.
+        """
+        return self.route.is_repeatable and not self._has_started_body
+
     async def _run_on_replica(self, replica: Replica) -> None:
         """Send to one replica, and once more if the connection breaks."""
         for last in (False, True):
@@ -181,7 +189,7 @@
                 self._ran_on.add(replica.name)
                 self._broken_on.add(replica.name)
                 self._splitter.discard_partial_event()
-                if last or not self.route.is_repeatable:
+                if last or not self._may_repeat():
                     raise
                 self._log_failure(exc, Result.BROKEN)
 
@@ -272,6 +280,7 @@
     async def _start_body(self, reply: Reply, length: int | None) -> None:
         if self._sink.is_started:
             return
+        self._has_started_body = True
         self._status = reply.status
         headers = list(reply.headers)
         if length is not None:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -132,6 +132,20 @@
             sink = await harness.forward("/orders/1")
             assert not sink.is_finished
 
+    async def test_large_answer_cut_off_is_not_continued_by_another(self):
+        """Guards against an answer that is made of the bytes of two runs."""
+        harness = Harness(
+            lambda name, n: Answer(
+                chunks=[b"x" * (1 << 20), None] if n == 0 else [b"y" * (1 << 21)]
+            )
+        )
+        sink = FakeSink()
+        with pytest.raises(FireflyError) as caught:
+            await harness.forwarder.forward(harness.make_request("/prices/1"), sink)
+        assert caught.value.outcome is Outcome.MAY_HAVE_RUN
+        assert b"y" not in sink.body
+        assert sink.is_started and not sink.is_finished
+
     async def test_error_status_of_a_replica_is_relayed(self):
         """Guards against a status that does not match the replica's stamp."""
         headers = [("Stamp", "s")]
