Bound the bytes that a faulty replica may send without end

A replica in trouble may send bytes that are no answer, in a head or a body, until its caller closes.

- Responses other than the expected one, bytes that belong to no body, and the body of a skipped response are limited; what is received is parsed in slices.
- An event has 1 MiB at most, an answer that is no stream 64 MiB.
- The product's own engine client had the same fault: its events and the answers to control requests are limited too.

--- a/src/fireflyspread/engines/_http.py
+++ b/src/fireflyspread/engines/_http.py
@@ -26,6 +26,10 @@
 
 T = TypeVar("T")
 _LOG = logging.getLogger(__name__)
+# Bytes of the answer to a control request, and of an exported KV cache. A faulty engine
+# may send them without end.
+_MAX_ANSWER_BYTES = 16 << 20
+_MAX_CACHE_BYTES = 1 << 30
 # Seconds to read the end of the HTTP body after the last event. A connection whose
 # body was not read to the end cannot be reused.
 _BODY_END_TIMEOUT = 0.05
@@ -209,7 +213,9 @@
 
     async def export_session(self, session_id: str) -> bytes:
         url = join_url(self._url, "v1", "sessions", session_id, "export")
-        return await self._call("POST", url, timeout=self._transfer_timeout)
+        return await self._call(
+            "POST", url, timeout=self._transfer_timeout, max_bytes=_MAX_CACHE_BYTES
+        )
 
     async def import_session(self, session_id: str, cache: bytes) -> None:
         url = join_url(self._url, "v1", "sessions", session_id, "cache")
@@ -239,6 +245,7 @@
         timeout: float | None = None,
         accepted_statuses: tuple[int, ...] = (),
         is_order: bool = False,
+        max_bytes: int = _MAX_ANSWER_BYTES,
     ) -> bytes:
         with translate_errors(self._name):
             async with self._session.request(
@@ -256,7 +263,18 @@
                     )
                 if response.status not in accepted_statuses:
                     await check_status(response, self._name)
-                return await response.read()
+                return await self._read_body(response.content, max_bytes)
+
+    async def _read_body(self, content: aiohttp.StreamReader, max_bytes: int) -> bytes:
+        body = bytearray()
+        async for data in content.iter_any():
+            body += data
+            if len(body) > max_bytes:
+                raise TargetError(
+                    f"replica {self._name} answered with more than {max_bytes} bytes; "
+                    "check the replica"
+                )
+        return bytes(body)
 
     def _decode(self, data: bytes, kind: type[T]) -> T:
         try:
@@ -273,6 +291,7 @@
         return
     try:
         async with asyncio.timeout(_BODY_END_TIMEOUT):
-            await content.read()
+            async for _ in content.iter_any():
+                pass
     except TimeoutError:
         return
--- a/src/fireflyspread/engines/_sse.py
+++ b/src/fireflyspread/engines/_sse.py
@@ -9,6 +9,8 @@
 
 DONE_EVENT = b"data: [DONE]\n\n"
 _EVENT_END = b"\n\n"
+# Bytes of one event; a faulty engine may send them without end.
+_MAX_EVENT_BYTES = 1 << 20
 
 
 class EventSplitter:
@@ -41,11 +43,16 @@
         CrossedAnswerError
             An event belongs to another request.
         TargetError
-            The engine reported an error inside the stream.
+            The engine reported an error inside the stream, or an event is too large.
         """
         if self._partial:
             data = self._partial + data
         end = data.rfind(_EVENT_END)
+        if end < 0 and len(data) > _MAX_EVENT_BYTES:
+            raise TargetError(
+                f"replica {self._replica} sent an event of more than "
+                f"{_MAX_EVENT_BYTES} bytes; retry"
+            )
         if end < 0:
             self._partial = data
             return b""
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -38,6 +38,8 @@
 _MAX_FAILED_REPLICAS = 6
 # Bytes of an answer that are buffered before it is passed on in chunks.
 _MAX_BUFFERED_BYTES = 1 << 20
+# Bytes of an answer that is no stream; a faulty replica may send them without end.
+_MAX_ANSWER_BYTES = 64 << 20
 # Engines take priorities from 0 to 9, with 5 as the default. Programs past their
 # deadline rank behind all others, because a late answer has little value.
 _BASE_PRIORITY = 3
@@ -266,8 +268,15 @@
     async def _relay_body(self, reply: Reply, replica: Replica) -> None:
         """Relay an answer once it is complete, or in chunks if it is large."""
         body = bytearray()
+        size = 0
         async for chunk in reply.iterate():
             body += chunk
+            size += len(chunk)
+            if size > _MAX_ANSWER_BYTES:
+                raise ReplicaCrashedError(
+                    f"the answer of replica {replica.name} has more than "
+                    f"{_MAX_ANSWER_BYTES} bytes; check the replica"
+                )
             if len(body) >= _MAX_BUFFERED_BYTES:
                 await self._start_body(reply, None)
                 await self._sink.write(bytes(body))
--- a/src/fireflyspread/forwarding/_events.py
+++ b/src/fireflyspread/forwarding/_events.py
@@ -2,9 +2,13 @@
 
 import re
 
+from fireflyspread.exceptions import ReplicaCrashedError
+
 __all__ = ["EventSplitter"]
 
 _END = b"\n\n"
+# Bytes of one event. Events carry a few tokens each.
+_MAX_EVENT_BYTES = 1 << 20
 _ID = re.compile(rb"^id: ?([^\r\n]*)$", re.MULTILINE)
 
 
@@ -29,10 +33,20 @@
         return bool(self._partial)
 
     def feed(self, data: bytes) -> tuple[bytes, int]:
-        """Return the events completed by ``data``, and how many of them have an id."""
+        """Return the events completed by ``data``, and how many of them have an id.
+
+        Raises
+        ------
+        ReplicaCrashedError
+            The event is too large to be one.
+        """
         if self._partial:
             data = self._partial + data
         end = data.rfind(_END)
+        if end < 0 and len(data) > _MAX_EVENT_BYTES:
+            raise ReplicaCrashedError(
+                f"an event has more than {_MAX_EVENT_BYTES} bytes; resume elsewhere"
+            )
         if end < 0:
             self._partial = data
             return b"", 0
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -48,6 +48,14 @@
 # this time.
 _TCP_USER_TIMEOUT_MS = 800
 _TCP_KEEPALIVE_SECONDS = 1
+# Responses on one connection before the expected one, interim ones included, and bytes
+# of the body of one of them. Replicas repeat single answers.
+_MAX_UNEXPECTED_RESPONSES = 16
+_MAX_SKIPPED_BYTES = 1 << 20
+# Bytes that may arrive without any of them belonging to a body.
+_MAX_IDLE_BYTES = 1 << 18
+# Bytes that are parsed before the limits are checked.
+_MAX_PARSED_BYTES = 1 << 14
 
 
 def make_connector(
@@ -116,19 +124,63 @@
 
     A response that is delimited by the end of its connection is complete only if the
     connection was closed and not reset; aiohttp does not distinguish the two.
+
+    The bytes outside the expected response are limited, because a faulty replica may
+    send them without end.
     """
 
     expected_id: str | None = None
+    _unexpected_count = 0
+    # Bytes since the last progress of a body.
+    _idle_bytes = 0
+    _body_bytes = 0
 
     async def read(self) -> Any:
         while True:
             message, payload = await super().read()
             found = message.headers.get(names.REQUEST_ID)
             if found is None or self.expected_id is None or found == self.expected_id:
+                if message.code >= 200:
+                    self._unexpected_count = self._idle_bytes = 0
                 return message, payload
             _LOG.info(
                 "response to an earlier request skipped", extra={"request": found}
             )
+            await _skip_body(payload)
+
+    def feed_data(self, data: Any, size: int = 0) -> None:
+        self._unexpected_count += 1
+        super().feed_data(data, size)
+
+    def data_received(self, data: bytes) -> None:
+        # In slices, because the parser does not return before the end of the data.
+        for start in range(0, len(data), _MAX_PARSED_BYTES):
+            part = data[start : start + _MAX_PARSED_BYTES]
+            super().data_received(part)
+            self._count_idle_bytes(len(part))
+            if (
+                self._unexpected_count > _MAX_UNEXPECTED_RESPONSES
+                or self._idle_bytes > _MAX_IDLE_BYTES
+            ):
+                self._reject()
+            if not self.is_connected():
+                return
+
+    def _count_idle_bytes(self, size: int) -> None:
+        body_bytes = 0 if self._payload is None else self._payload.total_bytes
+        self._idle_bytes = (
+            0 if body_bytes != self._body_bytes else (self._idle_bytes + size)
+        )
+        self._body_bytes = body_bytes
+
+    def _reject(self) -> None:
+        _LOG.warning("connection to a replica closed: bytes that are no answer")
+        error = aiohttp.ClientPayloadError("bytes that are no answer")
+        if self._payload is not None and not self._payload.is_eof():
+            self._payload.set_exception(error)
+        self.set_exception(error)
+        if self.transport is not None:
+            self.transport.abort()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         payload = self._payload
@@ -137,6 +189,14 @@
         super().connection_lost(exc)
 
 
+async def _skip_body(payload: aiohttp.StreamReader) -> None:
+    size = 0
+    async for chunk in payload.iter_any():
+        size += len(chunk)
+        if size > _MAX_SKIPPED_BYTES:
+            raise aiohttp.ClientPayloadError("response to an earlier request too large")
+
+
 class _MatchingResponse(aiohttp.ClientResponse):
     """Sets the request id that its connection expects in the response."""
 
--- /dev/null
+++ b/standins/endless_replica.py
@@ -0,0 +1,135 @@
+"""Stand-in of a faulty replica whose bytes do not end until the node closes."""
+
+import asyncio
+import itertools
+import re
+from collections.abc import Iterator
+
+import msgspec
+
+__all__ = ["KINDS", "EndlessReplica"]
+
+_CHUNK_BYTES = 1 << 16
+_ID = re.compile(rb"\r\nFireflyspread-Request-Id: (\S+)\r\n", re.IGNORECASE)
+
+# Kinds of bytes, by where they occur.
+KINDS = (
+    "status line",
+    "header",
+    "headers",
+    "interim heads",
+    "foreign heads",
+    "foreign body",
+    "length body",
+    "chunked body",
+    "chunk extension",
+    "trailers",
+    "event",
+    "comments",
+    "after an answer",
+)
+
+
+def _repeat(unit: bytes) -> bytes:
+    return unit * (_CHUNK_BYTES // len(unit) + 1)
+
+
+def make_bytes(kind: str, request: bytes) -> Iterator[bytes]:
+    """Yield the bytes of one answer without end."""
+    ids = b"Fireflyspread-Request-Id: %s\r\n" % request
+    head = b"HTTP/1.1 200 OK\r\n%sFireflyspread-Response-Stamp: e.1\r\n" % ids
+    foreign = b"HTTP/1.1 200 OK\r\nFireflyspread-Request-Id: other\r\n"
+    chunk = b"%x\r\n%s\r\n" % (_CHUNK_BYTES, b"x" * _CHUNK_BYTES)
+    chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+    event_stream = b"Content-Type: text/event-stream\r\n" + chunked
+    first, rest = {
+        "status line": (b"HTTP/1.1 200 ", _repeat(b"O")),
+        "header": (head + b"X-Endless: ", _repeat(b"x")),
+        "headers": (head, _repeat(b"X-Endless: x\r\n")),
+        "interim heads": (b"", _repeat(b"HTTP/1.1 100 Continue\r\n\r\n")),
+        "foreign heads": (b"", _repeat(foreign + b"Content-Length: 0\r\n\r\n")),
+        "foreign body": (foreign + chunked, chunk),
+        "length body": (head + b"Content-Length: 4000000000000\r\n\r\n", chunk),
+        "chunked body": (head + chunked, chunk),
+        "chunk extension": (head + chunked + b"1;", _repeat(b"x")),
+        "trailers": (head + chunked + b"0\r\n", _repeat(b"X-Endless: x\r\n")),
+        "event": (head + event_stream, chunk),
+        "comments": (
+            head + event_stream,
+            b"%x\r\n%s\r\n" % (4 * _CHUNK_BYTES, b": x\n" * _CHUNK_BYTES),
+        ),
+        "after an answer": (
+            head + b"Content-Length: 2\r\n\r\nok",
+            _repeat(foreign + b"Content-Length: 0\r\n\r\n"),
+        ),
+    }[kind]
+    yield first
+    yield from itertools.repeat(rest)
+
+
+class EndlessReplica:
+    """Replica that answers each request with bytes without end.
+
+    Attributes
+    ----------
+    kind : str
+        One of ``KINDS``.
+    open_connections : int
+        Connections that the node has not closed.
+    requests : int
+        Requests received.
+    """
+
+    def __init__(self, kind: str, *, instance: str = "e-1") -> None:
+        self.kind = kind
+        self.instance = instance
+        self.open_connections = 0
+        self.requests = 0
+        self._server: asyncio.Server | None = None
+
+    async def __aenter__(self) -> "EndlessReplica":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self
+
+    async def __aexit__(self, *exc: object) -> None:
+        assert self._server is not None
+        self._server.close()
+
+    @property
+    def address(self) -> str:
+        """Address as ``host:port``."""
+        assert self._server is not None
+        return "{}:{}".format(*self._server.sockets[0].getsockname())
+
+    def make_registration(self, service: str) -> bytes:
+        """Return the registration that the replica writes to the platform's store."""
+        return msgspec.json.encode(
+            {
+                "service": service,
+                "address": self.address,
+                "zone": "z1",
+                "slots": 8,
+                "state": "ready",
+                "born": 1,
+            }
+        )
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.open_connections += 1
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+            self.requests += 1
+            found = _ID.search(head)
+            request = b"" if found is None else found[1]
+            for data in make_bytes(self.kind, request):
+                writer.write(data)
+                await writer.drain()
+                # Without it the test would have no time of its own.
+                await asyncio.sleep(0)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            return
+        finally:
+            self.open_connections -= 1
+            writer.close()
--- a/tests/engines/test_http.py
+++ b/tests/engines/test_http.py
@@ -58,6 +58,12 @@
     async def release(self, request: web.Request) -> web.Response:
         return web.Response(status=self.status)
 
+    async def load(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while True:
+            await response.write(b"x" * (1 << 16))
+
     async def order(self, request: web.Request) -> web.Response:
         return web.Response(status=409)
 
@@ -70,6 +76,7 @@
     app.router.add_post("/v1/requests/{id}/cancel", fake.cancel)
     app.router.add_delete("/v1/sessions/{id}", fake.release)
     app.router.add_post("/v1/orders", fake.order)
+    app.router.add_get("/v1/load", fake.load)
     runner = web.AppRunner(app, shutdown_timeout=0.1)
     await runner.setup()
     site = web.TCPSite(runner, "127.0.0.1", 0)
@@ -193,6 +200,18 @@
                     pass
 
 
+class TestLoad:
+    """HttpEngine.read_load."""
+
+    async def test_answer_without_an_end_is_rejected(self) -> None:
+        """Guards against a faulty engine that fills the memory with one answer."""
+        fake = FakeEngineServer()
+        async with serve(fake) as engine:
+            with pytest.raises(TargetError) as caught:
+                await engine.read_load()
+        assert "more than" in caught.value.message
+
+
 class TestSessions:
     """HttpEngine.release_session."""
 
--- a/tests/engines/test_sse.py
+++ b/tests/engines/test_sse.py
@@ -26,6 +26,13 @@
             assert got + DONE_EVENT == answer
             assert splitter.is_done
 
+    def test_rejects_event_without_an_end(self) -> None:
+        """Guards against a faulty engine that fills the memory with one event."""
+        splitter = EventSplitter("r1", "x")
+        with pytest.raises(TargetError):
+            for _ in range(100):
+                splitter.feed(b"x" * (1 << 16))
+
     def test_rejects_event_of_another_request(self) -> None:
         """Guards against an answer that reaches the wrong caller."""
         splitter = EventSplitter("r1", "x")
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -1,8 +1,10 @@
 """Tests of splitting streams at event boundaries."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from fireflyspread.exceptions import ReplicaCrashedError
 from fireflyspread.forwarding import EventSplitter
 from tests.forwarding.fakes import make_events
 
@@ -20,6 +22,13 @@
         assert events == count
         assert splitter.last_id == (str(count) if count else None)
 
+    def test_event_without_an_end_is_rejected(self):
+        """Guards against a faulty replica that fills the memory with one event."""
+        splitter = EventSplitter()
+        with pytest.raises(ReplicaCrashedError):
+            for _ in range(100):
+                splitter.feed(b"data: " + b"x" * (1 << 16))
+
     def test_partial_event_is_buffered(self):
         """Guards against parts of an event from two runs being joined."""
         splitter = EventSplitter()
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -146,6 +146,15 @@
         assert b"y" not in sink.body
         assert sink.is_started and not sink.is_finished
 
+    async def test_answer_without_an_end_is_cut_off(self):
+        """Guards against a faulty replica that sends a body without an end."""
+        harness = Harness(lambda name, n: Answer(chunks=[b"x" * (1 << 20)] * 100))
+        sink = FakeSink()
+        with pytest.raises(FireflyError):
+            await harness.forwarder.forward(harness.make_request("/orders/1"), sink)
+        assert not sink.is_finished
+        assert len(sink.body) <= 64 << 20
+
     async def test_error_status_of_a_replica_is_relayed(self):
         """Guards against a status that does not match the replica's stamp."""
         headers = [("Stamp", "s")]
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Tests of several gateway processes with requests that crash replicas."""
 
 import asyncio
+import random
 import signal
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -17,6 +18,7 @@
 _MAX_LATE_SENDS = 3
 _CONTACT_SECONDS = 3.0
 _CRASH_SECONDS = 0.5
+_SEEDS = (1, 2)
 _MARKER = "poison"
 _PATHS = {
     "safe": f"/prices/{_MARKER}",
@@ -44,6 +46,12 @@
     return sum(each.crash_count for each in (*cluster.models, *cluster.orders))
 
 
+def _list_run_times(cluster: Cluster, path: str) -> list[float]:
+    """Return when replicas received a request, each of which crashed its replica."""
+    received = [entry for each in cluster.orders for entry in each.received]
+    return sorted(entry.time for entry in received if entry.path == path)
+
+
 async def _send(
     session: aiohttp.ClientSession, node: Gateway, path: str, request: str
 ) -> tuple[int, dict[str, str]]:
@@ -138,6 +146,44 @@
             await _send_to_all(session, cluster, path, f"late-{attempt}")
         assert _count_crashes(cluster) - before <= _MAX_LATE_SENDS
 
+    @pytest.mark.parametrize("seed", _SEEDS)
+    async def test_is_refused_under_random_kills_and_outages(
+        self, cluster, session, seed
+    ):
+        """Guards against crashes that are forgotten beside kills and store outages."""
+        rng = random.Random(seed)
+        stopped = asyncio.Event()
+
+        async def kill_nodes() -> None:
+            while not stopped.is_set():
+                await asyncio.sleep(rng.uniform(0.2, 1.5))
+                nodes = rng.sample(cluster.nodes, rng.choice((1, 1, 2, 4)))
+                for node in nodes:
+                    await node.stop(signal.SIGKILL)
+                await asyncio.gather(
+                    *(node.start(is_first=False, wait_ready=False) for node in nodes)
+                )
+
+        async def interrupt_store() -> None:
+            while not stopped.is_set():
+                await asyncio.sleep(rng.uniform(0.5, 4.0))
+                cluster.store.faults.down = "refuse"
+                await asyncio.sleep(rng.uniform(0.1, 1.0))
+                cluster.store.faults.down = ""
+
+        faults = [asyncio.create_task(each()) for each in (kill_nodes, interrupt_store)]
+        for number in range(40):
+            path = _PATHS[rng.choice(("safe", "unsafe"))]
+            await _send(session, rng.choice(cluster.nodes), path, f"r{number}")
+            await asyncio.sleep(rng.uniform(0.1, 0.8))
+        stopped.set()
+        await asyncio.gather(*faults)
+        for path in (_PATHS["safe"], _PATHS["unsafe"]):
+            times = _list_run_times(cluster, path)
+            assert len(times) >= _MAX_CRASHES
+            late = [at for at in times if at > times[2] + _CONTACT_SECONDS]
+            assert len(late) <= _MAX_LATE_SENDS, [at - times[0] for at in times]
+
 
 class TestOtherRequests:
     async def test_are_served_beside_a_request_that_crashes_replicas(
