Count crashes of replicas that fall silent

Cause: the evidence came only from requests that were still in flight when their connection broke. The registrations know better, some seconds later: a replica whose entry ends or restarts without draining has crashed. Now the requests that ended on it without an answer in the 6 s before count, unless one with the same fingerprint has been answered since.

--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -147,7 +147,11 @@
             timeout=settings.store.timeout,
         )
         self._configs = ConfigHolder()
-        self._directory = ReplicaDirectory(self._clock, self._set_targets)
+        self._directory = ReplicaDirectory(
+            self._clock,
+            self._set_targets,
+            on_loss=lambda replica: self._scheduler.record_loss(replica),
+        )
         self._placement = PromptPlacement(self._rng, zone=settings.node.zone)
         self._scheduler = PolicyScheduler(
             self._clock,
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -70,11 +70,19 @@
     ----------
     on_change : callable
         Called with the names of the services whose replicas changed.
+    on_loss : callable or None
+        Called with a replica that is gone, or has restarted, without draining before.
     """
 
-    def __init__(self, clock: Clock, on_change: Callable[[set[str]], None]) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        on_change: Callable[[set[str]], None],
+        on_loss: Callable[[Replica], None] | None = None,
+    ) -> None:
         self._clock = clock
         self._on_change = on_change
+        self._on_loss = on_loss
         self._records: dict[str, ReplicaRecord] = {}
         self._missing: dict[str, _Missing] = {}
         self._grace_until = 0.0
@@ -113,8 +121,14 @@
                 "born": record.born,
             },
         )
+        if known is not None and known.born != record.born:
+            self._report_loss(known)
         self._notify({record.service} | ({known.service} if known else set()))
 
+    def _report_loss(self, record: ReplicaRecord) -> None:
+        if self._on_loss is not None and not record.is_draining:
+            self._on_loss(_make_replica(record))
+
     def remove(self, instance: str) -> None:
         """Remove a replica whose entry is gone, after the grace period if one runs."""
         record = self._records.get(instance)
@@ -135,6 +149,7 @@
 
     def _drop(self, record: ReplicaRecord) -> None:
         self._records.pop(record.instance, None)
+        self._report_loss(record)
         _LOG.info(
             "replica removed",
             extra={"replica": record.instance, "target": record.service},
@@ -167,12 +182,7 @@
             kind=TargetKind.ENGINE if service in self._slots else TargetKind.SERVICE,
             half="all",
             replicas=tuple(
-                Replica(
-                    name=record.instance,
-                    url=f"http://{record.address}",
-                    zone=record.zone,
-                    vm=f"{record.instance}/{record.born}",
-                )
+                _make_replica(record)
                 for record in sorted(records, key=lambda each: each.instance)
             ),
             concurrency=max(1, slots),
@@ -193,3 +203,12 @@
             }
             for record in self._records.values()
         }
+
+
+def _make_replica(record: ReplicaRecord) -> Replica:
+    return Replica(
+        name=record.instance,
+        url=f"http://{record.address}",
+        zone=record.zone,
+        vm=f"{record.instance}/{record.born}",
+    )
--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -14,6 +14,10 @@
 __all__ = ["Isolation", "RunningRequest"]
 
 
+# Results that leave open whether the replica still runs.
+_UNANSWERED = frozenset({Result.BROKEN, Result.CANCELLED, Result.TIMED_OUT})
+
+
 @frozen
 class RunningRequest:
     """A request that runs on a replica.
@@ -170,6 +174,6 @@
             )
         elif result is Result.ANSWERED:
             self._quarantine.record_answer(fingerprint, isolated=run.is_isolated)
-        self._quarantine.finish(fingerprint, process)
+        self._quarantine.finish(fingerprint, process, unanswered=result in _UNANSWERED)
         if run.is_isolated:
             self.release(ticket.work, run.state)
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -7,7 +7,7 @@
 from itertools import islice
 from typing import Any
 
-from fireflyspread.bundle import Target
+from fireflyspread.bundle import Replica, Target
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import OverloadedError
 from fireflyspread.routing._crashes import identify_process
@@ -386,6 +386,10 @@
         }
         self._dispatch(state)
 
+    def record_loss(self, replica: Replica) -> None:
+        """Record that a replica is gone without having announced it."""
+        self.quarantine.record_loss(identify_process(replica))
+
     def dump(self) -> dict[str, Any]:
         """Return the state for a state dump, in JSON types."""
         return {
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -18,6 +18,9 @@
 # Evidence is kept for this multiple of the length of a quarantine, so that a request
 # that crashes replicas still is isolated afterwards instead of crashing as many again.
 _EVIDENCE_FACTOR = 6
+# Fingerprints of requests without an answer that are kept, and such requests of one.
+_MAX_UNANSWERED = 1024
+_MAX_UNANSWERED_ENDS = 16
 # Seconds after which the evidence is checked for crashes that are too old.
 _MAX_VERDICT_AGE = 10.0
 
@@ -43,6 +46,9 @@
     settle_seconds : float
         Seconds after the last crash before a quarantine begins. In this time other
         nodes report their requests that were in flight, one of which may be the cause.
+    loss_window : float
+        Seconds from the moment when a replica falls silent until it is known to be
+        gone.
     outage_window : float
         Seconds within which crashes of ``min_outage_replicas`` count as one outage.
     min_outage_replicas : int
@@ -63,6 +69,7 @@
         incarnation: str | None = None,
         ttl: float = 600.0,
         settle_seconds: float = 0.0,
+        loss_window: float = 6.0,
         outage_window: float = 2.0,
         min_outage_replicas: int = 3,
     ) -> None:
@@ -84,6 +91,9 @@
         self.on_change: Callable[[bool], None] = lambda is_urgent: None
         # Ranks of the requests in flight, by process and fingerprint.
         self._in_flight: dict[str, dict[str, list[int]]] = {}
+        # Monotonic end, process and rank of requests without an answer, by fingerprint.
+        self._unanswered: dict[str, list[tuple[float, str, int]]] = {}
+        self._loss_window = loss_window
         self._verdicts = Verdicts()
         # Number of the report of which ``on_change`` was told last.
         self._announced = 0
@@ -94,12 +104,27 @@
         ranks = self._in_flight.setdefault(process, {}).setdefault(fingerprint, [])
         ranks.append(1 + self._evidence.read_rank(fingerprint))
 
-    def finish(self, fingerprint: str, process: str) -> None:
-        """Record that a request ended, with any result."""
+    def finish(
+        self, fingerprint: str, process: str, *, unanswered: bool = False
+    ) -> None:
+        """Record that a request ended.
+
+        Parameters
+        ----------
+        unanswered : bool
+            Whether the replica may have stopped without closing the connection.
+        """
         in_flight = self._in_flight.get(process)
         if in_flight is None or fingerprint not in in_flight:
             return
-        in_flight[fingerprint].pop(0)
+        rank = in_flight[fingerprint].pop(0)
+        if unanswered:
+            now = self._clock.read_monotonic()
+            ends = self._unanswered.setdefault(fingerprint, [])
+            ends.append((now, process, rank))
+            del ends[:-_MAX_UNANSWERED_ENDS]
+            if len(self._unanswered) > _MAX_UNANSWERED:
+                del self._unanswered[next(iter(self._unanswered))]
         if not in_flight[fingerprint]:
             del in_flight[fingerprint]
         if not in_flight:
@@ -113,6 +138,7 @@
         *,
         alone: bool,
         shared: bool = False,
+        ranks: dict[str, int] | None = None,
     ) -> None:
         """Record what was in flight when a replica crashed.
 
@@ -127,10 +153,13 @@
             Whether this node sent nothing else to the replica.
         shared : bool
             Whether the replica reported requests of other nodes.
+        ranks : dict of str to int or None
+            Ranks of the requests that count; those in flight by default.
         """
         self._refresh()
-        in_flight = self._in_flight.get(process, {})
-        ranks = {name: max(found) for name, found in in_flight.items()}
+        if ranks is None:
+            in_flight = self._in_flight.get(process, {})
+            ranks = {name: max(found) for name, found in in_flight.items()}
         ranks.setdefault(fingerprint, 1 + self._evidence.read_rank(fingerprint))
         crash = self._evidence.add(
             process,
@@ -153,8 +182,27 @@
         )
         self._judge(is_urgent=max(crash.ranks.values()) > 1)
 
+    def record_loss(self, process: str) -> None:
+        """Record that a replica is gone without having announced it.
+
+        A replica that falls silent is found gone only after its callers have left, so
+        this counts the requests that ended without an answer shortly before.
+        """
+        now = self._clock.read_monotonic()
+        ranks = {
+            fingerprint: rank
+            for fingerprint, ends in self._unanswered.items()
+            for at, at_process, rank in ends
+            if at_process == process and at > now - self._loss_window
+        }
+        for fingerprint in ranks:
+            self.record_crash(
+                fingerprint, process, now - self._loss_window, alone=False, ranks=ranks
+            )
+
     def record_answer(self, fingerprint: str, *, isolated: bool) -> None:
         """Drop the evidence against a request that was answered, if the policy does."""
+        self._unanswered.pop(fingerprint, None)
         if not self._policy.is_cleared(isolated=isolated):
             return
         was_suspect = fingerprint in self._verdicts.suspects
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -32,6 +32,8 @@
         A request whose path or body contains this text crashes the replica.
     crash_seconds : float
         Seconds until the replica is back after such a crash.
+    crashes_silently : bool
+        Whether such a crash leaves connections open and without an answer.
     refuse : int
         Number of next requests that are refused as not run.
     work : float
@@ -41,6 +43,7 @@
     break_streams: int = 0
     crash_on: str = ""
     crash_seconds: float = 0.5
+    crashes_silently: bool = False
     refuse: int = 0
     work: float = 0.002
 
@@ -103,10 +106,15 @@
     def crash(self, seconds: float) -> None:
         """Reset all connections, and return as another instance after ``seconds``."""
         self.crash_count += 1
-        super().crash(seconds)
+        if self.faults.crashes_silently:
+            self.faults.down = "hang"
+            self._apply_faults()
+        else:
+            super().crash(seconds)
 
         async def restart() -> None:
             await asyncio.sleep(seconds)
+            self.faults.down = ""
             previous, self.instance = self.instance, f"{self._name}.{self.crash_count}"
             self.on_restart(previous)
 
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -1,6 +1,7 @@
 """Tests of several gateway processes with requests that crash replicas."""
 
 import asyncio
+import contextlib
 import random
 import signal
 from collections.abc import AsyncIterator
@@ -146,6 +147,21 @@
             await _send_to_all(session, cluster, path, f"late-{attempt}")
         assert _count_crashes(cluster) - before <= _MAX_LATE_SENDS
 
+    async def test_is_refused_although_replicas_fall_silent(self, cluster, session):
+        """Guards against crashes that are found only after the caller has left."""
+        for replica in cluster.orders:
+            replica.faults.crashes_silently = True
+            replica.faults.crash_seconds = 1.5
+        for number in range(14):
+            node = cluster.nodes[number % len(cluster.nodes)]
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.5):
+                    await _send(session, node, _PATHS["unsafe"], f"r{number}")
+            await asyncio.sleep(0.7)
+        times = _list_run_times(cluster, _PATHS["unsafe"])
+        late = [at for at in times if at > times[2] + _CONTACT_SECONDS]
+        assert len(late) <= _MAX_LATE_SENDS, [at - times[0] for at in times]
+
     @pytest.mark.parametrize("seed", _SEEDS)
     async def test_is_refused_under_random_kills_and_outages(
         self, cluster, session, seed
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -179,6 +179,40 @@
         nodes.run(1, "p", "r2")
         assert nodes.is_quarantined("p") == [True, True]
 
+    def test_silent_replicas_count_when_they_are_gone(self) -> None:
+        """Guards against crashes that go unseen because the caller left first."""
+        nodes = Nodes.with_size(2)
+        for number in range(3):
+            quarantine = nodes.quarantines[number % 2]
+            quarantine.start("p", f"r{number}")
+            quarantine.start("answered", f"r{number}")
+            quarantine.finish("answered", f"r{number}")
+            quarantine.finish("p", f"r{number}", unanswered=True)
+            nodes.clock.advance(4)
+            quarantine.record_loss(f"r{number}")
+            nodes.exchange()
+        assert nodes.is_quarantined("p") == [True, True]
+        assert nodes.quarantines[0].get_crashed_replicas("answered") == frozenset()
+
+    def test_request_long_before_a_loss_does_not_count(self) -> None:
+        """Guards against blaming whatever the replica did not answer before."""
+        nodes = Nodes.with_size(1)
+        nodes.quarantines[0].start("p", "r1")
+        nodes.quarantines[0].finish("p", "r1", unanswered=True)
+        nodes.clock.advance(7)
+        nodes.quarantines[0].record_loss("r1")
+        assert nodes.quarantines[0].get_crashed_replicas("p") == frozenset()
+
+    def test_request_answered_before_the_loss_does_not_count(self) -> None:
+        """Guards against blaming a request that another replica has answered."""
+        nodes = Nodes.with_size(1)
+        nodes.quarantines[0].start("p", "r1")
+        nodes.quarantines[0].finish("p", "r1", unanswered=True)
+        nodes.send(0, "p", "r2")
+        nodes.answer(0, "p", "r2")
+        nodes.quarantines[0].record_loss("r1")
+        assert nodes.quarantines[0].get_crashed_replicas("p") == frozenset()
+
     def test_one_crash_is_enough_after_the_end_of_a_quarantine(self) -> None:
         """Guards against three more crashes each time a quarantine ends."""
         nodes = Nodes.with_size(1)
--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -30,6 +30,26 @@
         return [r.name for r in self.directory.get_target("models").replicas]
 
 
+class TestLoss:
+    """Replicas that are gone without draining."""
+
+    def test_gone_and_restarted_replicas_are_losses(self):
+        """Guards against crashes that nobody learns of, and planned ends as crashes."""
+        losses: list[str] = []
+        directory = ReplicaDirectory(
+            ManualClock(),
+            lambda changed: None,
+            lambda replica: losses.append(replica.vm),
+        )
+        for instance in ("gone", "restarted", "planned"):
+            directory.put(_make_record(instance, born=1))
+        directory.put(_make_record("planned", born=1, is_draining=True))
+        directory.put(_make_record("restarted", born=2))
+        directory.remove("planned")
+        directory.remove("gone")
+        assert losses == ["restarted/1", "gone/1"]
+
+
 class TestReplicaDirectory:
     def test_draining_replica_gets_nothing(self):
         """Guards against requests to a replica that is draining."""
