Wait for the other nodes' crash reports before a quarantine

A caller of the product's own interface could get request_quarantined for a request that was beside another node's crashing request: each node judged with what it knew itself, although the other nodes' reports arrive with the next Hello.

A verdict of the scheduler of a node now waits for two intervals of Hello, 1 s by default, in which the request is held back; gateways wait 0.2 s already. test_verdict_waits_for_the_other_nodes failed before.

--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -45,6 +45,8 @@
 # Interval (seconds) at which waiting requests are considered again, because load
 # reports and ejections expire and waiting for a holder stops paying off.
 _TICK_SECONDS = 0.1
+# Intervals of ``Hello`` messages after which the neighbours have reported a crash.
+_HELLO_INTERVALS = 2
 _NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE})
 
 
@@ -111,6 +113,10 @@
             clock,
             rng,
             placement=PrefixAwarePlacement(rng, zone=settings.node.zone),
+            quarantine=Quarantine(
+                clock,
+                settle_seconds=_HELLO_INTERVALS * settings.timing.hello_interval,
+            ),
             max_queued_requests=settings.limits.queued_requests,
         )
 
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -19,6 +19,7 @@
     Ticket,
     Work,
 )
+from fireflyspread.settings import Settings
 from tests.routing.virtual_time import LoopClock, run_virtual
 
 Test = Callable[..., Coroutine[Any, Any, None]]
@@ -68,6 +69,19 @@
     return PolicyScheduler(clock, random.Random(1), **options)
 
 
+def make_settings() -> Settings:
+    """Return the settings of a node of the product."""
+    names = ("callers", "internal", "peers", "operators")
+    return Settings.from_config(
+        {
+            "node": {"name": "n1", "zone": "z", "vm": "vm-1"},
+            "listen": dict.fromkeys(names, "127.0.0.1:0"),
+            "platform": {"store": "http://127.0.0.1:1"},
+            "node_secret": "0123456789abcdef",
+        }
+    )
+
+
 def make_suspect_report(fingerprint: str) -> CrashReport:
     """Return a report about a crash of another replica."""
     now = LoopClock(asyncio.get_running_loop()).read_wall()
@@ -231,6 +245,37 @@
         with pytest.raises(QuarantinedError):
             await scheduler.acquire(make_work("p9", fingerprint="p"), target)
 
+    @in_virtual_time
+    async def test_verdict_waits_for_the_other_nodes(self) -> None:
+        """Guards against a quarantine for the crash of another node's request.
+
+        The other node's report arrives with its next ``Hello``.
+        """
+        loop = asyncio.get_running_loop()
+        scheduler = PolicyScheduler.from_config(
+            make_settings(), LoopClock(loop), random.Random(1)
+        )
+        target = make_target(4, concurrency=4)
+        for attempt in range(2):
+            work = make_work(f"q{attempt}", fingerprint="q")
+            ticket = await scheduler.acquire(work, target)
+            await asyncio.sleep(1)
+            scheduler.release(ticket, Result.CRASHED)
+        waiting = await start(scheduler, make_work("q9", fingerprint="q"), target)
+        await asyncio.sleep(0.5)
+        assert not waiting.done()
+        replica = ticket.replica
+        crash = Crash(
+            id=f"{replica.name}@{replica.vm}#0",
+            process=f"{replica.name}@{replica.vm}",
+            at=LoopClock(loop).read_wall(),
+            ranks={"poison": 1},
+            is_alone=True,
+        )
+        report = CrashReport(incarnation="n2", number=1, crashes=(crash,))
+        scheduler.quarantine.merge("n2", report)
+        assert (await waiting).replica.name not in ("", replica.name)
+
     @in_virtual_time
     async def test_suspect_waits_until_it_is_alone(self) -> None:
         """Guards against a suspect whose crash cuts off other requests."""
