Quarantine a request that explains more crashes than those beside it

Cause: a request counted as alone on its replica only if no other node had reported any request there, equal ones included; a replica is isolated by one node, so that hardly ever holds. Now it counts if its own node sent nothing else, and nothing beside it explains as many crashes, as in CrashSeriesPolicy. What other nodes had in flight at all crashes alike still prevents a quarantine.

Gateways are not concerned: their policy does not ask who was alone.

--- a/src/fireflyspread/routing/_crashes.py
+++ b/src/fireflyspread/routing/_crashes.py
@@ -75,15 +75,14 @@
 
     Attributes
     ----------
-    reporters : int
-        Number of nodes that reported it.
+    alone : set of str
+        Fingerprints of nodes that sent nothing else to the replica.
     """
 
     process: str
     at: float
     ranks: dict[str, int] = field(factory=dict)
-    reporters: int = 0
-    is_alone: bool = False
+    alone: set[str] = field(factory=set)
     is_shared: bool = False
 
     def add(self, crash: Crash) -> None:
@@ -91,8 +90,8 @@
         self.at = min(self.at, crash.at)
         for fingerprint, rank in crash.ranks.items():
             self.ranks[fingerprint] = max(rank, self.ranks.get(fingerprint, 0))
-        self.reporters += 1
-        self.is_alone = self.reporters == 1 and crash.is_alone
+        if crash.is_alone:
+            self.alone.update(crash.ranks)
         self.is_shared |= crash.is_shared
 
 
@@ -105,7 +104,7 @@
     at : float
         Unix seconds.
     is_alone : bool
-        Whether no node is known to have sent another request to the replica.
+        Whether the node of the request sent nothing else to the replica.
     is_shared : bool
         Whether the replica reported requests of other nodes.
     max_other_crashes : int
--- a/src/fireflyspread/routing/_quarantine_policy.py
+++ b/src/fireflyspread/routing/_quarantine_policy.py
@@ -53,7 +53,7 @@
 class IsolationPolicy(QuarantinePolicy):
     """Isolates a request after one crash, and quarantines it after two.
 
-    One of the two crashes must have happened while the request was alone on the
+    One of the two crashes must have happened while its node sent nothing else to the
     replica. Isolation takes replicas away from other requests, so this suits targets
     with spare replicas and requests without tight deadlines.
 
@@ -68,11 +68,16 @@
         )
 
     def is_proven(self, sightings: Sequence[Sighting]) -> bool:
-        alone = [sighting for sighting in sightings if sighting.is_alone]
+        # Requests of other nodes beside it are no cause if they explain fewer crashes.
+        alone = [
+            sighting
+            for sighting in sightings
+            if sighting.is_alone and sighting.max_other_crashes < len(sightings)
+        ]
         processes = {sighting.process for sighting in sightings}
         if any(not sighting.is_shared for sighting in alone):
             return len(processes) >= 2
-        # A request of another node may be the cause of a crash of a shared replica.
+        # Nodes that have not reported may have sent the cause to a shared replica.
         return len(alone) >= 2 and len(processes) >= 3
 
     def is_cleared(self, *, isolated: bool) -> bool:
--- a/src/fireflyspread/routing/_verdicts.py
+++ b/src/fireflyspread/routing/_verdicts.py
@@ -98,7 +98,7 @@
                     process=crash.process,
                     at=crash.at,
                     rank=crash.ranks[fingerprint],
-                    is_alone=crash.is_alone,
+                    is_alone=fingerprint in crash.alone,
                     is_shared=crash.is_shared,
                     max_other_crashes=max(
                         (self._count_crashes(other, proven) for other in others),
