--- a/src/fireflyspread/platform/_front.py
+++ b/src/fireflyspread/platform/_front.py
@@ -113,8 +113,7 @@
     def _make_error(self, request: web.BaseRequest, exc: FireflyError) -> web.Response:
         status = exc.status
         if isinstance(exc, QuarantinedError):
-            # Callers of the platform know no other status for requests that have not
-            # run and that are worth a later try only.
+            # To callers of the platform 422 does not say that the request has not run.
             status = 503
         if status in _NOT_RUN_STATUSES and exc.outcome is not Outcome.NOT_RUN:
             status = 502
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -289,15 +289,13 @@
                 _send(session, cluster.nodes[attempt % 4], path, f"cut-{attempt}")
             )
             await asyncio.sleep(0.05)
-            _find_running(cluster).crash(_CRASH_SECONDS)
+            _find_running(cluster, f"cut-{attempt}").crash(_CRASH_SECONDS)
             assert (await running)[0] == 502
             await asyncio.sleep(_CRASH_SECONDS + 0.5)
             status, _ = await _send(session, cluster.nodes[0], path, f"again-{attempt}")
             assert status == 200
 
 
-def _find_running(cluster: Cluster) -> PlatformReplica:
+def _find_running(cluster: Cluster, request: str) -> PlatformReplica:
     """Return the replica that runs an order."""
-    return next(
-        each for each in cluster.orders if each.runs and not each.runs[-1].is_complete
-    )
+    return next(each for each in cluster.orders if each.count_runs()[request])
