Log the framing of a replica's answer and the bytes received

The incident's hypotheses differ in how an answer was framed and in how much of it had arrived, and no log line said either. The lines of answered and failed requests get the fields framing and received.

--- a/src/fireflyspread/forwarding/__init__.py
+++ b/src/fireflyspread/forwarding/__init__.py
@@ -1,6 +1,6 @@
 """Forwards opaque requests from callers to replicas and relays the answers."""
 
-from fireflyspread.forwarding._backend import Backend, Dispatch, Reply
+from fireflyspread.forwarding._backend import Backend, Dispatch, Framing, Reply
 from fireflyspread.forwarding._config import (
     CallerLimits,
     EngineTraits,
@@ -31,6 +31,7 @@
     "Forwarder",
     "ForwardingConfig",
     "ForwardingRoute",
+    "Framing",
     "ProgramCall",
     "Prompt",
     "Reply",
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -15,7 +15,7 @@
     TargetError,
     TargetUnreachableError,
 )
-from fireflyspread.forwarding._backend import Backend, Dispatch, Reply
+from fireflyspread.forwarding._backend import Backend, Dispatch, Framing, Reply
 from fireflyspread.forwarding._config import (
     ForwardingRoute,
     RouteKind,
@@ -109,6 +109,8 @@
         self._sends = 0
         self._has_started_body = False
         self._status = 0
+        self._framing: Framing | None = None
+        self._received_bytes = 0
         self._first_byte_at = 0.0
         self.fingerprint = _compute_fingerprint(request, team)
 
@@ -200,6 +202,7 @@
         if remaining <= 0:
             raise DeadlineError("the deadline of the request passed; allow more time")
         self._sends += 1
+        self._framing, self._received_bytes = None, 0
         may_have_run_before, self.may_have_run = self.may_have_run, True
         dispatch = Dispatch(
             remaining=remaining,
@@ -220,6 +223,7 @@
             raise
 
     async def _relay(self, reply: Reply, replica: Replica) -> None:
+        self._framing = reply.framing
         if reply.load is not None:
             self._scheduler.report_load(replica.name, reply.load)
         if reply.is_refusal or reply.is_wrong_instance:
@@ -250,6 +254,7 @@
             self._first_byte_at = self._clock.read_monotonic()
             await self._sink.start(reply.status, reply.headers)
         async for chunk in reply.iterate():
+            self._received_bytes += len(chunk)
             complete, events = self._splitter.feed(chunk)
             if complete:
                 self._charge_budget(events)
@@ -268,11 +273,10 @@
     async def _relay_body(self, reply: Reply, replica: Replica) -> None:
         """Relay an answer once it is complete, or in chunks if it is large."""
         body = bytearray()
-        size = 0
         async for chunk in reply.iterate():
             body += chunk
-            size += len(chunk)
-            if size > _MAX_ANSWER_BYTES:
+            self._received_bytes += len(chunk)
+            if self._received_bytes > _MAX_ANSWER_BYTES:
                 raise ReplicaCrashedError(
                     f"the answer of replica {replica.name} has more than "
                     f"{_MAX_ANSWER_BYTES} bytes; check the replica"
@@ -336,6 +340,8 @@
                 "result": result,
                 "may_have_run": self.may_have_run,
                 "event": self._splitter.last_id,
+                "framing": self._framing,
+                "received": self._received_bytes,
                 "attempt": self._sends,
             },
         )
@@ -357,6 +363,8 @@
             "seconds": seconds,
             "first": round(max(0.0, self._first_byte_at - self.request.received_at), 4),
             "event": self._splitter.last_id,
+            "framing": self._framing,
+            "received": self._received_bytes,
             "parts": None if prompt is None else len(prompt.parts),
             "prompt": None if prompt is None else prompt.input_tokens,
             "budget": None if program is None else program.budget,
--- a/src/fireflyspread/forwarding/_backend.py
+++ b/src/fireflyspread/forwarding/_backend.py
@@ -1,6 +1,7 @@
 """Interface of the client that sends requests to replicas."""
 
 import abc
+import enum
 from collections.abc import AsyncIterator, Sequence
 
 from attrs import frozen
@@ -9,7 +10,16 @@
 from fireflyspread.forwarding._request import ForwardRequest
 from fireflyspread.routing import LoadReport
 
-__all__ = ["Backend", "Dispatch", "Reply"]
+__all__ = ["Backend", "Dispatch", "Framing", "Reply"]
+
+
+class Framing(enum.StrEnum):
+    """How the end of an answer's body is marked."""
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    # Only the end of the connection marks the end of the body.
+    CONNECTION = "connection"
 
 
 @frozen(kw_only=True)
@@ -48,6 +58,8 @@
         Whether the address now belongs to another replica.
     load : LoadReport or None
         Load that the replica reported with this response.
+    framing : Framing
+        How the end of the body is marked.
     """
 
     status: int
@@ -55,6 +67,7 @@
     is_refusal: bool
     is_wrong_instance: bool
     load: LoadReport | None
+    framing: Framing
 
     @abc.abstractmethod
     def iterate(self) -> AsyncIterator[bytes]:
--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -44,6 +44,8 @@
     "result",
     "may_have_run",
     "event",
+    "framing",
+    "received",
     "status",
     "outcome",
     "retry_after",
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -21,7 +21,13 @@
     TargetError,
     TargetUnreachableError,
 )
-from fireflyspread.forwarding import Backend, Dispatch, ForwardRequest, Reply
+from fireflyspread.forwarding import (
+    Backend,
+    Dispatch,
+    ForwardRequest,
+    Framing,
+    Reply,
+)
 from fireflyspread.platform import _headers as names
 from fireflyspread.platform._headers import select_response_headers
 from fireflyspread.routing import LoadReport
@@ -221,6 +227,7 @@
         self.is_refusal = names.NOT_EXECUTED in headers
         self.is_wrong_instance = response.status == 421
         self.load = _read_load(headers.get(names.SERVER_LOAD), now)
+        self.framing = _read_framing(response)
 
     async def iterate(self) -> AsyncIterator[bytes]:
         try:
@@ -327,6 +334,15 @@
     return headers
 
 
+def _read_framing(response: aiohttp.ClientResponse) -> Framing:
+    if "chunked" in response.headers.get("Transfer-Encoding", "").lower():
+        return Framing.CHUNKS
+    has_no_body = response.method == "HEAD" or response.status in (204, 304)
+    if has_no_body or "Content-Length" in response.headers:
+        return Framing.LENGTH
+    return Framing.CONNECTION
+
+
 def _read_load(value: str | None, now: float) -> LoadReport | None:
     try:
         running, waiting, _ = (int(part) for part in (value or "").split(","))
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -30,6 +30,7 @@
     ForwardingConfig,
     ForwardingRoute,
     ForwardRequest,
+    Framing,
     ProgramCall,
     Prompt,
     Reply,
@@ -75,6 +76,7 @@
     is_lost: bool = False
     is_crash: bool = False
     load: LoadReport | None = None
+    framing: Framing = Framing.CHUNKS
 
 
 class FakeReply(Reply):
@@ -86,6 +88,7 @@
         self.is_refusal = answer.is_refusal
         self.is_wrong_instance = answer.is_wrong_instance
         self.load = answer.load
+        self.framing = answer.framing
         self._chunks = answer.chunks
 
     async def iterate(self) -> AsyncIterator[bytes]:
