Reproduce answers that are reset right behind their last data

What callers saw: streams and plain answers that their replica had broken off, framed as complete. If the last data and the reset arrive in one step of the event loop, libuv reports the end of the stream instead of the reset, and an answer without a length or chunks then counts as complete.

--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import itertools
+import socket
+import struct
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -36,6 +38,12 @@
         Whether such a crash leaves connections open and without an answer.
     refuse : int
         Number of next requests that are refused as not run.
+    reset_answers : int
+        Number of next answers whose connection is reset right behind the last bytes.
+    reset_events : int
+        Complete events of a stream before such a reset.
+    unframed : bool
+        Whether answers have neither a length nor chunks and end with their connection.
     work : float
         Seconds that a plain request takes, and seconds between events of a stream.
     """
@@ -45,6 +53,9 @@
     crash_seconds: float = 0.5
     crashes_silently: bool = False
     refuse: int = 0
+    reset_answers: int = 0
+    reset_events: int = 0
+    unframed: bool = False
     work: float = 0.002
 
 
@@ -71,6 +82,13 @@
     is_complete: bool = False
 
 
+class _UnframedResponse(web.StreamResponse):
+    """A response with neither a length nor chunks."""
+
+    # aiohttp then adds neither of the two headers.
+    _length_check = False
+
+
 class PlatformReplica(StandIn):
     """Replica that answers every path; one with ``/stream`` is answered with a stream.
 
@@ -176,8 +194,7 @@
                     return await self._stream(request, run, headers)
                 return web.Response(status=499)
             await asyncio.sleep(self.faults.work)
-            run.is_complete = True
-            return web.Response(body=b"done " + await request.read(), headers=headers)
+            return await self._respond(request, run, headers)
         finally:
             self._active -= 1
 
@@ -187,18 +204,52 @@
             marker in request.path or marker.encode() in await request.read()
         )
 
+    async def _respond(
+        self, request: web.Request, run: Run, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        body = b"done " + await request.read()
+        is_reset = self._is_reset_next()
+        run.is_complete = not is_reset
+        if not (is_reset or self.faults.unframed):
+            return web.Response(body=body, headers=headers)
+        response = self._make_response(headers)
+        if not self.faults.unframed:
+            response.content_length = len(body)
+        await response.prepare(request)
+        await response.write(body[:4] if is_reset else body)
+        if is_reset:
+            _reset(request)
+        else:
+            await response.write_eof()
+        return response
+
+    def _is_reset_next(self) -> bool:
+        is_reset = self.faults.reset_answers > 0
+        if is_reset:
+            self.faults.reset_answers -= 1
+        return is_reset
+
+    def _make_response(self, headers: dict[str, str]) -> web.StreamResponse:
+        if not self.faults.unframed:
+            return web.StreamResponse(headers=headers)
+        response = _UnframedResponse(headers=headers)
+        response.force_close()
+        return response
+
     async def _stream(
         self, request: web.Request, run: Run, headers: dict[str, str]
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={**headers, "Content-Type": "text/event-stream"}
-        )
+        response = self._make_response({**headers, "Content-Type": "text/event-stream"})
+        is_reset = self._is_reset_next()
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
         is_cut = self.faults.break_streams > 0
         if is_cut:
             self.faults.break_streams -= 1
         for number in range(first, self._event_count + 1):
+            if is_reset and number == first + self.faults.reset_events:
+                _reset(request)
+                return response
             await asyncio.sleep(self.faults.work)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
             if is_cut and number == first + 2:
@@ -213,5 +264,14 @@
         return response
 
 
+def _reset(request: web.Request) -> None:
+    """Reset the connection; the bytes written before arrive first."""
+    assert request.transport is not None
+    linger = struct.pack("ii", 1, 0)
+    sock = request.transport.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    request.transport.abort()
+
+
 if __name__ == "__main__":
     main(PlatformReplica, instance=(str, "i-1", "identity of the replica"))
