Fail answers whose connection is reset right behind their last data

Cause: a replica may send an answer with neither a length nor chunks, which then ends with its connection. If the last data and a reset arrive in one step of the loop, libuv reads the data, sees the hang-up and reports an end of the stream without reading again, so the reset never shows, neither in eof_received nor in connection_lost. aiohttp takes the body as complete.

Change: when the stream ends, the protocol reads the pending error of the socket, where the reset remains, and fails the body. The protocol moves from the client of the platform's replicas to the shared HTTP client, so that services and engines of the product's own interface, the store, the relay between nodes and the operators' client have the same check; they had none before.

--- a/src/fireflyspread/_http_client.py
+++ b/src/fireflyspread/_http_client.py
@@ -1,12 +1,16 @@
 """Helpers of HTTP clients, shared by the packages for engines and services."""
 
 import asyncio
+import functools
+import socket
 from collections.abc import Iterator
 from contextlib import contextmanager
+from typing import Any
 from urllib.parse import quote
 
 import aiohttp
 import msgspec
+from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
 from fireflyspread.exceptions import (
@@ -18,6 +22,8 @@
 )
 
 __all__ = [
+    "ClientConnector",
+    "ResetAwareProtocol",
     "accepts_connection",
     "check_status",
     "join_url",
@@ -35,6 +41,55 @@
 _PROBE_TIMEOUT = 0.3
 
 
+class ResetAwareProtocol(ResponseHandler):
+    """Fails an answer whose connection is reset.
+
+    aiohttp takes an answer without a length or chunks as complete however its
+    connection ends.
+    """
+
+    def eof_received(self) -> None:
+        # If data and a reset arrive in one step of the loop, libuv reports an end of
+        # the stream, and the reset remains as the pending error of the socket.
+        error = self._read_socket_error()
+        if error:
+            self._fail_payload(OSError(error, "connection reset"))
+        super().eof_received()
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        if exc is not None:
+            self._fail_payload(exc)
+        super().connection_lost(exc)
+
+    def _read_socket_error(self) -> int:
+        if self.transport is None:
+            return 0
+        sock = self.transport.get_extra_info("socket")
+        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+
+    def _fail_payload(self, cause: BaseException) -> None:
+        payload = self._payload
+        if payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("connection reset"), cause)
+
+
+class ClientConnector(aiohttp.TCPConnector):
+    """Connector of all sessions whose answers may come without a length or chunks.
+
+    Attributes
+    ----------
+    protocol_class : type
+        Class of the protocol of each connection.
+    """
+
+    protocol_class: type[ResetAwareProtocol] = ResetAwareProtocol
+
+    def __init__(self, **options: Any) -> None:
+        super().__init__(**options)
+        make_protocol: Any = functools.partial(self.protocol_class, loop=self._loop)
+        self._factory = make_protocol
+
+
 def open_client_session(*, connect_timeout: float = 1.0) -> aiohttp.ClientSession:
     """Return the session that all clients of one process share.
 
@@ -47,7 +102,7 @@
         Seconds to establish a TCP connection.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=ClientConnector(
             limit=0, limit_per_host=0, keepalive_timeout=_KEEPALIVE_SECONDS
         ),
         cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/fireflyspread/daemon/_build.py
+++ b/src/fireflyspread/daemon/_build.py
@@ -5,6 +5,7 @@
 import aiohttp
 from attrs import frozen
 
+from fireflyspread._http_client import ClientConnector
 from fireflyspread._pools import ReplicaPool
 from fireflyspread.bundle import BundleHolder
 from fireflyspread.callers import Authenticator, Context, RequestGuard
@@ -93,7 +94,7 @@
 def build_pools() -> tuple[ReplicaPool[Engine], ReplicaPool[Service]]:
     """Return the clients of engines and of services; all share one HTTP session."""
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=ClientConnector(limit=0),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
--- a/src/fireflyspread/nodes/_relay.py
+++ b/src/fireflyspread/nodes/_relay.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
+from fireflyspread._http_client import ClientConnector
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import Outcome, PeerError
 from fireflyspread.nodes._signature import HOPS_HEADER, Identity, RequestSigner
@@ -99,7 +100,7 @@
         self._write_timeout = write_timeout
         self._in_flight: dict[str, set[asyncio.Timeout]] = {}
         self._session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(
+            connector=ClientConnector(
                 limit=0,
                 ssl=True if tls is None else make_ssl_context(tls, server=False),
                 socket_factory=_make_socket,
--- a/src/fireflyspread/operators/_client.py
+++ b/src/fireflyspread/operators/_client.py
@@ -11,6 +11,7 @@
 import msgspec
 from attrs import field, frozen, validators
 
+from fireflyspread._http_client import ClientConnector
 from fireflyspread._structuring import (
     decode_json,
     make_converter,
@@ -269,6 +270,6 @@
             raise UsageError(
                 f"cannot use the authority {settings.authority}: {exc}; give a PEM file"
             ) from exc
-    connector = aiohttp.TCPConnector(ssl=tls)
+    connector = ClientConnector(ssl=tls)
     async with aiohttp.ClientSession(connector=connector) as session:
         yield HttpClient(session, key, timeout=settings.timeout)
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -1,6 +1,5 @@
 """Client of the platform's replicas."""
 
-import functools
 import logging
 import socket
 import time
@@ -9,11 +8,14 @@
 from typing import Any
 
 import aiohttp
-from aiohttp.client_proto import ResponseHandler
 from multidict import CIMultiDict
 from yarl import URL
 
-from fireflyspread._http_client import accepts_connection
+from fireflyspread._http_client import (
+    ClientConnector,
+    ResetAwareProtocol,
+    accepts_connection,
+)
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
@@ -65,8 +67,8 @@
 
 
 def make_connector(
-    *, keepalive: float, kind: type[aiohttp.TCPConnector] = aiohttp.TCPConnector
-) -> aiohttp.TCPConnector:
+    *, keepalive: float, kind: type[ClientConnector] = ClientConnector
+) -> ClientConnector:
     """Return a connector that closes connections whose peer stops acknowledging.
 
     Parameters
@@ -101,36 +103,9 @@
 _max_idle_seconds: ContextVar[float] = ContextVar("rest", default=_KEEPALIVE_SECONDS)
 
 
-class _LifoConnector(aiohttp.TCPConnector):
-    """Reuses the connection with the shortest idle time, within the maximum.
-
-    aiohttp reuses the one with the longest idle time, which its replica is the most
-    likely to close.
-    """
-
-    async def _get(self, key: Any, traces: Any) -> Any:
-        connections = self._conns.get(key)
-        while connections:
-            protocol, idle_since = connections[-1]
-            if not protocol.is_connected() or protocol.should_close:
-                connections.pop()
-                protocol.close()
-                continue
-            if time.monotonic() - idle_since > _max_idle_seconds.get():
-                return None
-            # aiohttp takes the first connection of the deque.
-            connections.rotate(1)
-            return await super()._get(key, traces)
-        self._conns.pop(key, None)
-        return None
-
-
-class _MatchingProtocol(ResponseHandler):
+class _MatchingProtocol(ResetAwareProtocol):
     """Skips responses to earlier requests on the same connection.
 
-    A response that is delimited by the end of its connection is complete only if the
-    connection was closed and not reset; aiohttp does not distinguish the two.
-
     The bytes outside the expected response are limited, because a faulty replica may
     send them without end.
     """
@@ -188,12 +163,6 @@
         if self.transport is not None:
             self.transport.abort()
 
-    def connection_lost(self, exc: BaseException | None) -> None:
-        payload = self._payload
-        if exc is not None and payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"), exc)
-        super().connection_lost(exc)
-
 
 async def _skip_body(payload: aiohttp.StreamReader) -> None:
     size = 0
@@ -203,6 +172,32 @@
             raise aiohttp.ClientPayloadError("response to an earlier request too large")
 
 
+class _LifoConnector(ClientConnector):
+    """Reuses the connection with the shortest idle time, within the maximum.
+
+    aiohttp reuses the one with the longest idle time, which its replica is the most
+    likely to close.
+    """
+
+    protocol_class = _MatchingProtocol
+
+    async def _get(self, key: Any, traces: Any) -> Any:
+        connections = self._conns.get(key)
+        while connections:
+            protocol, idle_since = connections[-1]
+            if not protocol.is_connected() or protocol.should_close:
+                connections.pop()
+                protocol.close()
+                continue
+            if time.monotonic() - idle_since > _max_idle_seconds.get():
+                return None
+            # aiohttp takes the first connection of the deque.
+            connections.rotate(1)
+            return await super()._get(key, traces)
+        self._conns.pop(key, None)
+        return None
+
+
 class _MatchingResponse(aiohttp.ClientResponse):
     """Sets the request id that its connection expects in the response."""
 
@@ -306,11 +301,8 @@
 
 
 def _open_session() -> aiohttp.ClientSession:
-    connector = make_connector(keepalive=_KEEPALIVE_SECONDS, kind=_LifoConnector)
-    make_protocol: Any = functools.partial(_MatchingProtocol, loop=connector._loop)
-    connector._factory = make_protocol
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=make_connector(keepalive=_KEEPALIVE_SECONDS, kind=_LifoConnector),
         cookie_jar=aiohttp.DummyCookieJar(),
         response_class=_MatchingResponse,
         auto_decompress=False,
