Resume streams that are closed without a length before their first event

What callers would see: an empty stream that looks complete, or one that ends where an earlier run broke off, because the run that was to go on brought nothing.

Cause: a stream counted as broken off only if a part of an event was buffered. If only the connection marks the end, a close before the first event of a run says nothing about the end of the stream. An empty stream in chunks, which its replica has ended itself, stays complete.

The new tests failed before (four and one of tests/forwarding, one of tests/gateway/test_broken_answers.py) and pass now.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -22,7 +22,7 @@
     ServiceTraits,
     TeamPolicy,
 )
-from fireflyspread.forwarding._events import EventSplitter
+from fireflyspread.forwarding._events import EventSplitter, contains_event
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
 from fireflyspread.routing import ReplicaDirectory, Result, Scheduler, Work
 
@@ -253,16 +253,23 @@
             self._status = reply.status
             self._first_byte_at = self._clock.read_monotonic()
             await self._sink.start(reply.status, reply.headers)
+        has_event = False
         async for chunk in reply.iterate():
             self._received_bytes += len(chunk)
             complete, events = self._splitter.feed(chunk)
             if complete:
+                has_event = has_event or contains_event(complete)
                 self._charge_budget(events)
                 await self._sink.write(complete)
         if self._splitter.has_partial_event:
             raise ReplicaCrashedError(
                 f"replica {replica.name} ended the stream inside an event; resume it"
             )
+        if reply.framing is Framing.CONNECTION and not has_event:
+            raise ReplicaCrashedError(
+                f"replica {replica.name} closed the connection before the first event "
+                "of the stream; resume it"
+            )
         await self._sink.finish()
 
     def _charge_budget(self, events: int) -> None:
--- a/src/fireflyspread/forwarding/_events.py
+++ b/src/fireflyspread/forwarding/_events.py
@@ -4,14 +4,21 @@
 
 from fireflyspread.exceptions import ReplicaCrashedError
 
-__all__ = ["EventSplitter"]
+__all__ = ["EventSplitter", "contains_event"]
 
 _END = b"\n\n"
 # Bytes of one event. Events carry a few tokens each.
 _MAX_EVENT_BYTES = 1 << 20
+# A line that is no comment.
+_FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
 _ID = re.compile(rb"^id: ?([^\r\n]*)$", re.MULTILINE)
 
 
+def contains_event(data: bytes) -> bool:
+    """Return whether ``data``, which ends at an event boundary, has any event."""
+    return _FIELD.search(data) is not None
+
+
 class EventSplitter:
     """Releases complete events only, so that a stream can be resumed after any of them.
 
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -36,6 +36,8 @@
         Seconds until the replica is back after such a crash.
     crashes_silently : bool
         Whether such a crash leaves connections open and without an answer.
+    empty_streams : int
+        Number of next streams that end before their first event.
     refuse : int
         Number of next requests that are refused as not run.
     reset_answers : int
@@ -52,6 +54,7 @@
     crash_on: str = ""
     crash_seconds: float = 0.5
     crashes_silently: bool = False
+    empty_streams: int = 0
     refuse: int = 0
     reset_answers: int = 0
     reset_events: int = 0
@@ -246,6 +249,10 @@
         is_cut = self.faults.break_streams > 0
         if is_cut:
             self.faults.break_streams -= 1
+        if self.faults.empty_streams > 0:
+            self.faults.empty_streams -= 1
+            await response.write_eof()
+            return response
         for number in range(first, self._event_count + 1):
             if is_reset and number == first + self.faults.reset_events:
                 _reset(request)
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from attrs import evolve
 
 from fireflyspread.exceptions import (
     AuthenticationError,
@@ -15,7 +16,9 @@
     QuarantinedError,
     RateLimitedError,
 )
+from fireflyspread.forwarding import Framing
 from tests.forwarding.fakes import (
+    CONFIG,
     Answer,
     FakeSink,
     Harness,
@@ -312,6 +315,43 @@
         sink = await harness.forward("/turns/1", **make_turn())
         assert sink.body == make_events(1, 2)
 
+    @pytest.mark.parametrize("before", [[], [make_events(1, 2), None]])
+    @pytest.mark.parametrize("chunks", [[], [b": wait\n\n"]])
+    async def test_stream_without_a_length_and_an_event_counts_as_broken(
+        self, before, chunks
+    ):
+        """Guards against a stream that was closed at its start and looks complete."""
+        scripts = [before, chunks, [make_events(3 if before else 1, 4)]]
+
+        def answer(name: str, n: int) -> Answer:
+            script = scripts[n if before else n + 1]
+            return Answer(chunks=script, framing=Framing.CONNECTION)
+
+        config = evolve(
+            CONFIG,
+            routes=(evolve(CONFIG.routes[0], max_replicas=2), *CONFIG.routes[1:]),
+        )
+        harness = Harness(answer, config=config)
+        sink = await harness.forward("/turns/1", **make_turn())
+        assert sink.body.replace(b": wait\n\n", b"") == make_events(1, 4)
+        assert sink.is_finished
+
+    async def test_empty_stream_that_never_goes_on_is_not_finished(self):
+        """Guards against an empty stream for one that every replica closes."""
+        harness = Harness(lambda name, n: Answer(chunks=[], framing=Framing.CONNECTION))
+        sink = FakeSink()
+        request = harness.make_request("/turns/1", **make_turn())
+        with pytest.raises(FireflyError):
+            await harness.forwarder.forward(request, sink)
+        assert not sink.is_finished
+
+    async def test_empty_stream_in_chunks_is_complete(self):
+        """Guards against runs that are repeated although the replica ended them."""
+        harness = Harness(lambda name, n: Answer(chunks=[], framing=Framing.CHUNKS))
+        sink = await harness.forward("/turns/1", **make_turn())
+        assert sink.is_finished
+        assert len(harness.backend.sent) == 1
+
     async def test_disconnect_of_the_caller_cancels_the_request(self):
         """Guards against replicas that work for disconnected callers."""
         started = asyncio.Event()
--- a/tests/gateway/test_broken_answers.py
+++ b/tests/gateway/test_broken_answers.py
@@ -66,7 +66,7 @@
     return answers
 
 
-class TestResetWithoutLength:
+class TestAnswersWithoutLength:
     @pytest.mark.parametrize("events", [0, 1, 7])
     async def test_stream_goes_on_after_a_reset_between_events(
         self, cluster, session, events
@@ -82,6 +82,13 @@
         )
         assert answers == [(200, STREAM_BODY)] * _REQUESTS
 
+    async def test_stream_without_an_event_is_not_complete(self, cluster, session):
+        """Guards against an empty stream for one that was closed at its start."""
+        answers = await _break_all(
+            session, cluster, "/turns/stream", unframed=True, empty_streams=1
+        )
+        assert answers == [(200, STREAM_BODY)] * _REQUESTS
+
     async def test_safe_request_is_repeated(self, cluster, session):
         """Guards against a truncated body that reaches its caller as complete."""
         answers = await _break_all(
