Treat a write whose answer was cut short as uncertain

Found while looking for other ends of connections that are taken as the end of an answer: the store's 200 that ends inside its body raised StoreError, which says that the write was not executed.

The new test failed before, with an empty and with a cut body.

--- a/src/fireflyspread/platform/_kv_store.py
+++ b/src/fireflyspread/platform/_kv_store.py
@@ -193,7 +193,7 @@
         if status == 412:
             items = _decode(content, _Conflict).items
             return tuple(_read_entry(item) for item in items if item.revision)
-        return _decode(content, _Committed, status).revision
+        return _decode_write(content, _Committed, status).revision
 
     async def replace(
         self, key: str, value: bytes, *, revision: int, lease: int = 0
@@ -207,17 +207,17 @@
         status, content = await self._call("POST", "/v1/kv-txn", body, is_write=True)
         if status == 412:
             return None
-        return _decode(content, _Committed, status).revision
+        return _decode_write(content, _Committed, status).revision
 
     async def delete(self, *keys: str) -> None:
         body = {"expectedRevision": [], "setKeys": [], "remove": list(keys)}
         status, content = await self._call("POST", "/v1/kv-txn", body, is_write=True)
-        _decode(content, _Committed, status)
+        _decode_write(content, _Committed, status)
 
     async def grant_lease(self, ttl: int) -> int:
         body = {"ttlMs": ttl * 1000}
         status, content = await self._call("POST", "/v1/kv-lease", body, is_write=True)
-        return _decode(content, _Lease, status).lease
+        return _decode_write(content, _Lease, status).lease
 
     async def renew_lease(self, lease: int) -> bool:
         status, content = await self._call("POST", f"/v1/kv-keep/{lease}")
@@ -246,7 +246,18 @@
         await asyncio.sleep(0)
 
 
-def _decode(content: bytes, kind: Any, status: int = 200) -> Any:
+def _decode_write(content: bytes, kind: Any, status: int) -> Any:
+    """Decode the answer to a write, which took effect if the answer is cut short."""
+    return _decode(content, kind, status, malformed_type=StoreUncertainError)
+
+
+def _decode(
+    content: bytes,
+    kind: Any,
+    status: int = 200,
+    *,
+    malformed_type: type[StoreError] = StoreError,
+) -> Any:
     if status != 200:
         raise StoreError(
             f"the store answered {status}: {content[:200]!r}; check the call"
@@ -254,7 +265,9 @@
     try:
         return msgspec.json.decode(content, type=kind)
     except msgspec.DecodeError as exc:
-        raise StoreError(f"the store's answer cannot be read: {exc}; retry") from exc
+        raise malformed_type(
+            f"the store's answer cannot be read: {exc}; retry"
+        ) from exc
 
 
 def _read_entry(item: _Item) -> Entry:
--- a/tests/platform/test_kv_store.py
+++ b/tests/platform/test_kv_store.py
@@ -13,6 +13,7 @@
 from fireflyspread.platform import KvStore, make_connector
 from fireflyspread.recovery import WRITES_PER_TRANSACTION, Write
 from standins.metadata_store import MetadataStoreStandIn
+from standins.raw_server import RawServer
 
 
 @pytest.fixture
@@ -47,6 +48,20 @@
         assert [(e.key, e.value, e.revision) for e in result] == [("k", b"1", first)]
         assert await store.read("new") is None
 
+    @pytest.mark.parametrize("body", [b"", b'{"revision": 1'])
+    async def test_write_whose_answer_was_cut_short_is_uncertain(self, body):
+        """Guards against a write that took effect and is reported as not executed."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n" + body
+        with RawServer(answer, is_reset=False) as server:
+            address = server.url.removeprefix("http://")
+            store = KvStore(address, connector=make_connector(keepalive=5.0))
+            task = asyncio.create_task(store.replace("k", b"1", revision=0))
+            await asyncio.to_thread(server.received.wait, 5.0)
+            server.send()
+            with pytest.raises(StoreUncertainError):
+                await task
+            await store.close()
+
     async def test_full_transaction_is_accepted(self, store):
         """Guards against transactions with more entries than the store allows."""
         writes = [Write(f"k{n}", b"x", 0) for n in range(WRITES_PER_TRANSACTION)]
