Log the software version of replicas, and which stream a caller takes up

Whether a stream goes on at another version cannot be told from the logs without both. Registrations' version is decoded; the lines of registered replicas and of answered and failed requests have replica_version and resumes. A bundle may name the version of a replica; an empty one is left out of the canonical form, so the digests of bundles without versions stay the same.

--- a/src/fireflyspread/bundle/_model.py
+++ b/src/fireflyspread/bundle/_model.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from attrs import field, frozen, validators
+from cattrs.gen import make_dict_unstructure_fn, override
 
 from fireflyspread._structuring import (
     decode_json,
@@ -105,12 +106,20 @@
 
 @frozen(kw_only=True)
 class Replica:
-    """One process of a target."""
+    """One process of a target.
+
+    Attributes
+    ----------
+    version : str
+        Version of its software; empty when unknown. Streams go on only at replicas
+        of the version that began them.
+    """
 
     name: str = field(validator=_NAME)
     url: str = field(validator=_BASE_URL)
     zone: str = field(validator=_PRINTABLE)
     vm: str = field(validator=_PRINTABLE)
+    version: str = ""
 
 
 @frozen(kw_only=True)
@@ -281,3 +290,10 @@
 
 
 _CONVERTER = make_converter()
+# Left out if empty, so that the digests of bundles without versions stay the same.
+_CONVERTER.register_unstructure_hook(
+    Replica,
+    make_dict_unstructure_fn(
+        Replica, _CONVERTER, version=override(omit_if_default=True)
+    ),
+)
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -94,6 +94,7 @@
         self.deadline = deadline
         self.may_have_run = False
         self.replica: str | None = None
+        self._replica_version = ""
         self._sink = sink
         self._traits = traits
         self._version = version
@@ -128,6 +129,7 @@
             target = self._directory.get_target(self.service)
             ticket = await self._scheduler.acquire(work, target)
             self.replica = ticket.replica.name
+            self._replica_version = ticket.replica.version
             result = Result.CANCELLED
             try:
                 await self._run_on_replica(ticket.replica)
@@ -344,6 +346,8 @@
                 "request": self.request.id,
                 "fingerprint": self.fingerprint,
                 "replica": self.replica,
+                "replica_version": self._replica_version,
+                "resumes": self.request.resumes,
                 "result": result,
                 "may_have_run": self.may_have_run,
                 "event": self._splitter.last_id,
@@ -364,6 +368,8 @@
             "route": self.route.name,
             "target": self.service,
             "replica": self.replica,
+            "replica_version": self._replica_version,
+            "resumes": self.request.resumes,
             "attempt": self._sends,
             "version": self._version,
             "status": self._status,
--- a/src/fireflyspread/forwarding/_request.py
+++ b/src/fireflyspread/forwarding/_request.py
@@ -90,6 +90,8 @@
         Seconds that the caller waits for the answer.
     last_event_id : str or None
         Id of the event after which the caller resumes a stream.
+    resumes : str or None
+        Id of the caller's request that brought the first event of that stream.
     """
 
     id: str
@@ -105,6 +107,7 @@
     program: ProgramCall | None = None
     prompt: Prompt | None = None
     last_event_id: str | None = None
+    resumes: str | None = None
 
 
 class ResponseSink(abc.ABC):
--- a/src/fireflyspread/platform/_front.py
+++ b/src/fireflyspread/platform/_front.py
@@ -160,6 +160,7 @@
         program=_read_program(headers),
         prompt=_read_prompt(headers),
         last_event_id=headers.get(names.LAST_EVENT_ID),
+        resumes=headers.get(names.RESUMES),
     )
 
 
--- a/src/fireflyspread/platform/_headers.py
+++ b/src/fireflyspread/platform/_headers.py
@@ -13,6 +13,7 @@
     "PROMPT_PREFIX",
     "REQUEST_ID",
     "REQUEST_PRIORITY",
+    "RESUMES",
     "SERVER_LOAD",
     "SESSION_ID",
     "TARGET_INSTANCE",
@@ -49,6 +50,8 @@
 PROGRAM_DEADLINE = _PREFIX + "Program-Deadline"
 TOKEN_BUDGET = _PREFIX + "Token-Budget"
 LAST_EVENT_ID = "Last-Event-Id"
+# Request id of the client attempt that brought the first event of a resumed stream.
+RESUMES = "Resumes"
 
 _HOP_BY_HOP = frozenset(
     {
--- a/src/fireflyspread/platform/_registrations.py
+++ b/src/fireflyspread/platform/_registrations.py
@@ -23,6 +23,8 @@
     zone: str
     state: str
     slots: int = 0
+    # Version of the replica's software, not of its weights.
+    version: str = ""
     # Start of the replica in Unix milliseconds; 0 if the platform does not give it.
     born: int = 0
 
@@ -56,6 +58,7 @@
         address=registration.address,
         zone=registration.zone,
         slots=registration.slots,
+        version=registration.version,
         is_draining=registration.state == "draining",
         born=registration.born,
     )
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -29,6 +29,8 @@
         Identity of the replica; unique among live replicas.
     slots : int
         Requests that the replica runs at once.
+    version : str
+        Version of the replica's software; empty when unknown.
     is_draining : bool
         Whether it takes no new requests.
     born : int
@@ -41,6 +43,7 @@
     address: str
     zone: str
     slots: int
+    version: str = ""
     is_draining: bool = False
     born: int = 0
 
@@ -117,6 +120,7 @@
             extra={
                 "replica": record.instance,
                 "target": record.service,
+                "replica_version": record.version,
                 "draining": record.is_draining,
                 "born": record.born,
             },
@@ -210,5 +214,6 @@
         name=record.instance,
         url=f"http://{record.address}",
         zone=record.zone,
+        version=record.version,
         vm=f"{record.instance}/{record.born}",
     )
