--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -99,6 +99,8 @@
     ----------
     runs : list of Run
         Requests in the order of their start.
+    version : str
+        Version of its software.
     crash_count : int
         Crashes so far; after each one the replica returns as another instance.
     on_restart : callable
@@ -108,10 +110,16 @@
     faults_class = ReplicaFaults
 
     def __init__(
-        self, *, instance: str = "i-1", events: int = _EVENT_COUNT, **options: Any
+        self,
+        *,
+        instance: str = "i-1",
+        events: int = _EVENT_COUNT,
+        version: str = "v1",
+        **options: Any,
     ) -> None:
         super().__init__(**options)
         self.instance = instance
+        self.version = version
         self.crash_count = 0
         self.on_restart: Callable[[str], None] = lambda previous: None
         self.runs: list[Run] = []
@@ -150,7 +158,7 @@
                 "service": service,
                 "address": address or self.url.removeprefix("http://"),
                 "zone": "z1",
-                "version": "v1",
+                "version": self.version,
                 "slots": 8,
                 "state": state,
                 "sequence": 1,
--- /dev/null
+++ b/tests/gateway/test_stream_versions.py
@@ -0,0 +1,198 @@
+"""Tests of gateway processes before replicas of two software versions."""
+
+import asyncio
+import signal
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from soak.cluster import Cluster, Gateway, make_turn_headers
+from tests.gateway.test_process import STREAM_BODY
+
+_STREAMS = 12
+# Seconds between events: streams last longer than a caller needs to go elsewhere.
+_EVENT_SECONDS = 0.05
+# Seconds until all nodes know the registrations.
+_SETTLE_SECONDS = 1.0
+
+
+@pytest.fixture
+async def cluster(tmp_path: Path) -> AsyncIterator[Cluster]:
+    async with Cluster(tmp_path, nodes=3, replicas=4) as found:
+        for number, replica in enumerate(found.models):
+            replica.faults.work = _EVENT_SECONDS
+            if number % 2:
+                await _set_version(found, number, "v2")
+        await asyncio.sleep(_SETTLE_SECONDS)
+        yield found
+
+
+@pytest.fixture
+async def session() -> AsyncIterator[aiohttp.ClientSession]:
+    async with aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(force_close=True)
+    ) as found:
+        yield found
+
+
+async def _set_version(cluster: Cluster, number: int, version: str) -> None:
+    replica = cluster.models[number]
+    replica.version = version
+    cluster.store.put(
+        f"servers/{replica.instance}", replica.make_registration("models")
+    )
+
+
+def _list_versions(cluster: Cluster, *requests: str) -> set[str]:
+    """Return the versions of the replicas that ran any of the requests."""
+    return {
+        replica.version
+        for replica in cluster.models
+        for run in replica.runs
+        if run.request in requests
+    }
+
+
+async def _begin(
+    session: aiohttp.ClientSession, node: Gateway, request: str
+) -> tuple[bytes, aiohttp.ClientResponse]:
+    """Return the first complete events of a stream, and the open response."""
+    response = await session.post(
+        f"http://{node.callers}/turns/stream",
+        headers=make_turn_headers(request, f"p-{request}", budget=5000),
+        data=b"x",
+    )
+    assert response.status == 200
+    body = b""
+    while body.count(b"\n\n") < 2:
+        body += await response.content.readany()
+    return body[: body.rfind(b"\n\n") + 2], response
+
+
+async def _take_up(
+    session: aiohttp.ClientSession, node: Gateway, request: str, first: bytes
+) -> tuple[int, bytes]:
+    """Take up a stream as a new attempt; return its status and body."""
+    headers = make_turn_headers(f"{request}-again", f"p-{request}", budget=5000)
+    headers["Last-Event-Id"] = str(first.count(b"id: "))
+    headers["Resumes"] = request
+    async with session.post(
+        f"http://{node.callers}/turns/stream", headers=headers, data=b"x"
+    ) as response:
+        return response.status, await response.read()
+
+
+async def _take_all_up(
+    session: aiohttp.ClientSession,
+    cluster: Cluster,
+    begun: dict[str, bytes],
+    nodes: list[Gateway],
+) -> int:
+    """Take all streams up and return how many went on, none at another version."""
+    answers = await asyncio.gather(
+        *(
+            _take_up(session, nodes[number % len(nodes)], request, first)
+            for number, (request, first) in enumerate(begun.items())
+        )
+    )
+    for (request, first), (status, body) in zip(begun.items(), answers, strict=True):
+        assert status in (200, 503)
+        assert len(_list_versions(cluster, request, f"{request}-again")) == 1
+        if status == 200:
+            assert first + body == STREAM_BODY
+    return sum(status == 200 for status, _ in answers)
+
+
+async def _begin_all(
+    session: aiohttp.ClientSession, node: Gateway
+) -> tuple[dict[str, bytes], list[aiohttp.ClientResponse]]:
+    requests = [f"s{number}" for number in range(_STREAMS)]
+    found = await asyncio.gather(*(_begin(session, node, r) for r in requests))
+    first = {r: events for r, (events, _) in zip(requests, found, strict=True)}
+    return first, [response for _, response in found]
+
+
+async def _restart_all(cluster: Cluster) -> None:
+    for node in cluster.nodes:
+        await node.stop(signal.SIGKILL)
+    await asyncio.gather(*(node.start(is_first=False) for node in cluster.nodes))
+
+
+class TestStreamsOfTwoVersions:
+    async def test_broken_stream_goes_on_at_its_version(self, cluster, session):
+        """Guards against events of two versions in one answer."""
+        tasks = []
+        for number in range(_STREAMS):
+            headers = make_turn_headers(f"s{number}", f"p{number}", budget=5000)
+            node = cluster.nodes[number % len(cluster.nodes)]
+            url = f"http://{node.callers}/turns/stream"
+            tasks.append(session.post(url, headers=headers, data=b"x"))
+        responses = await asyncio.gather(*tasks)
+        await asyncio.sleep(3 * _EVENT_SECONDS)
+        cluster.models[0].crash(5.0)
+        cluster.models[1].crash(5.0)
+        bodies = await asyncio.gather(*(each.read() for each in responses))
+        assert bodies == [STREAM_BODY] * _STREAMS
+        for number in range(_STREAMS):
+            assert len(_list_versions(cluster, f"s{number}")) == 1
+
+    async def test_stream_goes_on_at_another_node(self, cluster, session):
+        """Guards against a node that does not know where a stream began."""
+        begun, responses = await _begin_all(session, cluster.nodes[0])
+        for response in responses:
+            response.close()
+        count = await _take_all_up(session, cluster, begun, cluster.nodes[1:])
+        assert count == _STREAMS
+
+    async def test_stream_goes_on_after_the_loss_of_its_node(self, cluster, session):
+        """Guards against versions that only the lost node knew."""
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        await cluster.nodes[0].stop(signal.SIGKILL)
+        count = await _take_all_up(session, cluster, begun, cluster.nodes[1:])
+        assert count == _STREAMS
+
+    async def test_stream_goes_on_while_the_store_is_down(self, cluster, session):
+        """Guards against streams that are mixed or lost without the store."""
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        cluster.store.faults.down = "hang"
+        await cluster.nodes[0].stop(signal.SIGKILL)
+        count = await _take_all_up(session, cluster, begun, cluster.nodes[1:])
+        assert count >= _STREAMS / 2
+
+    async def test_stream_is_not_mixed_after_a_restart_of_all_nodes(
+        self, cluster, session
+    ):
+        """Guards against nodes that guess the version that they have forgotten."""
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        await _restart_all(cluster)
+        await _take_all_up(session, cluster, begun, cluster.nodes)
+
+    async def test_stream_without_its_version_is_refused_at_once(
+        self, cluster, session
+    ):
+        """Guards against a stream that goes on at what is left, or waits in vain."""
+        begun, responses = await _begin_all(session, cluster.nodes[0])
+        for response in responses:
+            response.close()
+        for number, replica in enumerate(cluster.models):
+            if number % 2:
+                cluster.store.remove(f"servers/{replica.instance}")
+        await asyncio.sleep(0.3)
+        started_at = asyncio.get_running_loop().time()
+        count = await _take_all_up(session, cluster, begun, cluster.nodes[1:])
+        assert 0 < count < _STREAMS
+        assert asyncio.get_running_loop().time() - started_at < 2.0
+
+
+class TestStreamsOfOneVersion:
+    async def test_stream_goes_on_after_a_restart_of_all_nodes(self, cluster, session):
+        """Guards against streams that are lost where no version can be mixed."""
+        for number in range(len(cluster.models)):
+            await _set_version(cluster, number, "v1")
+        await _restart_all(cluster)
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        await _restart_all(cluster)
+        count = await _take_all_up(session, cluster, begun, cluster.nodes)
+        assert count == _STREAMS
