Resume a broken stream at replicas of its software version only

What callers saw: events of two versions in one answer, if their replica broke off and another version's replica went on.

Cause: placement did not know versions. The scheduler's work now names the version that the first event came from, and only such replicas are considered; if none is left, the attempt fails at once. A replica that restarts under its name as another version gets no second send. The product's own interface does the same for bundles that give versions.

--- a/src/fireflyspread/callers/_turns.py
+++ b/src/fireflyspread/callers/_turns.py
@@ -133,6 +133,7 @@
         self._max_tokens = 0
         self._events: list[bytes] = []
         self._text = ""
+        self._version: str | None = None
         self._generated_tokens = 0
         self.is_dispatched = False
 
@@ -263,6 +264,8 @@
             text, tokens = extract_partial(b"".join(events))
             self._text += text
             self._generated_tokens += tokens
+            if text and self._version is None:
+                self._version = replica.version
             if isinstance(exc, TargetError) and exc.outcome is Outcome.NOT_RUN:
                 self.is_dispatched = was_dispatched or bool(events)
             if isinstance(exc, CrossedAnswerError | ReplicaCrashedError):
@@ -328,6 +331,7 @@
             holder=program.holder,
             prefix_tokens=program.context_tokens,
             excluded=excluded,
+            version=self._version,
         )
 
     def _make_request(self) -> EngineRequest:
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -69,6 +69,9 @@
         Replica on which the request was placed last.
     fingerprint : str
         Equal for all attempts of a team with the same request.
+    stream_version : str or None
+        Software version of the replica that brought the first event of the stream.
+        Only replicas of this version may go on with it.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         self.deadline = deadline
         self.may_have_run = False
         self.replica: str | None = None
+        self.stream_version: str | None = None
         self._replica_version = ""
         self._sink = sink
         self._traits = traits
@@ -197,6 +201,8 @@
                 self._splitter.discard_partial_event()
                 if last or not self._may_repeat():
                     raise
+                if not self._directory.has_version(replica):
+                    raise
                 self._log_failure(exc, Result.BROKEN)
 
     async def _send(self, replica: Replica) -> None:
@@ -261,6 +267,8 @@
             complete, events = self._splitter.feed(chunk)
             if complete:
                 has_event = has_event or contains_event(complete)
+                if has_event and self.stream_version is None:
+                    self.stream_version = replica.version
                 self._charge_budget(events)
                 await self._sink.write(complete)
         if self._splitter.has_partial_event:
@@ -336,6 +344,7 @@
             deadline=self.deadline,
             excluded=frozenset(self._failed_replicas),
             parts=prompt.parts if prompt else (),
+            version=self.stream_version,
         )
 
     def _log_failure(self, exc: TargetError, result: Result) -> None:
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -192,6 +192,15 @@
             concurrency=max(1, slots),
         )
 
+    def has_version(self, replica: Replica) -> bool:
+        """Return whether ``replica`` has the version that it was placed for.
+
+        A replica may restart under its name as another version. One that is unknown
+        has not registered as another version.
+        """
+        record = self._records.get(replica.name)
+        return record is None or record.version == replica.version
+
     def list_services(self) -> set[str]:
         """Return the services that have a replica."""
         return {record.service for record in self._records.values()}
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -171,7 +171,7 @@
         self.check_quarantine(work.fingerprint)
         now = self._clock.read_monotonic()
         if not any(
-            replica.replica.name not in work.excluded
+            work.may_run_on(replica.replica)
             for replica in state.list_usable(self._leaving_vms)
         ):
             raise OverloadedError(
@@ -244,7 +244,7 @@
             if entry.future is None or entry.future.done():
                 self._drop(state, entry)
                 return True
-            allowed = [r for r in usable if r.replica.name not in work.excluded]
+            allowed = [r for r in usable if work.may_run_on(r.replica)]
             if not allowed:
                 self._refuse(state, entry)
                 return True
@@ -273,7 +273,7 @@
                 return True
             if not self.quarantine.is_suspect(work.fingerprint):
                 continue
-            allowed = [r for r in usable if r.replica.name not in work.excluded]
+            allowed = [r for r in usable if work.may_run_on(r.replica)]
             replica = self._isolation.place(work, state, allowed, now)
             if replica is not None:
                 self._start(state, entry, replica)
@@ -288,7 +288,7 @@
         free: list[ReplicaState],
     ) -> ReplicaState | None:
         work = entry.work
-        if work.excluded:
+        if work.excluded or work.version is not None:
             free = [replica for replica in free if replica in allowed]
         holder = state.replicas.get(work.holder) if work.holder is not None else None
         if holder is not None and (
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -32,6 +32,9 @@
         Replicas that have failed this request already.
     parts : tuple of (str, int)
         Ids and tokens of the prompt's parts in order; empty when unknown.
+    version : str or None
+        Software version that the replica must have, because it goes on with a
+        stream; None if any will do.
     """
 
     request: str
@@ -47,6 +50,13 @@
     prefix_tokens: int = 0
     excluded: frozenset[str] = frozenset()
     parts: tuple[tuple[str, int], ...] = ()
+    version: str | None = None
+
+    def may_run_on(self, replica: Replica) -> bool:
+        """Return whether the request may be sent to ``replica``."""
+        if replica.name in self.excluded:
+            return False
+        return self.version is None or replica.version == self.version
 
 
 @define(kw_only=True)
--- a/tests/callers/test_continuation.py
+++ b/tests/callers/test_continuation.py
@@ -107,6 +107,33 @@
         assert messages[1:] == [{"role": "assistant", "content": content}]
 
 
+class TestVersions:
+    """A stream whose first replica breaks it, beside another software version."""
+
+    @pytest.mark.parametrize("after", [0, 5])
+    async def test_answer_has_events_of_one_version(
+        self, node: Node, second: EngineStandIn, after: int
+    ) -> None:
+        """Guards against an answer that another version of the engine continues."""
+        active = node.context.bundles.get_active()
+        config = msgspec.json.decode(active.bundle.to_json())
+        for number, replica in enumerate(config["targets"][0]["replicas"]):
+            replica["version"] = f"v{number}"
+        bundle = type(active.bundle).from_config(config)
+        node.context.bundles.offer(type(active)(version=3, bundle=bundle))
+        program = await open_program(node)
+        break_first_stream(node, second, after)
+        path = f"/v1/programs/{program}/turns"
+        body = make_turn(1, stream=True, max_tokens=ANSWER_TOKENS)
+        async with node.request("POST", path, json=body) as answer:
+            whole = await answer.text()
+        if after:
+            assert not whole.endswith("data: [DONE]\n\n")
+            assert list_runs(node, second) == [("broken", 0)]
+        else:
+            assert whole.endswith("data: [DONE]\n\n")
+
+
 def stall_first_stream(node: Node, second: EngineStandIn) -> None:
     """Stall the first stream, whichever replica it starts on."""
     engines = (node.engine, second)
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -1,7 +1,7 @@
 """Fakes of a backend and a sink, and a forwarder that runs without a network."""
 
 import random
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Mapping, Sequence
 
 from attrs import define, field
 
@@ -235,6 +235,7 @@
         answer: Callable[[str, int], Answer],
         *,
         replicas: Sequence[str] = ("r1", "r2", "r3"),
+        versions: Mapping[str, str] | None = None,
         config: ForwardingConfig | None = CONFIG,
     ) -> None:
         clock = SystemClock()
@@ -251,6 +252,7 @@
                         address="10.0.0.1:80",
                         zone="z",
                         slots=4,
+                        version=(versions or {}).get(name, "v1"),
                     )
                 )
         configs = ConfigHolder()
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -17,6 +17,7 @@
     RateLimitedError,
 )
 from fireflyspread.forwarding import Framing
+from fireflyspread.routing import Placement
 from tests.forwarding.fakes import (
     CONFIG,
     Answer,
@@ -27,6 +28,17 @@
 )
 
 
+class _First(Placement):
+    """Chooses one replica while it is free, else the last one."""
+
+    def __init__(self, name: str) -> None:
+        self._name = name
+
+    def choose(self, work, free, holder, waited):
+        names = {state.replica.name: state for state in free}
+        return names.get(self._name, free[-1])
+
+
 class TestAdmission:
     async def test_missing_configuration_is_not_a_denial(self):
         """Guards against 404 and 401 from a node that has no configuration yet."""
@@ -336,6 +348,32 @@
         assert sink.body.replace(b": wait\n\n", b"") == make_events(1, 4)
         assert sink.is_finished
 
+    @pytest.mark.parametrize("is_left", [True, False])
+    async def test_stream_goes_on_at_its_version_only(self, is_left):
+        """Guards against events of two software versions in one answer."""
+        versions = {"r1": "v1", "r2": "v2", "r3": "v2", "r4": "v1" if is_left else "v2"}
+        first: list[str] = []
+
+        def answer(name: str, n: int) -> Answer:
+            if n == 0:
+                first.append(name)
+                return Answer(chunks=[make_events(1, 2), None])
+            return Answer(chunks=[make_events(3, 4)], is_unreachable=name in first)
+
+        harness = Harness(answer, replicas=tuple(versions), versions=versions)
+        harness.scheduler._placement = _First("models-r1")
+        sink = FakeSink()
+        request = harness.make_request("/turns/1", **make_turn())
+        if is_left:
+            await harness.forwarder.forward(request, sink)
+            assert sink.body == make_events(1, 4)
+        else:
+            with pytest.raises(FireflyError):
+                await harness.forwarder.forward(request, sink)
+            assert not sink.is_finished
+        expected = {"models-r1", "models-r4"} if is_left else {"models-r1"}
+        assert set(harness.backend.ran) == expected
+
     async def test_empty_stream_that_never_goes_on_is_not_finished(self):
         """Guards against an empty stream for one that every replica closes."""
         harness = Harness(lambda name, n: Answer(chunks=[], framing=Framing.CONNECTION))
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import pytest
+from attrs import evolve
 
 from fireflyspread.bundle import Replica, Target, TargetKind
 from fireflyspread.exceptions import OverloadedError, QuarantinedError
@@ -101,6 +102,25 @@
 class TestAcquire:
     """PolicyScheduler.acquire."""
 
+    @in_virtual_time
+    async def test_stream_goes_on_at_its_version_only(self) -> None:
+        """Guards against a stream that is continued by another version."""
+        target = make_target(3)
+        replicas = tuple(
+            evolve(replica, version=f"v{number % 2}")
+            for number, replica in enumerate(target.replicas)
+        )
+        target = evolve(target, replicas=replicas)
+        scheduler = make_scheduler()
+        ticket = await scheduler.acquire(make_work("w0", version="v1"), target)
+        assert ticket.replica.name == "r1"
+        waiting = await start(scheduler, make_work("w1", version="v1"), target)
+        assert not waiting.done()
+        scheduler.release(ticket, Result.ANSWERED)
+        assert (await waiting).replica.name == "r1"
+        with pytest.raises(OverloadedError):
+            await scheduler.acquire(make_work("w2", version="v2"), target)
+
     @in_virtual_time
     async def test_never_exceeds_the_concurrency(self) -> None:
         """Guards against more concurrent requests to a replica than it has slots."""
