Remember which software version began a stream, at several nodes

What callers saw: a stream that they took up at another node, or after the loss of a node, went on at any version.

Cause: no node knew where a stream had begun. While a target has replicas of several versions, each node now reports the streams that it begins to three nodes chosen by rendezvous hashing of the request, and a node that gets a stream taken up asks these. A stream that nobody knows goes on only if its target had a single version in the last 30 s, in the view of this node and of those that answered, and only if an answer or the store shows that this view is current. Else it is refused at once with 503, before it uses rate or budget. Knowledge is kept in memory; no call to the store is made.

--- a/src/fireflyspread/exceptions.py
+++ b/src/fireflyspread/exceptions.py
@@ -227,6 +227,13 @@
     status = 422
 
 
+class StreamVersionError(FireflyError):
+    """A stream cannot go on at the software version that began it."""
+
+    code = "stream_not_resumable"
+    status = 503
+
+
 class TargetError(FireflyError):
     """A target failed to answer."""
 
--- a/src/fireflyspread/forwarding/__init__.py
+++ b/src/fireflyspread/forwarding/__init__.py
@@ -19,6 +19,12 @@
     Prompt,
     ResponseSink,
 )
+from fireflyspread.forwarding._stream_versions import (
+    FoundStream,
+    StreamOrigin,
+    StreamVersionPeers,
+    StreamVersions,
+)
 
 __all__ = [
     "Backend",
@@ -28,6 +34,7 @@
     "EngineTraits",
     "EventSplitter",
     "ForwardRequest",
+    "FoundStream",
     "Forwarder",
     "ForwardingConfig",
     "ForwardingRoute",
@@ -38,5 +45,8 @@
     "ResponseSink",
     "RouteKind",
     "ServiceTraits",
+    "StreamOrigin",
+    "StreamVersionPeers",
+    "StreamVersions",
     "TeamPolicy",
 ]
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -12,6 +12,7 @@
     DeadlineError,
     Outcome,
     ReplicaCrashedError,
+    StreamVersionError,
     TargetError,
     TargetUnreachableError,
 )
@@ -24,6 +25,7 @@
 )
 from fireflyspread.forwarding._events import EventSplitter, contains_event
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
+from fireflyspread.forwarding._stream_versions import StreamOrigin, StreamVersions
 from fireflyspread.routing import ReplicaDirectory, Result, Scheduler, Work
 
 __all__ = ["Attempt"]
@@ -87,6 +89,7 @@
         version: int,
         scheduler: Scheduler,
         directory: ReplicaDirectory,
+        stream_versions: StreamVersions,
         backend: Backend,
         clock: Clock,
     ) -> None:
@@ -104,6 +107,7 @@
         self._version = version
         self._scheduler = scheduler
         self._directory = directory
+        self._stream_versions = stream_versions
         self._backend = backend
         self._clock = clock
         self._splitter = EventSplitter()
@@ -119,6 +123,28 @@
         self._first_byte_at = 0.0
         self.fingerprint = _compute_fingerprint(request, team)
 
+    async def prepare(self) -> None:
+        """Find the version at which a stream that the caller takes up may go on.
+
+        Raises
+        ------
+        StreamVersionError
+            The version is not known, or no replica of it is left.
+        """
+        if self.route.kind is not RouteKind.STREAM or not self.request.last_event_id:
+            return
+        self.stream_version = await self._stream_versions.find(
+            self.request.resumes, self.service
+        )
+        replicas = self._directory.get_target(self.service).replicas
+        if self.stream_version is not None and not any(
+            replica.version == self.stream_version for replica in replicas
+        ):
+            raise StreamVersionError(
+                f"{self.service} has no replica of version {self.stream_version}, "
+                "which began the stream; send the request again from its start"
+            )
+
     async def run(self, reservation: Reservation | None) -> None:
         """Send the request to replicas until one of them answers it.
 
@@ -268,7 +294,7 @@
             if complete:
                 has_event = has_event or contains_event(complete)
                 if has_event and self.stream_version is None:
-                    self.stream_version = replica.version
+                    self._record_stream(replica.version)
                 self._charge_budget(events)
                 await self._sink.write(complete)
         if self._splitter.has_partial_event:
@@ -282,6 +308,12 @@
             )
         await self._sink.finish()
 
+    def _record_stream(self, version: str) -> None:
+        self.stream_version = version
+        self._stream_versions.record(
+            self.request.id, StreamOrigin(self.service, version)
+        )
+
     def _charge_budget(self, events: int) -> None:
         engine = None if self._traits is None else self._traits.engine
         if self._reservation is not None and engine is not None:
--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -25,6 +25,7 @@
 from fireflyspread.forwarding._config_holder import ConfigHolder
 from fireflyspread.forwarding._demand import estimate_demand
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
+from fireflyspread.forwarding._stream_versions import StreamVersions
 from fireflyspread.limits import RateLimiter
 from fireflyspread.metrics import Metrics
 from fireflyspread.routing import ReplicaDirectory, Scheduler
@@ -58,6 +59,7 @@
         budgets: BudgetOwners,
         scheduler: Scheduler,
         directory: ReplicaDirectory,
+        stream_versions: StreamVersions,
         backend: Backend,
         clock: Clock,
         metrics: Metrics,
@@ -67,6 +69,7 @@
         self._budgets = budgets
         self._scheduler = scheduler
         self._directory = directory
+        self._stream_versions = stream_versions
         self._backend = backend
         self._clock = clock
         self._metrics = metrics
@@ -131,6 +134,7 @@
             version=config.version,
             scheduler=self._scheduler,
             directory=self._directory,
+            stream_versions=self._stream_versions,
             backend=self._backend,
             clock=self._clock,
         )
@@ -142,6 +146,7 @@
         reservation: Reservation | None = None
         try:
             async with asyncio.timeout(max(0.0, remaining)):
+                await attempt.prepare()
                 reservation = await self._reserve(attempt)
                 if team is not None and team.limits is not None:
                     demand = None
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -14,7 +14,12 @@
 from fireflyspread.budgets import BudgetAccounts, BudgetOwners
 from fireflyspread.clock import Clock, SystemClock
 from fireflyspread.exceptions import SettingsError, StoreError
-from fireflyspread.forwarding import ConfigHolder, Forwarder, ForwardingConfig
+from fireflyspread.forwarding import (
+    ConfigHolder,
+    Forwarder,
+    ForwardingConfig,
+    StreamVersions,
+)
 from fireflyspread.gateway._crashes import CRASHES_PREFIX, CrashExchange
 from fireflyspread.gateway._listeners import (
     OperatorListener,
@@ -29,6 +34,10 @@
 )
 from fireflyspread.gateway._rates import RateMembership, add_tolerance
 from fireflyspread.gateway._settings import GatewaySettings
+from fireflyspread.gateway._streams import (
+    NodeStreamVersionPeers,
+    register_stream_handlers,
+)
 from fireflyspread.limits import ShareLimiter
 from fireflyspread.metrics import Metrics
 from fireflyspread.nodes import (
@@ -250,6 +259,17 @@
             rng=self._rng,
         )
         self._crash_exchange.register(self._server)
+        self._streams = StreamVersions(
+            NodeStreamVersionPeers(self._client, self._roster, node=self._name),
+            node=self._name,
+            clock=self._clock,
+            list_members=self._roster.list_names,
+            list_versions=self._directory.list_versions,
+            is_store_unavailable=lambda: any(
+                follower.is_store_unavailable for follower in self._followers
+            ),
+        )
+        register_stream_handlers(self._server, self._streams, node=self._name)
 
     def _build_forwarder(self) -> None:
         self._backend = ReplicaClient(self._clock)
@@ -259,6 +279,7 @@
             budgets=self._budget_owners,
             scheduler=self._scheduler,
             directory=self._directory,
+            stream_versions=self._streams,
             backend=self._backend,
             clock=self._clock,
             metrics=self._metrics,
@@ -455,6 +476,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._limiter.close()
+        await self._streams.close()
         await self._backend.close()
         await self._server.stop()
         await self._client.close()
@@ -487,6 +509,7 @@
         self._scheduler.set_targets(
             [self._directory.get_target(service) for service in sorted(services)]
         )
+        self._streams.update(services)
 
     def _set_members(self, names: frozenset[str]) -> None:
         _LOG.info(
--- /dev/null
+++ b/src/fireflyspread/gateway/_streams.py
@@ -0,0 +1,77 @@
+"""Messages between gateway nodes about the versions that began streams."""
+
+from collections.abc import Mapping
+
+from fireflyspread.exceptions import PeerError
+from fireflyspread.forwarding import (
+    FoundStream,
+    StreamOrigin,
+    StreamVersionPeers,
+    StreamVersions,
+)
+from fireflyspread.nodes import (
+    FindStream,
+    Message,
+    PeerClient,
+    PeerServer,
+    RecordStreams,
+    StreamFound,
+    StreamsRecorded,
+)
+from fireflyspread.recovery import Roster
+
+__all__ = ["NodeStreamVersionPeers", "register_stream_handlers"]
+
+# Seconds for one message; the latency between nodes is a few milliseconds.
+_MESSAGE_TIMEOUT = 0.15
+
+
+class NodeStreamVersionPeers(StreamVersionPeers):
+    """Sends messages about streams to other nodes."""
+
+    def __init__(self, client: PeerClient, roster: Roster, *, node: str) -> None:
+        self._client = client
+        self._roster = roster
+        self._node = node
+
+    async def _ask(self, node: str, message: Message) -> Message:
+        member = self._roster.find(node)
+        if member is None:
+            raise PeerError(f"{node} is not a member; ask another node")
+        return await self._client.ask(member.peers, message, timeout=_MESSAGE_TIMEOUT)
+
+    async def report(self, node: str, origins: Mapping[str, StreamOrigin]) -> None:
+        rows = {request: (o.target, o.version) for request, o in origins.items()}
+        await self._ask(node, RecordStreams(node=self._node, origins=rows))
+
+    async def find(self, node: str, request: str, target: str) -> FoundStream:
+        message = FindStream(node=self._node, request=request, target=target)
+        answer = await self._ask(node, message)
+        if not isinstance(answer, StreamFound):
+            raise PeerError(f"{node} answered {type(answer).__name__}")
+        origin = None if answer.origin is None else StreamOrigin(*answer.origin)
+        return FoundStream(origin=origin, versions=answer.versions)
+
+
+def register_stream_handlers(
+    server: PeerServer, streams: StreamVersions, *, node: str
+) -> None:
+    """Handle other nodes' messages about streams."""
+
+    async def record(message: RecordStreams) -> Message:
+        streams.add_reported(
+            {request: StreamOrigin(*row) for request, row in message.origins.items()}
+        )
+        return StreamsRecorded(node=node)
+
+    async def find(message: FindStream) -> Message:
+        found = streams.look_up(message.request, message.target)
+        origin = found.origin
+        return StreamFound(
+            node=node,
+            origin=None if origin is None else (origin.target, origin.version),
+            versions=tuple(found.versions),
+        )
+
+    server.register(RecordStreams, record)
+    server.register(FindStream, find)
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -20,6 +20,7 @@
     "FenceConfirmed",
     "FetchBundle",
     "FetchConfig",
+    "FindStream",
     "Hello",
     "HoldRecords",
     "ListLoans",
@@ -28,11 +29,14 @@
     "Message",
     "NoteDrawn",
     "NoteLoan",
+    "RecordStreams",
     "RecordsHeld",
     "RecordsTaken",
     "RenewAuthority",
     "ReserveBudget",
     "ReturnBudget",
+    "StreamFound",
+    "StreamsRecorded",
     "TakeAllowance",
     "TakeRecords",
     "TokensGranted",
@@ -377,6 +381,44 @@
     report: CrashReport
 
 
+class RecordStreams(Message, frozen=True, kw_only=True):
+    """Asks to remember streams.
+
+    Attributes
+    ----------
+    origins : dict of str to tuple
+        Target and software version by the request that began the stream.
+    """
+
+    origins: dict[str, tuple[str, str]]
+
+
+class StreamsRecorded(Message, frozen=True, kw_only=True):
+    """Answer to ``RecordStreams``."""
+
+
+class FindStream(Message, frozen=True, kw_only=True):
+    """Asks which version of a target began the stream of a request."""
+
+    request: str
+    target: str
+
+
+class StreamFound(Message, frozen=True, kw_only=True):
+    """Answer to ``FindStream``.
+
+    Attributes
+    ----------
+    origin : tuple or None
+        Target and software version; None if the node does not know the stream.
+    versions : tuple of str
+        Versions that the target recently had, as far as the node knows.
+    """
+
+    origin: tuple[str, str] | None
+    versions: tuple[str, ...]
+
+
 class ConfirmFence(Message, frozen=True, kw_only=True):
     """Asks whether the node still acts on a target under an older bundle."""
 
@@ -431,6 +473,10 @@
     | TakeRecords
     | RecordsTaken
     | ExchangeCrashes
+    | RecordStreams
+    | StreamsRecorded
+    | FindStream
+    | StreamFound
     | ConfirmFence
     | FenceConfirmed
     | Failed
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -15,6 +15,9 @@
 # The platform guarantees that live replicas register again within this time after an
 # outage of the store.
 _REREGISTRATION_SECONDS = 2.0
+# Seconds for which a version counts as recent after its last replica is gone. Streams
+# that it began may be taken up until their callers' deadlines.
+_VERSION_RETENTION = 30.0
 # Concurrency of a service without configured slots while it has no replicas.
 _DEFAULT_SLOTS = 8
 
@@ -90,6 +93,8 @@
         self._missing: dict[str, _Missing] = {}
         self._grace_until = 0.0
         self._slots: dict[str, int] = {}
+        # When a service last had a replica of a version, in monotonic seconds.
+        self._versions_seen: dict[tuple[str, str], float] = {}
         self._targets: dict[str, Target] = {}
 
     def set_slots(self, slots: Mapping[str, int]) -> None:
@@ -114,6 +119,8 @@
         known = self._records.get(record.instance)
         if known == record:
             return
+        if known is not None:
+            self._note_version(known)
         self._records[record.instance] = record
         _LOG.info(
             "replica registered",
@@ -151,7 +158,12 @@
                 del self._missing[instance]
                 self._drop(missing.record)
 
+    def _note_version(self, record: ReplicaRecord) -> None:
+        now = self._clock.read_monotonic()
+        self._versions_seen[record.service, record.version] = now
+
     def _drop(self, record: ReplicaRecord) -> None:
+        self._note_version(record)
         self._records.pop(record.instance, None)
         self._report_loss(record)
         _LOG.info(
@@ -192,6 +204,19 @@
             concurrency=max(1, slots),
         )
 
+    def list_versions(self, service: str) -> set[str]:
+        """Return the software versions that ``service`` has or recently had."""
+        oldest = self._clock.read_monotonic() - _VERSION_RETENTION
+        self._versions_seen = {
+            key: at for key, at in self._versions_seen.items() if at >= oldest
+        }
+        recent = {v for name, v in self._versions_seen if name == service}
+        return recent | {
+            record.version
+            for record in self._records.values()
+            if record.service == service
+        }
+
     def has_version(self, replica: Replica) -> bool:
         """Return whether ``replica`` has the version that it was placed for.
 
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -30,6 +30,7 @@
     ForwardingConfig,
     ForwardingRoute,
     ForwardRequest,
+    FoundStream,
     Framing,
     ProgramCall,
     Prompt,
@@ -37,6 +38,9 @@
     ResponseSink,
     RouteKind,
     ServiceTraits,
+    StreamOrigin,
+    StreamVersionPeers,
+    StreamVersions,
     TeamPolicy,
 )
 from fireflyspread.limits import StaticSplitLimiter
@@ -185,6 +189,16 @@
         raise PeerError("there are no other nodes")
 
 
+class NoStreamPeers(StreamVersionPeers):
+    """The peers of a deployment with one node."""
+
+    async def report(self, node: str, origins: Mapping[str, StreamOrigin]) -> None:
+        raise PeerError("there are no other nodes")
+
+    async def find(self, node: str, request: str, target: str) -> FoundStream:
+        raise PeerError("there are no other nodes")
+
+
 def make_route(name: str, kind: RouteKind, **options: object) -> ForwardingRoute:
     """Return a route of host ``h`` with the prefix ``/<name>/``."""
     values: dict[str, object] = {
@@ -283,6 +297,14 @@
             ),
             scheduler=self.scheduler,
             directory=self.directory,
+            stream_versions=StreamVersions(
+                NoStreamPeers(),
+                node="a",
+                clock=clock,
+                list_members=lambda: ["a"],
+                list_versions=self.directory.list_versions,
+                is_store_unavailable=lambda: False,
+            ),
             backend=self.backend,
             clock=clock,
             metrics=Metrics(),
--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -50,6 +50,31 @@
         assert losses == ["restarted/1", "gone/1"]
 
 
+class TestVersions:
+    """Software versions of a service."""
+
+    def test_versions_that_are_gone_count_for_a_while(self):
+        """Guards against streams of a replaced version that look like the new one's."""
+        fixture = DirectoryFixture()
+        directory = fixture.directory
+        directory.put(_make_record("a", version="v1"))
+        directory.put(_make_record("a", version="v2", born=2))
+        directory.put(_make_record("b", version="v3"))
+        directory.remove("b")
+        assert directory.list_versions("models") == {"v1", "v2", "v3"}
+        fixture.clock.advance(31.0)
+        assert directory.list_versions("models") == {"v2"}
+
+    def test_replica_that_restarted_as_another_version_is_noticed(self):
+        """Guards against a second send to a name that is another version now."""
+        fixture = DirectoryFixture()
+        fixture.directory.put(_make_record("a", version="v1"))
+        (replica,) = fixture.directory.get_target("models").replicas
+        assert fixture.directory.has_version(replica)
+        fixture.directory.put(_make_record("a", version="v2", born=2))
+        assert not fixture.directory.has_version(replica)
+
+
 class TestReplicaDirectory:
     def test_draining_replica_gets_nothing(self):
         """Guards against requests to a replica that is draining."""
