Split fingerprints and priorities from attempts, and log found versions

The line "version of a resumed stream found" tells which stream, which version, and whether it was on record or the only one.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -3,8 +3,6 @@
 import logging
 from typing import Any
 
-import xxhash
-
 from fireflyspread.budgets import Reservation
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
@@ -24,6 +22,8 @@
     TeamPolicy,
 )
 from fireflyspread.forwarding._events import EventSplitter, contains_event
+from fireflyspread.forwarding._fingerprint import compute_fingerprint
+from fireflyspread.forwarding._priority import compute_priority
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
 from fireflyspread.forwarding._stream_versions import StreamOrigin, StreamVersions
 from fireflyspread.routing import ReplicaDirectory, Result, Scheduler, Work
@@ -42,11 +42,6 @@
 _MAX_BUFFERED_BYTES = 1 << 20
 # Bytes of an answer that is no stream; a faulty replica may send them without end.
 _MAX_ANSWER_BYTES = 64 << 20
-# Engines take priorities from 0 to 9, with 5 as the default. Programs past their
-# deadline rank behind all others, because a late answer has little value.
-_BASE_PRIORITY = 3
-_MAX_RANK = 3
-_LATE_PRIORITY = 8
 
 
 class Attempt:
@@ -121,7 +116,7 @@
         self._framing: Framing | None = None
         self._received_bytes = 0
         self._first_byte_at = 0.0
-        self.fingerprint = _compute_fingerprint(request, team)
+        self.fingerprint = compute_fingerprint(request, team)
 
     async def prepare(self) -> None:
         """Find the version at which a stream that the caller takes up may go on.
@@ -352,15 +347,8 @@
     def _compute_priority(self) -> int | None:
         if self._traits is None or self._traits.engine is None:
             return None
-        program = self.request.program
-        if program is not None and program.remaining is not None:
-            waited = self._clock.read_monotonic() - self.request.received_at
-            if program.remaining - waited < 0:
-                return _LATE_PRIORITY
-        rank = self.route.priority
-        if self.team is not None and self.team.priority is not None:
-            rank = self.team.priority
-        return _BASE_PRIORITY + min(_MAX_RANK, max(0, rank))
+        waited = self._clock.read_monotonic() - self.request.received_at
+        return compute_priority(self.request, self.route, self.team, waited=waited)
 
     def _make_work(self) -> Work:
         request = self.request
@@ -424,18 +412,3 @@
             "budget": None if program is None else program.budget,
             "program_left": None if program is None else program.remaining,
         }
-
-
-def _compute_fingerprint(request: ForwardRequest, team: TeamPolicy | None) -> str:
-    """Return a hash of what a replica gets of a request, without the caller's ids."""
-    state = xxhash.xxh3_128()
-    for part in (
-        ("" if team is None else team.name).encode(),
-        request.method.encode(),
-        request.host.encode(),
-        request.request_target.encode(),
-        request.body,
-    ):
-        state.update(len(part).to_bytes(8, "big"))
-        state.update(part)
-    return state.hexdigest()
--- a/src/fireflyspread/forwarding/_stream_versions.py
+++ b/src/fireflyspread/forwarding/_stream_versions.py
@@ -180,13 +180,16 @@
             if each.origin is not None:
                 assert request is not None
                 self.record(request, each.origin)
+                _log_found(request, each.origin, source="record")
                 is_same = each.origin.target == target
                 return each.origin.version if is_same else None
             versions.update(each.versions)
         if len(versions) == 1 and self._is_certain(has_answers=len(found) > 1):
             version = versions.pop()
+            origin = StreamOrigin(target, version)
             if request is not None:
-                self.record(request, StreamOrigin(target, version))
+                self.record(request, origin)
+            _log_found(request, origin, source="single version")
             return version
         raise StreamVersionError(
             f"the software version that began the stream is not known and {target} "
@@ -262,3 +265,15 @@
         for task in tuple(self._tasks):
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def _log_found(request: str | None, origin: StreamOrigin, *, source: str) -> None:
+    _LOG.info(
+        "version of a resumed stream found",
+        extra={
+            "resumes": request,
+            "target": origin.target,
+            "replica_version": origin.version,
+            "source": source,
+        },
+    )
