Log the limits that replicas name

The lines about a send and its end have the field limit, a line tells when a node learns that a limit is named, changed or no longer named, the gauge replicas.limited counts them.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -115,6 +115,8 @@
         self._status = 0
         self._framing: Framing | None = None
         self._received_bytes = 0
+        self._rate_limit: float | None = None
+        self._sent_at = 0.0
         self._first_byte_at = 0.0
         self.fingerprint = compute_fingerprint(request, team)
 
@@ -231,7 +233,8 @@
         if remaining <= 0:
             raise DeadlineError("the deadline of the request passed; allow more time")
         self._sends += 1
-        self._framing, self._received_bytes = None, 0
+        self._framing, self._received_bytes, self._rate_limit = None, 0, None
+        self._sent_at = self._clock.read_monotonic()
         may_have_run_before, self.may_have_run = self.may_have_run, True
         dispatch = Dispatch(
             remaining=remaining,
@@ -255,6 +258,11 @@
         self._framing = reply.framing
         if reply.load is not None:
             self._scheduler.report_load(replica.name, reply.load)
+        if not reply.is_wrong_instance:
+            self._rate_limit = reply.rate_limit
+            self._scheduler.report_limit(
+                replica, reply.rate_limit, sent_at=self._sent_at
+            )
         if reply.is_refusal or reply.is_wrong_instance:
             raise TargetError(
                 f"replica {replica.name} refused with {reply.status}; try another",
@@ -380,6 +388,7 @@
                 "result": result,
                 "may_have_run": self.may_have_run,
                 "event": self._splitter.last_id,
+                "limit": self._rate_limit,
                 "framing": self._framing,
                 "received": self._received_bytes,
                 "attempt": self._sends,
@@ -405,6 +414,7 @@
             "seconds": seconds,
             "first": round(max(0.0, self._first_byte_at - self.request.received_at), 4),
             "event": self._splitter.last_id,
+            "limit": self._rate_limit,
             "framing": self._framing,
             "received": self._received_bytes,
             "parts": None if prompt is None else len(prompt.parts),
--- a/src/fireflyspread/forwarding/_backend.py
+++ b/src/fireflyspread/forwarding/_backend.py
@@ -58,6 +58,8 @@
         Whether the address now belongs to another replica.
     load : LoadReport or None
         Load that the replica reported with this response.
+    rate_limit : float or None
+        Requests per second that the replica takes from all nodes together.
     framing : Framing
         How the end of the body is marked.
     """
@@ -67,6 +69,7 @@
     is_refusal: bool
     is_wrong_instance: bool
     load: LoadReport | None
+    rate_limit: float | None
     framing: Framing
 
     @abc.abstractmethod
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -393,6 +393,7 @@
             ("config.version", self._configs.version),
             ("store.away", float(self._followers[0].is_store_unavailable)),
             ("members.known", len(self._roster.list_peers()) + 1),
+            ("replicas.limited", len(self._scheduler.limits.list_rates())),
             ("fingerprints.suspect", len(quarantine.list_suspects())),
             ("fingerprints.quarantined", len(quarantine.list_quarantined())),
         ]
--- a/src/fireflyspread/limits/__init__.py
+++ b/src/fireflyspread/limits/__init__.py
@@ -1,7 +1,8 @@
-"""Rate limits of teams, enforced across all VMs."""
+"""Rate limits of teams and of replicas, enforced across all VMs."""
 
 from fireflyspread.limits._demand import Commitments, Demand
 from fireflyspread.limits._limiter import RateLimiter
+from fireflyspread.limits._replica_limits import ReplicaLimits
 from fireflyspread.limits._shares import GRANT_TIMEOUT, ShareLimiter
 from fireflyspread.limits._static import StaticSplitLimiter
 from fireflyspread.limits._token_peers import TokenGrant, TokenPeers
@@ -11,6 +12,7 @@
     "Commitments",
     "Demand",
     "RateLimiter",
+    "ReplicaLimits",
     "ShareLimiter",
     "StaticSplitLimiter",
     "TokenGrant",
--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -42,6 +42,7 @@
     "tokens",
     "attempt",
     "rank",
+    "limit",
     "result",
     "may_have_run",
     "event",
--- a/src/fireflyspread/platform/_headers.py
+++ b/src/fireflyspread/platform/_headers.py
@@ -14,6 +14,7 @@
     "REQUEST_ID",
     "REQUEST_PRIORITY",
     "RESUMES",
+    "SERVER_LIMIT",
     "SERVER_LOAD",
     "SESSION_ID",
     "TARGET_INSTANCE",
@@ -36,6 +37,8 @@
 NOT_EXECUTED = _PREFIX + "Not-Executed"
 # Running requests, waiting requests and slots, separated by commas.
 SERVER_LOAD = _PREFIX + "Server-Load"
+# Requests a second that the replica takes from all nodes together.
+SERVER_LIMIT = "Server-Limit"
 INSTANCE_ID = _PREFIX + "Instance-Id"
 MODEL = _PREFIX + "Model"
 # Prompt tokens and maximum output tokens, separated by a comma.
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -10,6 +10,7 @@
 from fireflyspread.bundle import Replica, Target
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import OverloadedError
+from fireflyspread.limits import ReplicaLimits
 from fireflyspread.routing._crashes import identify_process
 from fireflyspread.routing._health import ReplicaHealth
 from fireflyspread.routing._isolation import Isolation, RunningRequest
@@ -103,6 +104,7 @@
         self._target_of_replica: dict[str, TargetState] = {}
         self.quarantine = quarantine or Quarantine(clock)
         self._isolation = isolation_factory(self.quarantine, rng)
+        self.limits = ReplicaLimits(clock, on_change=lambda: None)
 
     @classmethod
     def from_config(
@@ -356,6 +358,11 @@
             state.store_report(replica, report)
             self._dispatch(state)
 
+    def report_limit(
+        self, replica: Replica, rate: float | None, *, sent_at: float
+    ) -> None:
+        self.limits.record(identify_process(replica), rate, sent_at=sent_at)
+
     def set_leaving_vms(self, vms: frozenset[str]) -> None:
         if vms != self._leaving_vms:
             self._leaving_vms = vms
@@ -403,6 +410,7 @@
             "leaving": sorted(self._leaving_vms),
             "nodes": self._node_count,
             "retries_left": round(self._retries.tokens, 3),
+            "limits": self.limits.list_rates(),
             "suspects": list(self.quarantine.list_suspects()),
             "convicted": list(self.quarantine.list_quarantined()),
         }
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -144,6 +144,20 @@
     def report_load(self, replica: str, report: LoadReport) -> None:
         """Store a load report."""
 
+    @abc.abstractmethod
+    def report_limit(
+        self, replica: Replica, rate: float | None, *, sent_at: float
+    ) -> None:
+        """Store the limit that an answer of ``replica`` names.
+
+        Parameters
+        ----------
+        rate : float or None
+            Requests per second of all nodes together; None if it names none.
+        sent_at : float
+            Monotonic seconds at which the request was sent.
+        """
+
     @abc.abstractmethod
     def set_leaving_vms(self, vms: frozenset[str]) -> None:
         """Send no new requests to replicas on these VMs."""
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -38,6 +38,8 @@
         Whether such a crash leaves connections open and without an answer.
     empty_streams : int
         Number of next streams that end before their first event.
+    limit : float or None
+        Requests a second that answers name as the limit of all nodes together.
     refuse : int
         Number of next requests that are refused as not run.
     reset_answers : int
@@ -55,6 +57,7 @@
     crash_seconds: float = 0.5
     crashes_silently: bool = False
     empty_streams: int = 0
+    limit: float | None = None
     refuse: int = 0
     reset_answers: int = 0
     reset_events: int = 0
@@ -99,6 +102,8 @@
     ----------
     runs : list of Run
         Requests in the order of their start.
+    arrivals : list of float
+        Times of the event loop at which requests arrived, refused ones included.
     version : str
         Version of its software.
     crash_count : int
@@ -123,6 +128,7 @@
         self.crash_count = 0
         self.on_restart: Callable[[str], None] = lambda previous: None
         self.runs: list[Run] = []
+        self.arrivals: list[float] = []
         self._name = instance
         self._event_count = events
         self._stamps = itertools.count(1)
@@ -171,7 +177,11 @@
         return Counter(run.request for run in self.runs)
 
     def _make_headers(self, request: web.Request) -> dict[str, str]:
+        named = {}
+        if self.faults.limit is not None:
+            named["Server-Limit"] = f"{self.faults.limit:g}"
         return {
+            **named,
             _PREFIX + "Request-Id": request.headers.get(_PREFIX + "Request-Id", ""),
             _PREFIX + "Response-Stamp": f"{self.instance}.{next(self._stamps)}",
             _PREFIX + "Server-Load": f"{self._active},0,8",
@@ -180,6 +190,7 @@
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         target = request.headers.get(_PREFIX + "Target-Instance")
         headers = self._make_headers(request)
+        self.arrivals.append(asyncio.get_running_loop().time())
         if target is not None and target != self.instance:
             return web.Response(status=421, headers=headers)
         if self.faults.refuse > 0:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -81,6 +81,7 @@
     is_crash: bool = False
     load: LoadReport | None = None
     framing: Framing = Framing.CHUNKS
+    rate_limit: float | None = None
 
 
 class FakeReply(Reply):
@@ -93,6 +94,7 @@
         self.is_wrong_instance = answer.is_wrong_instance
         self.load = answer.load
         self.framing = answer.framing
+        self.rate_limit = answer.rate_limit
         self._chunks = answer.chunks
 
     async def iterate(self) -> AsyncIterator[bytes]:
