--- a/src/fireflyspread/_http_client.py
+++ b/src/fireflyspread/_http_client.py
@@ -2,8 +2,9 @@
 
 import asyncio
 import functools
+import math
 import socket
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
 from urllib.parse import quote
@@ -22,12 +23,15 @@
 )
 
 __all__ = [
+    "LIMIT_HEADER",
+    "AnswerCallback",
     "ClientConnector",
     "ResetAwareProtocol",
     "accepts_connection",
     "check_status",
     "join_url",
     "open_client_session",
+    "read_limit",
     "read_retry_after",
     "translate_errors",
 ]
@@ -35,12 +39,18 @@
 # Common servers close idle connections after 5 s. A request sent on a connection
 # that the server is closing looks like a crash, so the client closes it first.
 _KEEPALIVE_SECONDS = 4.0
+# Requests a second that a target takes from all nodes together.
+LIMIT_HEADER = "X-Rate-Limit"
 _MAX_ERROR_BODY_BYTES = 64 * 1024
 # Seconds. A VM whose process has crashed refuses connections at once; a VM that is
 # down does not answer.
 _PROBE_TIMEOUT = 0.3
 
 
+# Called with an answer and the seconds since its request was sent.
+AnswerCallback = Callable[[aiohttp.ClientResponse, float], None]
+
+
 class ResetAwareProtocol(ResponseHandler):
     """Fails an answer whose connection is reset.
 
@@ -137,6 +147,15 @@
         return None
 
 
+def read_limit(response: aiohttp.ClientResponse, header: str) -> float | None:
+    """Return the requests per second that an answer names; None without a number."""
+    try:
+        rate = float(response.headers.get(header, ""))
+    except ValueError:
+        return None
+    return rate if math.isfinite(rate) and rate >= 0.0 else None
+
+
 @contextmanager
 def translate_errors(replica: str) -> Iterator[None]:
     """Translate exceptions of the HTTP client into those of this package.
--- a/src/fireflyspread/_pools.py
+++ b/src/fireflyspread/_pools.py
@@ -1,4 +1,4 @@
-"""Clients of replicas, one for each name and base URL."""
+"""Clients of replicas, one for each name, base URL and VM."""
 
 from collections.abc import Callable
 from typing import Generic, Protocol, TypeVar
@@ -32,11 +32,11 @@
     ) -> None:
         self._create = create
         self._session = session
-        self._clients: dict[tuple[str, str], T] = {}
+        self._clients: dict[tuple[str, str, str], T] = {}
 
     def get(self, replica: Replica) -> T:
         """Return the client of a replica."""
-        key = (replica.name, replica.url)
+        key = (replica.name, replica.url, replica.vm)
         client = self._clients.get(key)
         if client is None:
             client = self._clients[key] = self._create(replica)
--- a/src/fireflyspread/daemon/_build.py
+++ b/src/fireflyspread/daemon/_build.py
@@ -5,18 +5,23 @@
 import aiohttp
 from attrs import frozen
 
-from fireflyspread._http_client import ClientConnector
+from fireflyspread._http_client import (
+    LIMIT_HEADER,
+    AnswerCallback,
+    ClientConnector,
+    read_limit,
+)
 from fireflyspread._pools import ReplicaPool
-from fireflyspread.bundle import BundleHolder
+from fireflyspread.bundle import BundleHolder, Replica
 from fireflyspread.callers import Authenticator, Context, RequestGuard
 from fireflyspread.clock import Clock
 from fireflyspread.engines import Engine, HttpEngine, SessionReleaser
-from fireflyspread.limits import RateLimiter
+from fireflyspread.limits import RateLimiter, ReplicaLimiter, ReplicaLimits
 from fireflyspread.metrics import Metrics
 from fireflyspread.nodes import FenceGuard, Relay, RequestSigner
 from fireflyspread.programs import IntentTable, ProgramTable
 from fireflyspread.recovery import Ownership
-from fireflyspread.routing import PolicyScheduler
+from fireflyspread.routing import PolicyScheduler, identify_process
 from fireflyspread.settings import Settings
 from fireflyspread.tools import HttpService, Service
 
@@ -58,6 +63,7 @@
     *,
     ownership: Ownership,
     limiter: RateLimiter,
+    replica_limiter: ReplicaLimiter,
     fences: FenceGuard,
     engines: ReplicaPool[Engine],
     services: ReplicaPool[Service],
@@ -65,7 +71,9 @@
 ) -> Context:
     """Build the context of the caller API; needs a running event loop."""
     settings, clock = state.settings, state.clock
-    scheduler = PolicyScheduler.from_config(settings, clock, state.rng)
+    scheduler = PolicyScheduler.from_config(
+        settings, clock, state.rng, replica_limiter=replica_limiter
+    )
     guard = RequestGuard()
 
     return Context(
@@ -91,17 +99,39 @@
     )
 
 
-def build_pools() -> tuple[ReplicaPool[Engine], ReplicaPool[Service]]:
-    """Return the clients of engines and of services; all share one HTTP session."""
+def build_pools(
+    limits: ReplicaLimits, clock: Clock
+) -> tuple[ReplicaPool[Engine], ReplicaPool[Service]]:
+    """Return the clients of engines and of services; all share one HTTP session.
+
+    Parameters
+    ----------
+    limits : ReplicaLimits
+        Records the limits that answers name.
+    """
+
+    def make_callback(replica: Replica) -> AnswerCallback:
+        process = identify_process(replica)
+        return lambda response, seconds: limits.record(
+            process,
+            read_limit(response, LIMIT_HEADER),
+            sent_at=clock.read_monotonic() - seconds,
+        )
+
     session = aiohttp.ClientSession(
         connector=ClientConnector(limit=0),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
     engines: ReplicaPool[Engine] = ReplicaPool(
-        lambda replica: HttpEngine.from_config(replica, session), session=session
+        lambda replica: HttpEngine.from_config(
+            replica, session, on_answer=make_callback(replica)
+        ),
+        session=session,
     )
     services: ReplicaPool[Service] = ReplicaPool(
-        lambda replica: HttpService.from_config(replica, session)
+        lambda replica: HttpService.from_config(
+            replica, session, on_answer=make_callback(replica)
+        )
     )
     return engines, services
--- a/src/fireflyspread/daemon/_node.py
+++ b/src/fireflyspread/daemon/_node.py
@@ -19,7 +19,13 @@
 from fireflyspread.daemon._recovery import Recovery
 from fireflyspread.daemon._targets import EngineTasks
 from fireflyspread.exceptions import FireflyError, SettingsError
-from fireflyspread.nodes import FenceGuard, PeerClient, PeerServer, make_ssl_context
+from fireflyspread.nodes import (
+    FenceGuard,
+    LimitExchange,
+    PeerClient,
+    PeerServer,
+    make_ssl_context,
+)
 from fireflyspread.operators import AdminApi
 from fireflyspread.platform import EtcdStore, LeavingVms, VmList
 from fireflyspread.recovery import Member
@@ -70,6 +76,7 @@
         self._spawn(self._feed.run())
         self._spawn(self._leaving_vms.run())
         self._spawn(self._recovery.membership.run())
+        self._spawn(self._limit_exchange.run())
         self._spawn(expire_programs(self._context, self._api))
         self._spawn(self._watch_authority())
         self._spawn(
@@ -124,6 +131,7 @@
         await self._admin_api.stop()
         await self._server.stop()
         await self._recovery.limiter.close()
+        await self._recovery.replica_limiter.close()
         await self._context.engines.close()
         await self._context.relay.close()
         await self._client.close()
@@ -146,6 +154,13 @@
             on_lost=self._end_requests,
             on_bundle_version=lambda node, version: self._feed.announce(node, version),
         )
+        self._limit_exchange = LimitExchange(
+            self._client,
+            self._recovery.replica_limiter.limits,
+            node=settings.node.name,
+            list_members=lambda: self._recovery.membership.members(),
+            rng=self._state.rng,
+        )
         self._feed = BundleFeed(
             self._store,
             self._state.bundles,
@@ -158,6 +173,7 @@
         self._exchange = self._build_exchange()
         self._exchange.register(self._server, fences)
         self._recovery.register(self._server)
+        self._limit_exchange.register(self._server)
         self._admin_api = self._build_admin_api()
         self._register_listeners()
 
@@ -171,7 +187,9 @@
         )
 
     def _build_context(self, fences: FenceGuard) -> Context:
-        engines, services = build_pools()
+        engines, services = build_pools(
+            self._recovery.replica_limiter.limits, self._clock
+        )
         self._engine_tasks = EngineTasks(
             engines=engines,
             programs=self._state.programs,
@@ -184,6 +202,7 @@
             self._state,
             ownership=self._recovery,
             limiter=self._recovery.limiter,
+            replica_limiter=self._recovery.replica_limiter,
             fences=fences,
             engines=engines,
             services=services,
--- a/src/fireflyspread/daemon/_recovery.py
+++ b/src/fireflyspread/daemon/_recovery.py
@@ -9,7 +9,7 @@
 from fireflyspread.daemon._build import NodeState
 from fireflyspread.daemon._peers import NodePeers, RecordHolder
 from fireflyspread.exceptions import NoAuthorityError
-from fireflyspread.limits import GRANT_TIMEOUT, ShareLimiter
+from fireflyspread.limits import GRANT_TIMEOUT, ReplicaLimiter, ShareLimiter
 from fireflyspread.nodes import (
     AuthorityRenewed,
     HoldRecords,
@@ -81,7 +81,21 @@
         self.membership.add_state(CombinedState(state.programs, state.intents))
         # Distinguishes grants of this process from those of an earlier process.
         self._process_incarnation = uuid.uuid4().hex
-        self.limiter = self._build_limiter(state, client)
+        self.limiter = ShareLimiter.from_config(
+            state.settings,
+            self._make_token_peers(client),
+            clock=state.clock,
+            rng=state.rng,
+            check_authority=self.check_authority,
+        )
+        self.replica_limiter = ReplicaLimiter(
+            self.name,
+            self._make_token_peers(
+                client, find_limit=lambda name: self.replica_limiter.find_limit(name)
+            ),
+            clock=state.clock,
+            rng=state.rng,
+        )
         self._clock = state.clock
         # Seconds from joining until the share of a node accrues, see ShareLimiter.
         self._share_delay = state.settings.timing.authority_ttl + GRANT_TIMEOUT
@@ -90,19 +104,18 @@
         self.membership.add_listener(self._set_members)
         state.bundles.add_listener(self._set_teams)
 
-    def _build_limiter(self, state: NodeState, client: PeerClient) -> ShareLimiter:
-        token_peers = NodeTokenPeers(
+    def _make_token_peers(
+        self,
+        client: PeerClient,
+        *,
+        find_limit: Callable[[str], float] | None = None,
+    ) -> NodeTokenPeers:
+        return NodeTokenPeers(
             client,
             node=self.name,
             incarnation=self._process_incarnation,
             find_member=self._find_member,
-        )
-        return ShareLimiter.from_config(
-            state.settings,
-            token_peers,
-            clock=state.clock,
-            rng=state.rng,
-            check_authority=self.check_authority,
+            find_limit=find_limit,
         )
 
     def register(self, server: PeerServer) -> None:
@@ -111,7 +124,11 @@
         server.register(HoldRecords, self._hold_records)
         server.register(TakeRecords, self._take_records)
         register_token_handler(
-            server, self.limiter, node=self.name, incarnation=self._process_incarnation
+            server,
+            self.limiter,
+            self.replica_limiter,
+            node=self.name,
+            incarnation=self._process_incarnation,
         )
 
     def owned_slots(self) -> frozenset[int]:
@@ -155,14 +172,20 @@
 
     def dump(self) -> dict[str, Any]:
         """Return the state for a state dump, in JSON types."""
-        return {**self.membership.dump(), "rates": self.limiter.dump()}
+        return {
+            **self.membership.dump(),
+            "rates": self.limiter.dump(),
+            "replica_limits": self.replica_limiter.dump(),
+        }
 
     def _find_member(self, name: str) -> Member | None:
         members = self.membership.members()
         return next((member for member in members if member.name == name), None)
 
     def _set_members(self, epoch: int, members: tuple[Member, ...]) -> None:
-        self.limiter.set_members(epoch, [member.name for member in members])
+        names = [member.name for member in members]
+        self.limiter.set_members(epoch, names)
+        self.replica_limiter.set_members(epoch, names)
         own_member = self._find_member(self.name)
         if own_member is not None and own_member.incarnation != self._incarnation:
             self._incarnation = own_member.incarnation
--- a/src/fireflyspread/engines/_http.py
+++ b/src/fireflyspread/engines/_http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import AsyncIterator
 from typing import Any, TypeVar
 
@@ -10,7 +11,12 @@
 from attrs import asdict
 from yarl import URL
 
-from fireflyspread._http_client import check_status, join_url, translate_errors
+from fireflyspread._http_client import (
+    AnswerCallback,
+    check_status,
+    join_url,
+    translate_errors,
+)
 from fireflyspread.bundle import Replica
 from fireflyspread.engines._engine import Engine, EngineLoad, EngineRequest, Order
 from fireflyspread.engines._sse import DONE_EVENT, EventSplitter
@@ -65,6 +71,8 @@
         Shared by all clients of the process; this client does not close it.
     name : str
         Name of the replica for errors and logs.
+    on_answer : callable or None
+        Called with each answer to a turn and the seconds since the turn was sent.
     control_timeout : float
         Seconds for each call other than answers and cache transfers.
     transfer_timeout : float
@@ -80,6 +88,7 @@
         *,
         session: aiohttp.ClientSession,
         name: str = "",
+        on_answer: AnswerCallback | None = None,
         control_timeout: float = 2.0,
         transfer_timeout: float = 30.0,
         stall_timeout: float = _STALL_TIMEOUT,
@@ -87,6 +96,7 @@
         self._url = url.rstrip("/")
         self._session = session
         self._name = name or url
+        self._on_answer = on_answer
         self._control_timeout = control_timeout
         self._transfer_timeout = transfer_timeout
         self._stall_timeout = stall_timeout
@@ -95,18 +105,25 @@
 
     @classmethod
     def from_config(
-        cls, replica: Replica, session: aiohttp.ClientSession
+        cls,
+        replica: Replica,
+        session: aiohttp.ClientSession,
+        *,
+        on_answer: AnswerCallback | None = None,
     ) -> "HttpEngine":
         """Return the client of a replica of the bundle."""
-        return cls(replica.url, session=session, name=replica.name)
+        return cls(replica.url, session=session, name=replica.name, on_answer=on_answer)
 
     async def stream(self, request: EngineRequest) -> AsyncIterator[bytes]:
         may_be_running = True
         splitter = EventSplitter(request.request_id, self._name)
+        sent_at = time.monotonic()
         try:
             with translate_errors(self._name):
                 async with self._open_answer(request) as response:
                     may_be_running = response.status < 400
+                    if self._on_answer is not None:
+                        self._on_answer(response, time.monotonic() - sent_at)
                     await check_status(response, self._name)
                     content = response.content
                     # No stall timeout before the first event, which waits for the
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -9,6 +9,7 @@
 from fireflyspread.exceptions import (
     DeadlineError,
     Outcome,
+    RateLimitedError,
     ReplicaCrashedError,
     StreamVersionError,
     TargetError,
@@ -26,7 +27,7 @@
 from fireflyspread.forwarding._priority import compute_priority
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
 from fireflyspread.forwarding._stream_versions import StreamOrigin, StreamVersions
-from fireflyspread.routing import ReplicaDirectory, Result, Scheduler, Work
+from fireflyspread.routing import ReplicaDirectory, Result, Scheduler, Ticket, Work
 
 __all__ = ["Attempt"]
 
@@ -36,6 +37,10 @@
 # same replica if it is still up: it has the prompt cached, and the route may not allow
 # another replica.
 _MAX_SENDS_PER_REPLICA = 2
+# Maximum wait for the replica's limit before that: seconds, and fraction of the time
+# until the deadline. Callers abort a stream after 2 s without data.
+_MAX_RESEND_WAIT = 0.8
+_MAX_RESEND_WAIT_FRACTION = 1 / 3
 # Replicas that may fail a request before the caller gets the failure.
 _MAX_FAILED_REPLICAS = 6
 # Bytes of an answer that are buffered before it is passed on in chunks.
@@ -159,7 +164,7 @@
             self._replica_version = ticket.replica.version
             result = Result.CANCELLED
             try:
-                await self._run_on_replica(ticket.replica)
+                await self._run_on_replica(ticket)
                 result = Result.ANSWERED
                 return
             except TargetError as exc:
@@ -210,8 +215,9 @@
         """
         return self.route.is_repeatable and not self._has_started_body
 
-    async def _run_on_replica(self, replica: Replica) -> None:
+    async def _run_on_replica(self, ticket: Ticket) -> None:
         """Send to one replica, and once more if the connection breaks."""
+        replica = ticket.replica
         for last in (False, True):
             try:
                 await self._send(replica)
@@ -227,6 +233,18 @@
                 if not self._directory.has_version(replica):
                     raise
                 self._log_failure(exc, Result.BROKEN)
+                if not await self._may_resend(ticket):
+                    raise
+
+    async def _may_resend(self, ticket: Ticket) -> bool:
+        """Return whether the replica's limit admits another send, after a wait."""
+        remaining = self.deadline - self._clock.read_monotonic()
+        max_wait = min(_MAX_RESEND_WAIT, _MAX_RESEND_WAIT_FRACTION * remaining)
+        try:
+            await self._scheduler.acquire_resend(ticket, max_wait=max_wait)
+        except RateLimitedError:
+            return False
+        return True
 
     async def _send(self, replica: Replica) -> None:
         remaining = self.deadline - self._clock.read_monotonic()
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import secrets
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import msgspec
@@ -38,9 +38,10 @@
     NodeStreamVersionPeers,
     register_stream_handlers,
 )
-from fireflyspread.limits import ShareLimiter
+from fireflyspread.limits import ReplicaLimiter, ShareLimiter
 from fireflyspread.metrics import Metrics
 from fireflyspread.nodes import (
+    LimitExchange,
     NodeTokenPeers,
     PeerClient,
     PeerServer,
@@ -138,6 +139,9 @@
         self._failed = asyncio.Event()
         self._is_draining = False
         self._build_state()
+        self._build_membership()
+        self._build_limiters()
+        self._build_scheduler()
         self._build_peers()
         self._build_forwarder()
         self._build_followers()
@@ -161,27 +165,8 @@
             self._set_targets,
             on_loss=lambda replica: self._scheduler.record_loss(replica),
         )
-        self._placement = PromptPlacement(self._rng, zone=settings.node.zone)
-        self._scheduler = PolicyScheduler(
-            self._clock,
-            self._rng,
-            placement=self._placement,
-            quarantine=Quarantine(
-                self._clock,
-                policy=CrashSeriesPolicy(),
-                incarnation=self._incarnation,
-                settle_seconds=_CRASH_REPORT_SECONDS,
-            ),
-            isolation_factory=functools.partial(
-                Isolation, max_wait=_MAX_ISOLATION_WAIT, waits_for_repeated=False
-            ),
-            retries=RetryBudget(fraction=0.3, burst=50.0),
-            health_factory=lambda clock: ReplicaHealth(
-                clock, slow_factor=_SLOW_FACTOR, consecutive_broken=_CONSECUTIVE_BROKEN
-            ),
-        )
 
-    def _build_peers(self) -> None:
+    def _build_membership(self) -> None:
         settings = self._settings
         own = NodeAddress(
             name=self._name,
@@ -203,21 +188,12 @@
             on_loss=lambda: self._loan_log.refresh(),
         )
         self._client = PeerClient(fail_fast=True)
-        self._loan_log = ReplicatedLoanLog(
-            self._client,
-            self._roster,
-            node=self._name,
-            incarnation=self._incarnation,
-        )
         self._server = PeerServer(settings.listen.peers, node=self._name)
+
+    def _build_limiters(self) -> None:
         self._limiter = ShareLimiter(
             self._name,
-            NodeTokenPeers(
-                self._client,
-                node=self._name,
-                incarnation=self._incarnation,
-                find_member=self._roster.find,
-            ),
+            self._make_token_peers(),
             clock=self._clock,
             rng=self._rng,
             check_authority=self._roster.check_authority,
@@ -226,9 +202,67 @@
             new_teams_start_full=True,
             burst_for_each_home=_BURST_FOR_EACH_HOME,
         )
+        self._replica_limiter = ReplicaLimiter(
+            self._name,
+            self._make_token_peers(
+                find_limit=lambda name: self._replica_limiter.find_limit(name)
+            ),
+            clock=self._clock,
+            rng=self._rng,
+        )
         register_token_handler(
             self._server,
             self._limiter,
+            self._replica_limiter,
+            node=self._name,
+            incarnation=self._incarnation,
+        )
+        self._limit_exchange = LimitExchange(
+            self._client,
+            self._replica_limiter.limits,
+            node=self._name,
+            list_members=self._roster.list_peers,
+            rng=self._rng,
+        )
+        self._limit_exchange.register(self._server)
+
+    def _make_token_peers(
+        self, *, find_limit: Callable[[str], float] | None = None
+    ) -> NodeTokenPeers:
+        return NodeTokenPeers(
+            self._client,
+            node=self._name,
+            incarnation=self._incarnation,
+            find_member=self._roster.find,
+            find_limit=find_limit,
+        )
+
+    def _build_scheduler(self) -> None:
+        self._placement = PromptPlacement(self._rng, zone=self._settings.node.zone)
+        self._scheduler = PolicyScheduler(
+            self._clock,
+            self._rng,
+            placement=self._placement,
+            quarantine=Quarantine(
+                self._clock,
+                policy=CrashSeriesPolicy(),
+                incarnation=self._incarnation,
+                settle_seconds=_CRASH_REPORT_SECONDS,
+            ),
+            isolation_factory=functools.partial(
+                Isolation, max_wait=_MAX_ISOLATION_WAIT, waits_for_repeated=False
+            ),
+            retries=RetryBudget(fraction=0.3, burst=50.0),
+            health_factory=lambda clock: ReplicaHealth(
+                clock, slow_factor=_SLOW_FACTOR, consecutive_broken=_CONSECUTIVE_BROKEN
+            ),
+            replica_limiter=self._replica_limiter,
+        )
+
+    def _build_peers(self) -> None:
+        self._loan_log = ReplicatedLoanLog(
+            self._client,
+            self._roster,
             node=self._name,
             incarnation=self._incarnation,
         )
@@ -361,6 +395,7 @@
         self._spawn(self._exchange.run())
         self._spawn(self._crash_exchange.run())
         self._spawn(self._loan_log.run())
+        self._spawn(self._limit_exchange.run())
         self._spawn(self._expire_directory())
         _LOG.info(
             "node started",
@@ -393,7 +428,7 @@
             ("config.version", self._configs.version),
             ("store.away", float(self._followers[0].is_store_unavailable)),
             ("members.known", len(self._roster.list_peers()) + 1),
-            ("replicas.limited", len(self._scheduler.limits.list_rates())),
+            ("replicas.limited", len(self._replica_limiter.limits.list_rates())),
             ("fingerprints.suspect", len(quarantine.list_suspects())),
             ("fingerprints.quarantined", len(quarantine.list_quarantined())),
         ]
@@ -409,6 +444,7 @@
             "replicas": self._directory.dump(),
             "scheduler": self._scheduler.dump(),
             "rates": self._limiter.dump(),
+            "replica_limits": self._replica_limiter.dump(),
             "budgets": self._accounts.dump(),
         }
 
@@ -477,6 +513,7 @@
         for runner in self._runners:
             await runner.cleanup()
         await self._limiter.close()
+        await self._replica_limiter.close()
         await self._streams.close()
         await self._backend.close()
         await self._server.stop()
@@ -517,7 +554,9 @@
             "members updated", extra={"node": self._name, "members": sorted(names)}
         )
         self._rate_membership.apply(
-            names, self._limiter, is_returning=self._roster.is_returning
+            names,
+            (self._limiter, self._replica_limiter),
+            is_returning=self._roster.is_returning,
         )
         self._scheduler.set_node_count(len(names))
 
--- a/src/fireflyspread/gateway/_rates.py
+++ b/src/fireflyspread/gateway/_rates.py
@@ -1,13 +1,14 @@
 """Which members share the teams' rates, and since when this node has a share."""
 
 import math
+from collections.abc import Iterable
 
 from attrs import evolve
 
 from fireflyspread.bundle import Team
 from fireflyspread.clock import Clock
 from fireflyspread.gateway._settings import RateTolerance
-from fireflyspread.limits import ShareLimiter
+from fireflyspread.limits import ReplicaLimiter, ShareLimiter
 
 __all__ = ["RateMembership", "add_tolerance"]
 
@@ -56,9 +57,13 @@
         return self._is_member
 
     def apply(
-        self, names: frozenset[str], limiter: ShareLimiter, *, is_returning: bool
+        self,
+        names: frozenset[str],
+        limiters: Iterable[ShareLimiter | ReplicaLimiter],
+        *,
+        is_returning: bool,
     ) -> None:
-        """Pass the names of all members on to the limiter.
+        """Pass the names of all members on to the limiters.
 
         Parameters
         ----------
@@ -72,4 +77,5 @@
             self._accrues_since = self._started_at + (
                 0.0 if is_returning else _PROPAGATION_SECONDS
             )
-        limiter.replace_members(names, since=self._accrues_since)
+        for limiter in limiters:
+            limiter.replace_members(names, since=self._accrues_since)
--- a/src/fireflyspread/limits/__init__.py
+++ b/src/fireflyspread/limits/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflyspread.limits._demand import Commitments, Demand
 from fireflyspread.limits._limiter import RateLimiter
+from fireflyspread.limits._replica_limiter import ReplicaLimiter
 from fireflyspread.limits._replica_limits import ReplicaLimits
 from fireflyspread.limits._shares import GRANT_TIMEOUT, ShareLimiter
 from fireflyspread.limits._static import StaticSplitLimiter
@@ -12,6 +13,7 @@
     "Commitments",
     "Demand",
     "RateLimiter",
+    "ReplicaLimiter",
     "ReplicaLimits",
     "ShareLimiter",
     "StaticSplitLimiter",
--- a/src/fireflyspread/limits/_homes.py
+++ b/src/fireflyspread/limits/_homes.py
@@ -24,6 +24,8 @@
         Names of the members.
     burst_for_each_home : float
         Tokens of a team's burst needed for each of its home nodes.
+    max_homes : int or None
+        Maximum number of home nodes of a team; None sets none.
     """
 
     def __init__(
@@ -32,7 +34,9 @@
         names: Iterable[str],
         *,
         burst_for_each_home: float = _BURST_FOR_EACH_HOME,
+        max_homes: int | None = None,
     ) -> None:
+        self._max_homes = max_homes
         self._burst_for_each_home = burst_for_each_home
         self.epoch = epoch
         self.names = frozenset(names)
@@ -44,9 +48,10 @@
         The number of home nodes grows with the team's burst; there is at least one and
         at most one per member.
         """
-        count = max(
-            1, min(int(team.burst // self._burst_for_each_home), len(self.names))
-        )
+        most = len(self.names)
+        if self._max_homes is not None:
+            most = min(most, self._max_homes)
+        count = max(1, min(int(team.burst // self._burst_for_each_home), most))
         homes = self._homes.get((team.name, count))
         if homes is None:
             ranked = sorted(self.names, key=lambda name: _rank(name, team.name))
--- a/src/fireflyspread/limits/_ledger.py
+++ b/src/fireflyspread/limits/_ledger.py
@@ -3,6 +3,7 @@
 import itertools
 import math
 from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
 
 from fireflyspread.bundle import Team
 from fireflyspread.clock import Clock
@@ -42,6 +43,8 @@
         have spent anything under other limits.
     burst_for_each_home : float or None
         See ``MembersView``; None takes its default.
+    max_homes : int or None
+        See ``MembersView``.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         limits_delay: float | None = None,
         new_teams_start_full: bool = False,
         burst_for_each_home: float | None = None,
+        max_homes: int | None = None,
     ) -> None:
         self._node = node
         self._authority_ttl = authority_ttl
@@ -68,11 +72,9 @@
         self._authority_confirmed_at = -math.inf
         self._accrues_from: float | None = None
         self._new_teams_start_full = new_teams_start_full
-        self._view_options = (
-            {}
-            if burst_for_each_home is None
-            else {"burst_for_each_home": burst_for_each_home}
-        )
+        self._view_options: dict[str, Any] = {"max_homes": max_homes}
+        if burst_for_each_home is not None:
+            self._view_options["burst_for_each_home"] = burst_for_each_home
         self._revision = 0
         self.buckets: dict[str, Bucket] = {}
 
--- a/src/fireflyspread/limits/_replica_limits.py
+++ b/src/fireflyspread/limits/_replica_limits.py
@@ -38,17 +38,22 @@
 class ReplicaLimits:
     """Remembers the limits that replicas named, by replica process.
 
-    Parameters
-    ----------
-    on_change : callable
-        Called after a limit was named, changed or ended.
+    Listeners are called after a limit was named, changed or ended.
     """
 
-    def __init__(self, clock: Clock, on_change: Callable[[], None]) -> None:
+    def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._on_change = on_change
+        self._listeners: list[Callable[[], None]] = []
         self._limits: dict[str, _Limit] = {}
 
+    def add_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` after each change."""
+        self._listeners.append(listener)
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
     def record(self, process: str, rate: float | None, *, sent_at: float) -> None:
         """Record what an answer said.
 
@@ -65,7 +70,7 @@
             return
         now = self._clock.read_monotonic()
         if self._set(process, _Limit(rate, now), source="answer"):
-            self._on_change()
+            self._notify()
 
     def merge(
         self, node: str, limits: Mapping[str, tuple[float | None, float]]
@@ -79,7 +84,7 @@
             if known is None or known.seen_at < limit.seen_at:
                 has_changed |= self._set(process, limit, source=node)
         if has_changed:
-            self._on_change()
+            self._notify()
 
     def _set(self, process: str, limit: _Limit, *, source: str) -> bool:
         known = self._limits.get(process)
@@ -129,4 +134,4 @@
             if now - limit.seen_at < (_END_TTL if limit.rate is None else _LIMIT_TTL)
         }
         if self.list_rates() != rates:
-            self._on_change()
+            self._notify()
--- a/src/fireflyspread/limits/_shares.py
+++ b/src/fireflyspread/limits/_shares.py
@@ -99,7 +99,7 @@
     limits_delay : float or None
         Seconds after which no node acts on replaced limits of a team; None takes
         ``authority_ttl`` plus ``GRANT_TIMEOUT``.
-    new_teams_start_full, burst_for_each_home
+    new_teams_start_full, burst_for_each_home, max_homes
         See ``ShareLedger``.
     """
 
@@ -115,6 +115,7 @@
         limits_delay: float | None = None,
         new_teams_start_full: bool = False,
         burst_for_each_home: float | None = None,
+        max_homes: int | None = None,
     ) -> None:
         self._node = node
         self._peers = peers
@@ -131,6 +132,7 @@
             limits_delay=limits_delay,
             new_teams_start_full=new_teams_start_full,
             burst_for_each_home=burst_for_each_home,
+            max_homes=max_homes,
         )
         self._unreachable: dict[str, float] = {}
 
--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -12,6 +12,7 @@
     ConfigFetched,
     ConfirmFence,
     ExchangeCrashes,
+    ExchangeLimits,
     Failed,
     FenceConfirmed,
     FetchBundle,
@@ -46,6 +47,7 @@
     RelayAnswer,
     make_ssl_context,
 )
+from fireflyspread.nodes._replica_limits import LimitExchange
 from fireflyspread.nodes._signature import HOPS_HEADER, Identity, RequestSigner
 from fireflyspread.nodes._tokens import NodeTokenPeers, register_token_handler
 
@@ -64,6 +66,7 @@
     "BundleFetched",
     "ConfirmFence",
     "ExchangeCrashes",
+    "ExchangeLimits",
     "Failed",
     "FenceConfirmed",
     "FenceGuard",
@@ -73,6 +76,7 @@
     "HOPS_HEADER",
     "HoldRecords",
     "Identity",
+    "LimitExchange",
     "ListLoans",
     "LoanNoted",
     "LoansListed",
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -16,6 +16,7 @@
     "ConfigFetched",
     "ConfirmFence",
     "ExchangeCrashes",
+    "ExchangeLimits",
     "Failed",
     "FenceConfirmed",
     "FetchBundle",
@@ -114,10 +115,14 @@
 
 
 class AcquireTokens(Message, frozen=True, kw_only=True):
-    """Asks a home node of ``team`` for rate tokens.
+    """Asks a home node of ``team`` for rate tokens, or for permits of a replica.
 
     Attributes
     ----------
+    team : str
+        Name of the team, or share name of the replica.
+    limit : float
+        Requests per second that the replica takes; 0 for a team.
     epoch : int
         Epoch of the members document on the sender.
     patience : float
@@ -132,6 +137,7 @@
     patience: float = 0.0
     requests: float = 0.0
     seconds: float = 0.0
+    limit: float = 0.0
 
 
 class TokensGranted(Message, frozen=True, kw_only=True):
@@ -381,6 +387,19 @@
     report: CrashReport
 
 
+class ExchangeLimits(Message, frozen=True, kw_only=True):
+    """Limits that replicas named; answered with those that the receiver knows.
+
+    Attributes
+    ----------
+    limits : dict of str to tuple
+        Requests per second (None after the end of a limit) and age in seconds by
+        replica process.
+    """
+
+    limits: dict[str, tuple[float | None, float]]
+
+
 class RecordStreams(Message, frozen=True, kw_only=True):
     """Asks to remember streams.
 
@@ -473,6 +492,7 @@
     | TakeRecords
     | RecordsTaken
     | ExchangeCrashes
+    | ExchangeLimits
     | RecordStreams
     | StreamsRecorded
     | FindStream
--- a/src/fireflyspread/nodes/_tokens.py
+++ b/src/fireflyspread/nodes/_tokens.py
@@ -6,6 +6,7 @@
 from fireflyspread.limits import (
     GRANT_TIMEOUT,
     Demand,
+    ReplicaLimiter,
     ShareLimiter,
     TokenGrant,
     TokenPeers,
@@ -26,6 +27,9 @@
         Name and incarnation of this node.
     find_member : callable
         Returns the member with a name, or None if it has left.
+    find_limit : callable or None
+        Returns the limit of a replica by its share name, if permits of replicas are
+        requested.
     """
 
     def __init__(
@@ -35,11 +39,13 @@
         node: str,
         incarnation: str,
         find_member: Callable[[str], Member | NodeAddress | None],
+        find_limit: Callable[[str], float] | None = None,
     ) -> None:
         self._client = client
         self._node = node
         self._incarnation = incarnation
         self._find_member = find_member
+        self._find_limit = find_limit
 
     async def acquire(
         self,
@@ -63,6 +69,7 @@
             patience=max_wait,
             requests=0.0 if demand is None else demand.requests,
             seconds=0.0 if demand is None else demand.seconds,
+            limit=0.0 if self._find_limit is None else self._find_limit(team),
         )
         answer = await self._client.ask(found.peers, request, timeout=GRANT_TIMEOUT)
         if not isinstance(answer, TokensGranted):
@@ -73,22 +80,27 @@
 
 
 def register_token_handler(
-    server: PeerServer, limiter: ShareLimiter, *, node: str, incarnation: str
+    server: PeerServer,
+    limiter: ShareLimiter,
+    replica_limiter: ReplicaLimiter,
+    *,
+    node: str,
+    incarnation: str,
 ) -> None:
-    """Answer token requests of other nodes from the share of this node."""
+    """Answer token requests of other nodes from the shares of this node."""
 
     async def answer(message: AcquireTokens) -> Message:
-        demand = None
-        if message.requests > 0.0:
-            demand = Demand(requests=message.requests, seconds=message.seconds)
-        grant = limiter.grant(
-            message.team,
-            message.amount,
-            message.epoch,
-            requester=message.incarnation,
-            max_wait=message.patience,
-            demand=demand,
-        )
+        if message.limit > 0.0:
+            grant = replica_limiter.grant(
+                message.team,
+                message.limit,
+                message.amount,
+                message.epoch,
+                requester=message.incarnation,
+                max_wait=message.patience,
+            )
+        else:
+            grant = _grant_to_team(limiter, message)
         return TokensGranted(
             node=node,
             incarnation=incarnation,
@@ -98,3 +110,17 @@
         )
 
     server.register(AcquireTokens, answer)
+
+
+def _grant_to_team(limiter: ShareLimiter, message: AcquireTokens) -> TokenGrant:
+    demand = None
+    if message.requests > 0.0:
+        demand = Demand(requests=message.requests, seconds=message.seconds)
+    return limiter.grant(
+        message.team,
+        message.amount,
+        message.epoch,
+        requester=message.incarnation,
+        max_wait=message.patience,
+        demand=demand,
+    )
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -1,7 +1,6 @@
 """Client of the platform's replicas."""
 
 import logging
-import math
 import socket
 import time
 from collections.abc import AsyncIterator
@@ -16,6 +15,7 @@
     ClientConnector,
     ResetAwareProtocol,
     accepts_connection,
+    read_limit,
 )
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
@@ -223,7 +223,7 @@
         self.is_refusal = names.NOT_EXECUTED in headers
         self.is_wrong_instance = response.status == 421
         self.load = _read_load(headers.get(names.SERVER_LOAD), now)
-        self.rate_limit = _read_rate_limit(headers.get(names.SERVER_LIMIT))
+        self.rate_limit = read_limit(response, names.SERVER_LIMIT)
         self.framing = _read_framing(response)
 
     async def iterate(self) -> AsyncIterator[bytes]:
@@ -337,14 +337,6 @@
     return Framing.CONNECTION
 
 
-def _read_rate_limit(value: str | None) -> float | None:
-    try:
-        rate = float(value or "")
-    except ValueError:
-        return None
-    return rate if math.isfinite(rate) and rate >= 0.0 else None
-
-
 def _read_load(value: str | None, now: float) -> LoadReport | None:
     try:
         running, waiting, _ = (int(part) for part in (value or "").split(","))
--- a/src/fireflyspread/routing/__init__.py
+++ b/src/fireflyspread/routing/__init__.py
@@ -1,6 +1,6 @@
 """Scheduling of requests: which one runs next, and on which replica."""
 
-from fireflyspread.routing._crashes import Crash, CrashReport
+from fireflyspread.routing._crashes import Crash, CrashReport, identify_process
 from fireflyspread.routing._directory import ReplicaDirectory, ReplicaRecord
 from fireflyspread.routing._health import ReplicaHealth
 from fireflyspread.routing._hints import CacheHint, CacheHints
@@ -61,4 +61,5 @@
     "Ticket",
     "Work",
     "draw_backoff",
+    "identify_process",
 ]
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -9,8 +9,8 @@
 
 from fireflyspread.bundle import Replica, Target
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import OverloadedError
-from fireflyspread.limits import ReplicaLimits
+from fireflyspread.exceptions import OverloadedError, RateLimitedError
+from fireflyspread.limits import ReplicaLimiter
 from fireflyspread.routing._crashes import identify_process
 from fireflyspread.routing._health import ReplicaHealth
 from fireflyspread.routing._isolation import Isolation, RunningRequest
@@ -46,6 +46,9 @@
 # Interval (seconds) at which waiting requests are considered again, because load
 # reports and ejections expire and waiting for a holder stops paying off.
 _TICK_SECONDS = 0.1
+# Maximum wait (seconds) when all replicas have used up the limits that they name. As
+# many requests are served with a longer queue, but all of them late.
+_MAX_PERMIT_WAIT = 0.8
 # Intervals of ``Hello`` messages after which the neighbours have reported a crash.
 _HELLO_INTERVALS = 2
 _NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE})
@@ -69,6 +72,8 @@
         refused at once.
     isolation_factory : callable
         Returns the isolation of suspects.
+    replica_limiter : ReplicaLimiter or None
+        Gives permits for replicas that limit their requests; None ignores limits.
     """
 
     def __init__(
@@ -85,6 +90,7 @@
         report_ttl: float = 3.0,
         refuses_early: bool = True,
         isolation_factory: Callable[[Quarantine, random.Random], Isolation] = Isolation,
+        replica_limiter: ReplicaLimiter | None = None,
     ) -> None:
         self._clock = clock
         self._queue_factory = queue_factory
@@ -101,14 +107,20 @@
         self._node_count = 1
         self._running_requests: dict[tuple[str, str], RunningRequest] = {}
         self._ticker: asyncio.TimerHandle | None = None
+        self._tick_at = 0.0
         self._target_of_replica: dict[str, TargetState] = {}
         self.quarantine = quarantine or Quarantine(clock)
         self._isolation = isolation_factory(self.quarantine, rng)
-        self.limits = ReplicaLimits(clock, on_change=lambda: None)
+        self._replica_limiter = replica_limiter
 
     @classmethod
     def from_config(
-        cls, settings: Settings, clock: Clock, rng: random.Random
+        cls,
+        settings: Settings,
+        clock: Clock,
+        rng: random.Random,
+        *,
+        replica_limiter: ReplicaLimiter | None = None,
     ) -> "PolicyScheduler":
         """Return the scheduler of a node with the default policies."""
         return cls(
@@ -120,6 +132,7 @@
                 settle_seconds=_HELLO_INTERVALS * settings.timing.hello_interval,
             ),
             max_queued_requests=settings.limits.queued_requests,
+            replica_limiter=replica_limiter,
         )
 
     async def acquire(self, work: Work, target: Target) -> Ticket:
@@ -127,10 +140,52 @@
             self._retries.add_request()
         state = self._get_target(target)
         self._admit(work, state)
+        enqueued_at = self._clock.read_monotonic()
+        while True:
+            ticket = await self._wait_for_slot(work, state, enqueued_at)
+            if await self._take_permit(ticket):
+                # Another request may ask for the next permit of the replica now.
+                self._dispatch(state)
+                return ticket
+
+    async def _take_permit(self, ticket: Ticket) -> bool:
+        """Take a permit of the replica; without one, release its slot."""
+        if self._replica_limiter is None:
+            return True
+        is_permitted = False
+        try:
+            await self._replica_limiter.acquire(identify_process(ticket.replica))
+            is_permitted = True
+        except RateLimitedError as exc:
+            _LOG.info(
+                "replica not used, its limit is used up",
+                extra={
+                    "request": ticket.work.request,
+                    "replica": ticket.replica.name,
+                    "retry_after": exc.retry_after,
+                },
+            )
+        finally:
+            if not is_permitted:
+                self.release(ticket, Result.CANCELLED)
+        return is_permitted
+
+    def _cancel_permit(self, ticket: Ticket) -> None:
+        if self._replica_limiter is not None:
+            self._replica_limiter.cancel(identify_process(ticket.replica))
+
+    async def acquire_resend(self, ticket: Ticket, *, max_wait: float) -> None:
+        if self._replica_limiter is not None:
+            process = identify_process(ticket.replica)
+            await self._replica_limiter.acquire(process, max_wait=max_wait)
+
+    async def _wait_for_slot(
+        self, work: Work, state: TargetState, enqueued_at: float
+    ) -> Ticket:
         loop = asyncio.get_running_loop()
         future: asyncio.Future[Ticket] = loop.create_future()
         now = self._clock.read_monotonic()
-        entry = QueueEntry(work=work, enqueued_at=now, future=future)
+        entry = QueueEntry(work=work, enqueued_at=enqueued_at, future=future)
         state.queue.push(entry)
         self._dispatch(state)
         if future.done():
@@ -140,6 +195,7 @@
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and not future.exception():
+                self._cancel_permit(future.result())
                 self.release(future.result(), Result.CANCELLED)
             else:
                 self._drop(state, entry)
@@ -172,10 +228,12 @@
     def _admit(self, work: Work, state: TargetState) -> None:
         self.check_quarantine(work.fingerprint)
         now = self._clock.read_monotonic()
-        if not any(
-            work.may_run_on(replica.replica)
+        allowed = [
+            replica
             for replica in state.list_usable(self._leaving_vms)
-        ):
+            if work.may_run_on(replica.replica)
+        ]
+        if not allowed:
             raise OverloadedError(
                 f"target {state.target.name} has no replica left for this request; "
                 "retry later"
@@ -185,6 +243,9 @@
             self._refuses_early and len(state.queue) and now + delay > work.deadline
         ):
             raise make_overloaded(state.target.name, delay)
+        permit_wait = self._estimate_wait_for_permit(state, allowed)
+        if permit_wait > min(_MAX_PERMIT_WAIT, work.deadline - now):
+            raise make_overloaded(state.target.name, permit_wait)
         if len(state.queue) >= self._max_queued_requests:
             victim = state.queue.find_victim(work)
             if victim is None:
@@ -199,6 +260,29 @@
             ahead, state.count_slots(self._leaving_vms)
         )
 
+    def _estimate_wait_for_permit(
+        self, state: TargetState, allowed: list[ReplicaState]
+    ) -> float:
+        """Return the seconds until a permit if no replica can be used without one."""
+        if self._replica_limiter is None:
+            return 0.0
+        pauses, rate = [], 0.0
+        for replica in allowed:
+            if not state.health.may_use(replica.replica.name):
+                continue
+            pauses.append(self._read_pause(replica))
+            process = identify_process(replica.replica)
+            rate += self._replica_limiter.get_fair_rate(process)
+        if not pauses or not min(pauses):
+            return 0.0
+        return max(min(pauses), (len(state.queue) + 1) / rate)
+
+    def _read_pause(self, replica: ReplicaState) -> float:
+        """Return the seconds for which the limit of a replica is used up."""
+        if self._replica_limiter is None:
+            return 0.0
+        return self._replica_limiter.read_pause(identify_process(replica.replica))
+
     def _refuse(self, state: TargetState, entry: QueueEntry) -> None:
         delay = self._estimate_wait(entry.work, state)
         self._drop(state, entry)
@@ -215,9 +299,21 @@
     def _dispatch(self, state: TargetState) -> None:
         while len(state.queue) and self._start_one(state):
             pass
-        if len(state.queue) and self._ticker is None:
-            loop = asyncio.get_running_loop()
-            self._ticker = loop.call_later(_TICK_SECONDS, self.tick)
+        if len(state.queue):
+            self._schedule_tick(state)
+
+    def _schedule_tick(self, state: TargetState) -> None:
+        """Schedule the next tick, earlier if a replica can be used again before."""
+        pauses = [self._read_pause(replica) for replica in state.replicas.values()]
+        delay = min((p for p in pauses if p), default=_TICK_SECONDS)
+        loop = asyncio.get_running_loop()
+        at = loop.time() + min(_TICK_SECONDS, delay)
+        if self._ticker is not None:
+            if self._tick_at <= at:
+                return
+            self._ticker.cancel()
+        self._tick_at = at
+        self._ticker = loop.call_at(at, self.tick)
 
     def tick(self) -> None:
         """Refuse waiting requests past their deadline and start those that can run."""
@@ -237,6 +333,7 @@
         """Start, refuse or drop one waiting request; return False if there is none."""
         usable = state.list_usable(self._leaving_vms)
         free = state.list_free(usable, self._get_guaranteed_slots(state))
+        free = [replica for replica in free if not self._read_pause(replica)]
         if not free and usable and not self.quarantine.has_entries():
             return False
         if self.quarantine.has_entries() and self._start_suspect(state, usable):
@@ -275,7 +372,11 @@
                 return True
             if not self.quarantine.is_suspect(work.fingerprint):
                 continue
-            allowed = [r for r in usable if work.may_run_on(r.replica)]
+            allowed = [
+                replica
+                for replica in usable
+                if work.may_run_on(replica.replica) and not self._read_pause(replica)
+            ]
             replica = self._isolation.place(work, state, allowed, now)
             if replica is not None:
                 self._start(state, entry, replica)
@@ -297,6 +398,7 @@
             holder not in allowed
             or holder.isolated_request is not None
             or holder.reserved_for is not None
+            or self._read_pause(holder)
             or not state.health.may_use(holder.replica.name)
         ):
             holder = None
@@ -317,7 +419,10 @@
             self._isolation.release(work, state)
         state.queue.take(entry)
         state.start(replica, work)
-        self.quarantine.start(work.fingerprint, identify_process(replica.replica))
+        process = identify_process(replica.replica)
+        self.quarantine.start(work.fingerprint, process)
+        if self._replica_limiter is not None:
+            self._replica_limiter.begin(process)
         self._running_requests[work.request, name] = RunningRequest(
             state, replica, is_isolated, is_alone
         )
@@ -361,7 +466,9 @@
     def report_limit(
         self, replica: Replica, rate: float | None, *, sent_at: float
     ) -> None:
-        self.limits.record(identify_process(replica), rate, sent_at=sent_at)
+        if self._replica_limiter is not None:
+            process = identify_process(replica)
+            self._replica_limiter.limits.record(process, rate, sent_at=sent_at)
 
     def set_leaving_vms(self, vms: frozenset[str]) -> None:
         if vms != self._leaving_vms:
@@ -410,7 +517,6 @@
             "leaving": sorted(self._leaving_vms),
             "nodes": self._node_count,
             "retries_left": round(self._retries.tokens, 3),
-            "limits": self.limits.list_rates(),
             "suspects": list(self.quarantine.list_suspects()),
             "convicted": list(self.quarantine.list_quarantined()),
         }
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -128,6 +128,21 @@
             The request is known to crash replicas.
         """
 
+    @abc.abstractmethod
+    async def acquire_resend(self, ticket: Ticket, *, max_wait: float) -> None:
+        """Wait until the request may be sent once more to the replica of its ticket.
+
+        Parameters
+        ----------
+        max_wait : float
+            Seconds; a longer wait is refused at once.
+
+        Raises
+        ------
+        RateLimitedError
+            The replica's limit is used up.
+        """
+
     @abc.abstractmethod
     def check_quarantine(self, fingerprint: str) -> None:
         """Raise ``QuarantinedError`` for a request that is known to crash replicas."""
--- a/src/fireflyspread/tools/_http.py
+++ b/src/fireflyspread/tools/_http.py
@@ -1,9 +1,12 @@
 """HTTP client of service replicas."""
 
+import time
+
 import aiohttp
 from yarl import URL
 
 from fireflyspread._http_client import (
+    AnswerCallback,
     raise_if_not_run,
     read_code,
     translate_errors,
@@ -29,6 +32,8 @@
         Shared by all clients of the process; ``close`` leaves it open.
     name : str
         Name of the replica in error messages; ``url`` by default.
+    on_answer : callable or None
+        Called with each answer and the seconds since its call was sent.
     max_answer_bytes : int
         Maximum size of an answer in bytes.
     """
@@ -39,11 +44,13 @@
         *,
         session: aiohttp.ClientSession,
         name: str = "",
+        on_answer: AnswerCallback | None = None,
         max_answer_bytes: int = 4 << 20,
     ) -> None:
         self._url = url.rstrip("/")
         self._session = session
         self._name = name or url
+        self._on_answer = on_answer
         self._max_answer_bytes = max_answer_bytes
 
     @classmethod
@@ -52,6 +59,7 @@
         replica: Replica,
         session: aiohttp.ClientSession,
         *,
+        on_answer: AnswerCallback | None = None,
         max_answer_bytes: int = 4 << 20,
     ) -> "HttpService":
         """Build the client of a replica that the bundle describes."""
@@ -59,10 +67,12 @@
             replica.url,
             session=session,
             name=replica.name,
+            on_answer=on_answer,
             max_answer_bytes=max_answer_bytes,
         )
 
     async def call(self, request: ServiceRequest) -> ServiceAnswer:
+        sent_at = time.monotonic()
         with translate_errors(self._name):
             async with self._session.post(
                 URL(self._url + request.path),
@@ -74,6 +84,8 @@
                 ),
                 allow_redirects=False,
             ) as response:
+                if self._on_answer is not None:
+                    self._on_answer(response, time.monotonic() - sent_at)
                 return await self._read_answer(response)
 
     async def _read_answer(self, response: aiohttp.ClientResponse) -> ServiceAnswer:
--- a/standins/_engine_faults.py
+++ b/standins/_engine_faults.py
@@ -39,6 +39,8 @@
         Number of next cache events that are never sent.
     refuse_release : int
         Number of next session releases that fail.
+    rate_limit : float or None
+        Turns a second that answers name as the limit of all nodes together.
     """
 
     crash_on: str = ""
@@ -57,3 +59,4 @@
     load_lag: float = 0.2
     lose_events: int = 0
     refuse_release: int = 0
+    rate_limit: float | None = None
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -172,7 +172,10 @@
                 run.completion = len(run.words)
                 self._finish(run)
                 return answer_json(make_response(run))
-            response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+            headers = {"Content-Type": "text/event-stream"}
+            if self.faults.rate_limit is not None:
+                headers["X-Rate-Limit"] = f"{self.faults.rate_limit:g}"
+            response = web.StreamResponse(headers=headers)
             await response.prepare(request)
             if not await self._stream(request, response, run, is_poison):
                 return response
--- a/standins/service.py
+++ b/standins/service.py
@@ -38,6 +38,8 @@
         Number of calls answered with 500 after the effect.
     checks_fence : bool
         Whether calls with an old fencing token are refused.
+    rate_limit : float or None
+        Calls a second that answers name as the limit of all nodes together.
     """
 
     effect_delay: float = 0.0
@@ -49,6 +51,7 @@
     refuse_next: int = 0
     fail_next: int = 0
     checks_fence: bool = False
+    rate_limit: float | None = None
 
 
 @frozen(kw_only=True)
@@ -125,9 +128,12 @@
             await asyncio.sleep(self.faults.effect_delay)
         if self._consume_fault("fail_next"):
             return answer_json({"error": {"code": "internal"}}, status=500)
-        return answer_json(
+        response = answer_json(
             {"ran": True, "digest": effect.digest, "number": effect.number}
         )
+        if self.faults.rate_limit is not None:
+            response.headers["X-Rate-Limit"] = f"{self.faults.rate_limit:g}"
+        return response
 
     def _record_effect(self, request: web.Request, body: bytes) -> Effect:
         effect = Effect(
--- a/tests/callers/conftest.py
+++ b/tests/callers/conftest.py
@@ -12,8 +12,8 @@
 from fireflyspread.clock import SystemClock
 from fireflyspread.daemon._build import NodeState, build_context, build_pools
 from fireflyspread.daemon._targets import EngineTasks
-from fireflyspread.limits import RateLimiter
-from fireflyspread.nodes import FenceGuard, PeerClient
+from fireflyspread.limits import RateLimiter, ReplicaLimiter
+from fireflyspread.nodes import FenceGuard, NodeTokenPeers, PeerClient
 from fireflyspread.recovery import SLOT_COUNT, Durability, Member, Ownership, Record
 from fireflyspread.settings import Settings
 from standins.engine import EngineStandIn
@@ -168,7 +168,16 @@
         get_version=lambda: state.bundles.version,
         clock=state.clock,
     )
-    engines, services = build_pools()
+    replica_limiter = ReplicaLimiter(
+        "entry-1",
+        NodeTokenPeers(
+            client, node="entry-1", incarnation="1", find_member=lambda name: None
+        ),
+        clock=state.clock,
+        rng=state.rng,
+    )
+    replica_limiter.set_members(1, ["entry-1"])
+    engines, services = build_pools(replica_limiter.limits, state.clock)
     engine_tasks = EngineTasks(
         engines=engines,
         programs=state.programs,
@@ -181,6 +190,7 @@
         state,
         ownership=ownership,
         limiter=NoLimit(),
+        replica_limiter=replica_limiter,
         fences=fences,
         engines=engines,
         services=services,
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -43,7 +43,9 @@
 
     def set_members(self, *names: str, is_returning: bool = False) -> None:
         """Give the members to the limiter."""
-        self.membership.apply(frozenset(names), self.limiter, is_returning=is_returning)
+        self.membership.apply(
+            frozenset(names), [self.limiter], is_returning=is_returning
+        )
 
     async def count(self) -> int:
         """Return how many requests are admitted without waiting."""
--- a/tests/nodes/test_tokens.py
+++ b/tests/nodes/test_tokens.py
@@ -7,7 +7,7 @@
 from fireflyspread.bundle import Team
 from fireflyspread.clock import ManualClock
 from fireflyspread.exceptions import PeerError
-from fireflyspread.limits import ShareLimiter
+from fireflyspread.limits import ReplicaLimiter, ShareLimiter
 from fireflyspread.nodes import (
     NodeTokenPeers,
     PeerClient,
@@ -40,7 +40,10 @@
         )
         home.set_teams({"scans": TEAM})
         home.set_members(1, ["entry-1"])
-        register_token_handler(server, home, node="entry-1", incarnation="1")
+        replicas = ReplicaLimiter(
+            "entry-1", peers, clock=ManualClock(), rng=random.Random(1)
+        )
+        register_token_handler(server, home, replicas, node="entry-1", incarnation="1")
         try:
             address = await server.start()
             with pytest.raises(PeerError, match="member"):
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -9,15 +9,18 @@
 import uvloop
 
 from fireflyspread._http_client import open_client_session
+from fireflyspread.clock import ManualClock
 from fireflyspread.daemon._build import build_pools
+from fireflyspread.limits import ReplicaLimits
 from fireflyspread.platform._replicas import _open_session as open_replica_session
 from standins.raw_server import RawServer
 
 _HEAD = b"HTTP/1.1 200 OK\r\nFireflyspread-Request-Id: r1\r\n\r\n"
+_CLOCK = ManualClock()
 _BODIES = {"empty": b"", "event": b"id: 1\ndata: x\n\n", "bytes": b"x" * 500}
 _SESSIONS: dict[str, Callable[[], Any]] = {
     "shared": open_client_session,
-    "daemon": lambda: build_pools()[0]._session,
+    "daemon": lambda: build_pools(ReplicaLimits(_CLOCK), _CLOCK)[0]._session,
     "replicas": open_replica_session,
 }
 
