Refuse streams that cannot start before their callers leave

Cause: the queue knew the deadline of the request only. A route now has the time without data after which callers leave, and a stream must start within three quarters of it. The test fails without it.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -41,6 +41,9 @@
 # until the deadline. Callers abort a stream after 2 s without data.
 _MAX_RESEND_WAIT = 0.8
 _MAX_RESEND_WAIT_FRACTION = 1 / 3
+# Fraction of a caller's patience within which a stream must start, so that its first
+# event arrives in time.
+_START_FRACTION = 0.75
 # Replicas that may fail a request before the caller gets the failure.
 _MAX_FAILED_REPLICAS = 6
 # Bytes of an answer that are buffered before it is passed on in chunks.
@@ -123,6 +126,8 @@
         self._rate_limit: float | None = None
         self._sent_at = 0.0
         self._first_byte_at = 0.0
+        # When the caller last received data, or sent the request.
+        self._last_data_at = request.received_at
         self.fingerprint = compute_fingerprint(request, team)
 
     async def prepare(self) -> None:
@@ -318,6 +323,7 @@
                     self._record_stream(replica.version)
                 self._charge_budget(events)
                 await self._sink.write(complete)
+                self._last_data_at = self._clock.read_monotonic()
         if self._splitter.has_partial_event:
             raise ReplicaCrashedError(
                 f"replica {replica.name} ended the stream inside an event; resume it"
@@ -387,12 +393,19 @@
             program=program.id if program else request.id,
             fingerprint=self.fingerprint,
             cost=float(prompt.expected_output_tokens) if prompt else 1.0,
-            deadline=self.deadline,
+            deadline=self._compute_start_deadline(),
             excluded=frozenset(self._failed_replicas),
             parts=prompt.parts if prompt else (),
             version=self.stream_version,
         )
 
+    def _compute_start_deadline(self) -> float:
+        """Return when the request must start, in monotonic seconds."""
+        if self.route.kind is not RouteKind.STREAM:
+            return self.deadline
+        patience = _START_FRACTION * self.route.max_silence
+        return min(self.deadline, self._last_data_at + patience)
+
     def _log_failure(self, exc: TargetError, result: Result) -> None:
         _LOG.info(
             "request failed on a replica: %s",
--- a/src/fireflyspread/forwarding/_config.py
+++ b/src/fireflyspread/forwarding/_config.py
@@ -1,6 +1,7 @@
 """Configuration of forwarding, as set by operators."""
 
 import enum
+import math
 from functools import cached_property
 
 from attrs import field, frozen
@@ -65,6 +66,8 @@
     timeout, latency_target, gap_target : float
         Seconds: maximum time to an answer, time within which an answer counts as on
         time, maximum pause between events of a stream.
+    max_silence : float
+        Seconds without data after which a caller abandons a stream.
     priority : int
         Rank; 0 is the most urgent.
     max_replicas : int
@@ -86,6 +89,7 @@
     max_replicas: int = 2
     resumable: bool = False
     gap_target: float = 0.0
+    max_silence: float = math.inf
     open: bool = False
 
     @property
--- a/src/fireflyspread/platform/_config.py
+++ b/src/fireflyspread/platform/_config.py
@@ -25,6 +25,11 @@
 }
 # Replicas that one request may use if its route sets no maximum.
 _DEFAULT_MAX_REPLICAS = 2
+# Callers abandon a stream after the longest of these gaps: milliseconds, and multiples
+# of the route's targets.
+_MIN_SILENCE_MS = 2000.0
+_SILENCE_LATENCY_TARGETS = 4.0
+_SILENCE_GAP_TARGETS = 8.0
 
 
 class _Split(msgspec.Struct):
@@ -130,10 +135,20 @@
         max_replicas=max(1, route.max_attempts),
         resumable=route.resumable,
         gap_target=route.target_gap_ms / 1000,
+        max_silence=_compute_max_silence(route),
         open=route.auth_exempt,
     )
 
 
+def _compute_max_silence(route: _Route) -> float:
+    longest_ms = max(
+        _MIN_SILENCE_MS,
+        _SILENCE_LATENCY_TARGETS * route.target_latency_ms,
+        _SILENCE_GAP_TARGETS * route.target_gap_ms,
+    )
+    return longest_ms / 1000
+
+
 def _read_service(service: _Service) -> ServiceTraits:
     engine = service.engine
     return ServiceTraits(
--- a/tests/platform/test_registrations.py
+++ b/tests/platform/test_registrations.py
@@ -120,6 +120,7 @@
         assert turns.kind is RouteKind.STREAM
         assert turns.services == (("m1", 90.0), ("m2", 10.0))
         assert (turns.timeout, turns.gap_target) == (4.0, 0.2)
+        assert turns.max_silence == 2.0
         assert turns.is_repeatable
         assert config.services["m1"].engine.tokens_per_event == 9
         assert config.keys == {"k1": "lids", "k2": "lids", "k3": "free"}
