Relay requests through nodes that reach the replicas

A node had only its own links, took its own cut for a fault of every replica, and reported crashes of replicas with the requests that it had in flight. The class of fault: one node's observation taken as a fact about the other side.

RelayingBackend asks other nodes at the same time whether they connect to a replica that this node does not reach. If one does, the path is broken and not the replica: requests go through other nodes until this node connects again. The other node sends one request to one replica and relays nothing further, so there are no loops. Team, rate, budget, deadline, attempts, version, permits and crash evidence stay with the node that has the caller; cancellation follows the connections. A crash counts only if no node that answers connects. Each node relays 256 requests at most.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -15,6 +15,7 @@
 from standins._base import find_free_port
 from standins.metadata_store import MetadataStoreStandIn
 from standins.platform_replica import TOKENS_PER_EVENT, PlatformReplica
+from standins.store_view import StoreView
 
 ROOT = Path(__file__).parents[1]
 HOST = "shop.example"
@@ -72,7 +73,7 @@
 
     Attributes
     ----------
-    callers, readiness, peers, metrics : str
+    callers, readiness, peers, relay, metrics : str
         Addresses on which the process listens, as ``host:port``.
     store : str
         Address of the store or of the proxy in front of it.
@@ -86,6 +87,7 @@
         self.callers = f"127.0.0.1:{find_free_port()}"
         self.readiness = f"127.0.0.1:{find_free_port()}"
         self.peers = f"127.0.0.1:{find_free_port()}"
+        self.relay = f"127.0.0.1:{find_free_port()}"
         self.metrics = f"127.0.0.1:{find_free_port()}"
         self.store = store
         self.process: asyncio.subprocess.Process | None = None
@@ -118,6 +120,7 @@
                 "callers": self.callers,
                 "readiness": self.readiness,
                 "peers": self.peers,
+                "relay": self.relay,
                 "metrics": self.metrics,
             },
             "store": {"address": self.store},
@@ -206,6 +209,8 @@
     ----------
     proxied : bool
         Whether the store and the replicas are reached through fault proxies.
+    viewed : bool
+        Whether each node reaches the replicas through proxies of its own.
     """
 
     def __init__(
@@ -215,7 +220,10 @@
         nodes: int = 2,
         replicas: int = 2,
         proxied: bool = False,
+        viewed: bool = False,
     ) -> None:
+        self._viewed = viewed
+        self.views: list[StoreView] = []
         self.store = MetadataStoreStandIn()
         self.proxies: dict[str, Proxy] = {}
         self._proxied = proxied
@@ -239,7 +247,7 @@
         self.put_config(make_config(3))
         url = self.store.url
         self.nodes = [
-            Gateway(self._folder, name, await self._get_address(name, url))
+            Gateway(self._folder, name, await self._get_store_address(name, url))
             for name in (f"front-{n}" for n in range(self._nodes))
         ]
         self.loan_servers = [
@@ -270,6 +278,14 @@
         self.store.remove(f"servers/{previous}")
         self._register(service, replica, address)
 
+    async def _get_store_address(self, name: str, url: str) -> str:
+        if not self._viewed:
+            return await self._get_address(name, url)
+        view = StoreView(url)
+        self.views.append(view)
+        await view.start()
+        return view.address
+
     async def _get_address(self, name: str, url: str) -> str:
         """Return the address of a process, or of a new proxy in front of it."""
         address = url.removeprefix("http://")
@@ -284,6 +300,8 @@
         for node in (*self.nodes, *self.loan_servers):
             if node.process is not None and node.process.returncode is None:
                 await node.stop(signal.SIGKILL)
+        for view in self.views:
+            await view.stop()
         for stand_in in (*self.models, *self.orders, self.store):
             await stand_in.stop()
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -39,6 +39,7 @@
         host, _, port = address.rpartition(":")
         self._target = (host, int(port))
         self._server: asyncio.Server | None = None
+        self._port = 0
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._unblocked = asyncio.Event()
@@ -48,9 +49,19 @@
 
     async def start(self) -> str:
         """Start to listen and return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        return f"{host}:{port}"
+        await self.accept()
+        return f"127.0.0.1:{self._port}"
+
+    async def accept(self) -> None:
+        """Accept new connections, again after ``refuse``."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
+        _, self._port = self._server.sockets[0].getsockname()
+
+    def refuse(self) -> None:
+        """Refuse new connections; open ones live on."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
 
     async def stop(self) -> None:
         """Stop listening and reset all connections."""
--- a/src/fireflyspread/forwarding/__init__.py
+++ b/src/fireflyspread/forwarding/__init__.py
@@ -13,6 +13,7 @@
 from fireflyspread.forwarding._config_holder import ConfigHolder
 from fireflyspread.forwarding._events import EventSplitter
 from fireflyspread.forwarding._forwarder import Forwarder
+from fireflyspread.forwarding._relays import RelayingBackend, RelayNode, RelayNodes
 from fireflyspread.forwarding._request import (
     ForwardRequest,
     ProgramCall,
@@ -34,13 +35,16 @@
     "EngineTraits",
     "EventSplitter",
     "ForwardRequest",
-    "FoundStream",
     "Forwarder",
     "ForwardingConfig",
     "ForwardingRoute",
+    "FoundStream",
     "Framing",
     "ProgramCall",
     "Prompt",
+    "RelayNode",
+    "RelayNodes",
+    "RelayingBackend",
     "Reply",
     "ResponseSink",
     "RouteKind",
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -52,6 +52,9 @@
 _MAX_ANSWER_BYTES = 64 << 20
 
 
+_LOST = frozenset({Result.UNREACHABLE, Result.CRASHED, Result.CANCELLED})
+
+
 class Attempt:
     """One request of a caller, until it is answered or has failed.
 
@@ -176,10 +179,8 @@
                 result = self._classify(exc, ticket.replica)
                 # Remains a crash if the deadline passes during the probe, because a VM
                 # that is down does not answer.
-                if isinstance(
-                    exc, ReplicaCrashedError
-                ) and await self._backend.accepts_connection(ticket.replica):
-                    result = Result.BROKEN
+                if result is Result.CRASHED:
+                    result = await self._verify_crash(exc, ticket.replica)
                 self._failed_replicas.add(ticket.replica.name)
                 self._log_failure(exc, result)
                 if not self._may_retry(exc, result):
@@ -200,6 +201,18 @@
             case _:
                 return Result.BROKEN
 
+    async def _verify_crash(self, exc: TargetError, replica: Replica) -> Result:
+        """Return whether a replica crashed, or only the connection or path broke."""
+        is_path_broken = self._backend.is_path_broken(replica)
+        if not is_path_broken and not isinstance(exc, ReplicaCrashedError):
+            return Result.CRASHED
+        if not await self._backend.accepts_connection(replica):
+            return Result.CRASHED
+        if self._backend.is_path_broken(replica):
+            # No fault of the replica.
+            return Result.CANCELLED
+        return Result.BROKEN
+
     def _may_retry(self, exc: TargetError, result: Result) -> bool:
         if len(self._failed_replicas) > _MAX_FAILED_REPLICAS:
             return False
@@ -207,9 +220,9 @@
             return True
         if not self._may_repeat():
             return False
-        # The run on a replica that has stopped does not count. The quarantine bounds
-        # the number of replicas that a request crashes.
-        if result in (Result.UNREACHABLE, Result.CRASHED) and self.replica:
+        # The run on a replica that has stopped or is cut off does not count. The
+        # quarantine bounds the number of replicas that a request crashes.
+        if result in _LOST and self.replica:
             self._ran_on.discard(self.replica)
         return len(self._ran_on) < self.route.max_replicas
 
--- a/src/fireflyspread/forwarding/_backend.py
+++ b/src/fireflyspread/forwarding/_backend.py
@@ -112,3 +112,7 @@
 
         Opens a connection and closes it without a request.
         """
+
+    def is_path_broken(self, replica: Replica) -> bool:
+        """Return whether only other nodes reach the replica."""
+        return False
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -18,6 +18,7 @@
     ConfigHolder,
     Forwarder,
     ForwardingConfig,
+    RelayingBackend,
     StreamVersions,
 )
 from fireflyspread.gateway._crashes import CRASHES_PREFIX, CrashExchange
@@ -33,6 +34,7 @@
     register_budget_handlers,
 )
 from fireflyspread.gateway._rates import RateMembership, add_tolerance
+from fireflyspread.gateway._relay import HttpRelayNodes, RelayServer
 from fireflyspread.gateway._settings import GatewaySettings
 from fireflyspread.gateway._streams import (
     NodeStreamVersionPeers,
@@ -97,6 +99,8 @@
 _ROSTER_BATCH_DELAY = 0.4
 # Seconds for which an idle connection to the store is kept.
 _STORE_KEEPALIVE_SECONDS = 10.0
+# Seconds for which an idle connection to another node is kept.
+_PEER_KEEPALIVE_SECONDS = 15.0
 # Seconds after which the platform sends no new connections to a node that is not
 # ready: two readiness checks, one a second.
 _DEREGISTRATION_SECONDS = 2.5
@@ -173,6 +177,7 @@
             zone=settings.node.zone,
             peers=str(settings.listen.peers),
             incarnation=self._incarnation,
+            relay="" if settings.listen.relay is None else str(settings.listen.relay),
         )
         self._rate_membership = RateMembership(
             node=self._name,
@@ -306,7 +311,24 @@
         register_stream_handlers(self._server, self._streams, node=self._name)
 
     def _build_forwarder(self) -> None:
-        self._backend = ReplicaClient(self._clock)
+        self._replica_client = ReplicaClient(self._clock)
+        self._relay_nodes = HttpRelayNodes(
+            self._roster, make_connector(keepalive=_PEER_KEEPALIVE_SECONDS), self._clock
+        )
+        self._backend = RelayingBackend(
+            self._replica_client,
+            self._relay_nodes,
+            zone=self._settings.node.zone,
+            clock=self._clock,
+            rng=self._rng,
+        )
+        self._relay_server = RelayServer(
+            self._replica_client,
+            directory=self._directory,
+            scheduler=self._scheduler,
+            clock=self._clock,
+            is_path_broken=self._backend.is_path_broken,
+        )
         self._forwarder = Forwarder(
             configs=self._configs,
             limiter=self._limiter,
@@ -380,6 +402,13 @@
             self._settings.listen.callers,
             shutdown_timeout=max(_MIN_SHUTDOWN_TIMEOUT, grace),
         )
+        self._relay_runner: web.ServerRunner | None = None
+        if self._settings.listen.relay is not None:
+            self._relay_runner = await self._listen(
+                self._relay_server.server,
+                self._settings.listen.relay,
+                shutdown_timeout=max(_MIN_SHUTDOWN_TIMEOUT, grace),
+            )
         readiness = web.Server(
             make_readiness_handler(self.is_ready),
             access_log=None,
@@ -428,6 +457,8 @@
             ("config.version", self._configs.version),
             ("store.away", float(self._followers[0].is_store_unavailable)),
             ("members.known", len(self._roster.list_peers()) + 1),
+            ("replicas.unreached", len(self._backend.list_broken_paths())),
+            ("requests.relayed", self._relay_server.running),
             ("replicas.limited", len(self._replica_limiter.limits.list_rates())),
             ("fingerprints.suspect", len(quarantine.list_suspects())),
             ("fingerprints.quarantined", len(quarantine.list_quarantined())),
@@ -484,7 +515,8 @@
         leaving = asyncio.create_task(self._leave())
         await asyncio.sleep(max(0.0, deregistered_at - loop.time()))
         # Closes idle connections at once and the others after their response.
-        await self._caller_runner.cleanup()
+        runners = (self._caller_runner, self._relay_runner)
+        await asyncio.gather(*(r.cleanup() for r in runners if r is not None))
         try:
             async with asyncio.timeout(_RETURN_TIMEOUT):
                 await self._accounts.close()
@@ -516,6 +548,8 @@
         await self._replica_limiter.close()
         await self._streams.close()
         await self._backend.close()
+        await self._relay_nodes.close()
+        await self._replica_client.close()
         await self._server.stop()
         await self._client.close()
         await self._store.close()
--- a/src/fireflyspread/gateway/_settings.py
+++ b/src/fireflyspread/gateway/_settings.py
@@ -33,6 +33,8 @@
         Where the platform's load balancer asks whether the node accepts callers.
     peers : Address
         Messages from other nodes.
+    relay : Address or None
+        Requests that other nodes cannot send to a replica; None relays none.
     metrics : Address or None
         Metrics as text, and the state as JSON; None disables both.
     """
@@ -40,6 +42,7 @@
     callers: Address
     readiness: Address
     peers: Address
+    relay: Address | None = None
     metrics: Address | None = None
 
 
--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -21,6 +21,7 @@
     "target",
     "replica",
     "replica_version",
+    "relay",
     "route",
     "version",
     "operator",
--- a/src/fireflyspread/recovery/_roster.py
+++ b/src/fireflyspread/recovery/_roster.py
@@ -48,12 +48,15 @@
         ``ip:port`` for messages.
     incarnation : str
         Unique to one run of the process.
+    relay : str
+        ``ip:port`` for requests that the node relays; empty if it relays none.
     """
 
     name: str
     zone: str
     peers: str
     incarnation: str
+    relay: str = ""
 
 
 class Roster(PrefixListener):
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -226,6 +226,11 @@
         record = self._records.get(replica.name)
         return record is None or record.version == replica.version
 
+    def find_replica(self, instance: str) -> Replica | None:
+        """Return a registered replica; None if it is unknown."""
+        record = self._records.get(instance)
+        return None if record is None else _make_replica(record)
+
     def list_services(self) -> set[str]:
         """Return the services that have a replica."""
         return {record.service for record in self._records.values()}
