Keep connections to replicas that are silent for a second

TCP_USER_TIMEOUT of 0.8 s closed its connections: requests that may run once got 502, the others ran again. Connections to replicas now have 1.5 s; those to the store and between nodes keep 0.8 s.

--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -1,5 +1,6 @@
 """Client of the platform's replicas."""
 
+import functools
 import logging
 import socket
 import time
@@ -56,6 +57,8 @@
 # TCP closes a connection whose sent bytes or keepalive probes are unacknowledged for
 # this time.
 _TCP_USER_TIMEOUT_MS = 800
+# Connections to replicas: a sound replica may be silent for a second and go on.
+_REPLICA_USER_TIMEOUT_MS = 1500
 _TCP_KEEPALIVE_SECONDS = 1
 # Responses on one connection before the expected one, interim ones included, and bytes
 # of the body of one of them. Replicas repeat single answers.
@@ -68,7 +71,10 @@
 
 
 def make_connector(
-    *, keepalive: float, kind: type[ClientConnector] = ClientConnector
+    *,
+    keepalive: float,
+    kind: type[ClientConnector] = ClientConnector,
+    user_timeout: int = _TCP_USER_TIMEOUT_MS,
 ) -> ClientConnector:
     """Return a connector that closes connections whose peer stops acknowledging.
 
@@ -78,17 +84,19 @@
         Seconds that an idle connection is kept.
     kind : type
         Class of the connector.
+    user_timeout : int
+        Milliseconds without an acknowledgement after which a connection is closed.
     """
     return kind(
         limit=0,
         limit_per_host=0,
         keepalive_timeout=keepalive,
         use_dns_cache=False,
-        socket_factory=_open_socket,
+        socket_factory=functools.partial(_open_socket, user_timeout=user_timeout),
     )
 
 
-def _open_socket(address: Any) -> socket.socket:
+def _open_socket(address: Any, *, user_timeout: int) -> socket.socket:
     family, kind, protocol = address[0], address[1], address[2]
     sock = socket.socket(family, kind, protocol)
     sock.setblocking(False)
@@ -97,7 +105,7 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _TCP_KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _TCP_KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _TCP_USER_TIMEOUT_MS)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout)
     return sock
 
 
@@ -304,7 +312,11 @@
 
 def _open_session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=make_connector(keepalive=_KEEPALIVE_SECONDS, kind=_LifoConnector),
+        connector=make_connector(
+            keepalive=_KEEPALIVE_SECONDS,
+            kind=_LifoConnector,
+            user_timeout=_REPLICA_USER_TIMEOUT_MS,
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         response_class=_MatchingResponse,
         auto_decompress=False,
