Serve streams that go on before new ones while replicas limit requests

Cause: a request that goes on with a stream looked like a new one: it was behind the queue and refused by the bound on the wait for a permit. It now ranks first and waits until its deadline. The test fails without it.

--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -243,8 +243,11 @@
             self._refuses_early and len(state.queue) and now + delay > work.deadline
         ):
             raise make_overloaded(state.target.name, delay)
-        permit_wait = self._estimate_wait_for_permit(state, allowed)
-        if permit_wait > min(_MAX_PERMIT_WAIT, work.deadline - now):
+        permit_wait = self._estimate_wait_for_permit(work, state, allowed)
+        max_wait = work.deadline - now
+        if not work.is_continuation:
+            max_wait = min(max_wait, _MAX_PERMIT_WAIT)
+        if permit_wait > max_wait:
             raise make_overloaded(state.target.name, permit_wait)
         if len(state.queue) >= self._max_queued_requests:
             victim = state.queue.find_victim(work)
@@ -261,7 +264,7 @@
         )
 
     def _estimate_wait_for_permit(
-        self, state: TargetState, allowed: list[ReplicaState]
+        self, work: Work, state: TargetState, allowed: list[ReplicaState]
     ) -> float:
         """Return the seconds until a permit if no replica can be used without one."""
         if self._replica_limiter is None:
@@ -275,7 +278,8 @@
             rate += self._replica_limiter.get_fair_rate(process)
         if not pauses or not min(pauses):
             return 0.0
-        return max(min(pauses), (len(state.queue) + 1) / rate)
+        ahead = 0 if work.is_continuation else len(state.queue)
+        return max(min(pauses), (ahead + 1) / rate)
 
     def _read_pause(self, replica: ReplicaState) -> float:
         """Return the seconds for which the limit of a replica is used up."""
--- a/src/fireflyspread/routing/_queue.py
+++ b/src/fireflyspread/routing/_queue.py
@@ -137,7 +137,8 @@
 
     Within a team the request with the lowest rank is served. The rank is the time of
     arrival, plus up to ``max_attained_delay`` seconds for the service that the program
-    has attained, minus ``interactive_lead`` seconds for interactive requests. No
+    has attained, minus ``interactive_lead`` seconds for interactive requests and for
+    those that go on with a stream, whose caller would lose what it has. No
     program starves, because a rank does not change while newer requests get higher
     ones.
 
@@ -196,7 +197,8 @@
             work.attained_tokens / self._attained_tokens_per_second,
             self._max_attained_delay,
         )
-        return delay - (self._interactive_lead if work.is_interactive else 0.0)
+        is_first = work.is_interactive or work.is_continuation
+        return delay - (self._interactive_lead if is_first else 0.0)
 
     def remove(self, entry: QueueEntry) -> None:
         flow = self._flows.get(entry.work.team)
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -32,6 +32,8 @@
         Replicas that have failed this request already.
     parts : tuple of (str, int)
         Ids and tokens of the prompt's parts in order; empty when unknown.
+    is_continuation : bool
+        Whether the request goes on with a stream, part of which its caller has.
     version : str or None
         Software version that the replica must have, because it goes on with a
         stream; None if any will do.
@@ -50,6 +52,7 @@
     prefix_tokens: int = 0
     excluded: frozenset[str] = frozenset()
     parts: tuple[tuple[str, int], ...] = ()
+    is_continuation: bool = False
     version: str | None = None
 
     def may_run_on(self, replica: Replica) -> bool:
--- a/tests/routing/test_policy.py
+++ b/tests/routing/test_policy.py
@@ -10,7 +10,8 @@
 from attrs import evolve
 
 from fireflyspread.bundle import Replica, Target, TargetKind
-from fireflyspread.exceptions import OverloadedError, QuarantinedError
+from fireflyspread.exceptions import OverloadedError, PeerError, QuarantinedError
+from fireflyspread.limits import ReplicaLimiter, TokenPeers
 from fireflyspread.routing import (
     Crash,
     CrashReport,
@@ -331,3 +332,50 @@
         assert 3.0 <= loop.time() - before <= 3.2
         scheduler.release(ticket, Result.ANSWERED)
         assert not scheduler.quarantine.is_suspect("p")
+
+
+class _NoPeers(TokenPeers):
+    async def acquire(self, member: str, team: str, *args: Any, **options: Any) -> Any:
+        raise PeerError("there are no other nodes")
+
+
+class TestLimitedReplicas:
+    """Replicas that name the requests a second that they take."""
+
+    def _make_scheduler(self, limit: float) -> PolicyScheduler:
+        clock = LoopClock(asyncio.get_running_loop())
+        limiter = ReplicaLimiter("n", _NoPeers(), clock=clock, rng=random.Random(1))
+        limiter.replace_members(["n"], since=clock.read_monotonic())
+        now = clock.read_monotonic()
+        limiter.limits.record("r0@v0", limit, sent_at=now)
+        return make_scheduler(replica_limiter=limiter)
+
+    @in_virtual_time
+    async def test_new_requests_are_refused_at_once(self) -> None:
+        """Guards against requests that wait for a limit until they are late."""
+        scheduler = self._make_scheduler(2.0)
+        target = make_target(replicas=1, concurrency=50)
+        tasks = [
+            asyncio.create_task(scheduler.acquire(make_work(f"n{i}"), target))
+            for i in range(20)
+        ]
+        await asyncio.sleep(0.01)
+        refused = [task for task in tasks if task.done() and task.exception()]
+        assert len(refused) >= 15
+        assert all(isinstance(task.exception(), OverloadedError) for task in refused)
+        await asyncio.wait(tasks)
+
+    @in_virtual_time
+    async def test_streams_that_go_on_come_first(self) -> None:
+        """Guards against streams that are refused or wait behind new ones."""
+        scheduler = self._make_scheduler(2.0)
+        target = make_target(replicas=1, concurrency=50)
+        tasks = [
+            asyncio.create_task(scheduler.acquire(make_work(f"n{i}"), target))
+            for i in range(20)
+        ]
+        await asyncio.sleep(0.01)
+        started_at = asyncio.get_running_loop().time()
+        await scheduler.acquire(make_work("s", is_continuation=True), target)
+        assert asyncio.get_running_loop().time() - started_at <= 1.0
+        await asyncio.wait(tasks)
