Remember versions of streams in processes that outlive all nodes

Cause: which version began a stream, and which versions a target had, was known to nodes only. Nothing that lasts told them; the nodes took the version that was left as the only one.

The loan servers, which are not lost together with the nodes, now also keep in memory which version began a stream while its target has several, and which versions targets had in the last 45 s. Nodes report to two of them, chosen by hashing of the request, and ask them when a stream is taken up; no call to the store, nothing written to a disk. A node that runs for less than 30 s takes a stream on as that of the only version only if a loan server confirms it.

--- a/src/fireflyspread/forwarding/__init__.py
+++ b/src/fireflyspread/forwarding/__init__.py
@@ -20,9 +20,13 @@
     Prompt,
     ResponseSink,
 )
+from fireflyspread.forwarding._stream_memory import (
+    StreamMemory,
+    StreamOrigin,
+    VersionMemory,
+)
 from fireflyspread.forwarding._stream_versions import (
     FoundStream,
-    StreamOrigin,
     StreamVersionPeers,
     StreamVersions,
 )
@@ -49,8 +53,10 @@
     "ResponseSink",
     "RouteKind",
     "ServiceTraits",
+    "StreamMemory",
     "StreamOrigin",
     "StreamVersionPeers",
     "StreamVersions",
+    "VersionMemory",
     "TeamPolicy",
 ]
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -26,7 +26,8 @@
 from fireflyspread.forwarding._fingerprint import compute_fingerprint
 from fireflyspread.forwarding._priority import compute_priority
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
-from fireflyspread.forwarding._stream_versions import StreamOrigin, StreamVersions
+from fireflyspread.forwarding._stream_memory import StreamOrigin
+from fireflyspread.forwarding._stream_versions import StreamVersions
 from fireflyspread.routing import ReplicaDirectory, Result, Scheduler, Ticket, Work
 
 __all__ = ["Attempt"]
--- /dev/null
+++ b/src/fireflyspread/forwarding/_stream_memory.py
@@ -0,0 +1,80 @@
+"""Memory of recent streams and of the versions that targets had."""
+
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping
+
+from attrs import frozen
+
+from fireflyspread.clock import Clock
+
+__all__ = ["STREAM_RETENTION", "StreamMemory", "StreamOrigin", "VersionMemory"]
+
+# Seconds for which a stream is remembered. Callers take streams up within their
+# deadline.
+STREAM_RETENTION = 30.0
+_MAX_STREAMS = 100_000
+# Seconds for which a version is remembered after the last report of it. Nodes report
+# more often than the difference to the retention of streams.
+_VERSION_RETENTION = 45.0
+
+
+@frozen
+class StreamOrigin:
+    """Target and software version of the replica that brought the first event."""
+
+    target: str
+    version: str
+
+
+class StreamMemory:
+    """Origins of recent streams by the request that began them."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._origins: OrderedDict[str, tuple[StreamOrigin, float]] = OrderedDict()
+
+    def add(self, request: str, origin: StreamOrigin) -> None:
+        """Remember a stream, and forget those past their retention."""
+        now = self._clock.read_monotonic()
+        self._origins.pop(request, None)
+        self._origins[request] = origin, now
+        while self._origins:
+            _, added_at = next(iter(self._origins.values()))
+            is_recent = added_at >= now - STREAM_RETENTION
+            if len(self._origins) <= _MAX_STREAMS and is_recent:
+                return
+            self._origins.popitem(last=False)
+
+    def get(self, request: str) -> StreamOrigin | None:
+        """Return the origin of a stream; None if it is unknown."""
+        found = self._origins.get(request)
+        return None if found is None else found[0]
+
+    def list_for(self, target: str) -> dict[str, StreamOrigin]:
+        """Return the streams of a target."""
+        return {
+            request: origin
+            for request, (origin, _) in self._origins.items()
+            if origin.target == target
+        }
+
+
+class VersionMemory:
+    """Versions that targets recently had, as other processes reported them."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._reported: dict[tuple[str, str], float] = {}
+
+    def add(self, versions: Mapping[str, Iterable[str]]) -> None:
+        """Remember the versions that targets have now."""
+        now = self._clock.read_monotonic()
+        for target, names in versions.items():
+            for name in names:
+                self._reported[target, name] = now
+
+    def list_for(self, target: str) -> list[str]:
+        """Return the versions that a target has or recently had."""
+        oldest = self._clock.read_monotonic() - _VERSION_RETENTION
+        self._reported = {key: at for key, at in self._reported.items() if at >= oldest}
+        return sorted(name for known, name in self._reported if known == target)
--- a/src/fireflyspread/forwarding/_stream_versions.py
+++ b/src/fireflyspread/forwarding/_stream_versions.py
@@ -2,8 +2,8 @@
 
 import abc
 import asyncio
+import contextlib
 import logging
-from collections import OrderedDict
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
 import xxhash
@@ -11,30 +11,28 @@
 
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import PeerError, StreamVersionError
+from fireflyspread.forwarding._stream_memory import (
+    STREAM_RETENTION,
+    StreamMemory,
+    StreamOrigin,
+    VersionMemory,
+)
 
-__all__ = ["FoundStream", "StreamOrigin", "StreamVersionPeers", "StreamVersions"]
+__all__ = ["FoundStream", "StreamVersionPeers", "StreamVersions"]
 
 _LOG = logging.getLogger(__name__)
 
 # Nodes that remember a stream beside the one that began it, so that it can go on after
 # the loss of two of them.
 _COPIES = 3
-# Seconds for which a stream is remembered. Callers take streams up within their
-# deadline.
-_RETENTION = 30.0
-_MAX_STREAMS = 100_000
+# Keepers that remember a stream, so that it can go on after the loss of all nodes.
+_KEEPER_COPIES = 2
+# Seconds between reports of the versions that targets have.
+_VERSIONS_INTERVAL = 10.0
 # Seconds for which streams are collected before they are reported to other nodes.
 _REPORT_DELAY = 0.01
 
 
-@frozen
-class StreamOrigin:
-    """Target and software version of the replica that brought the first event."""
-
-    target: str
-    version: str
-
-
 @frozen(kw_only=True)
 class FoundStream:
     """What a node knows about a stream.
@@ -45,64 +43,61 @@
         None if the node does not know the stream.
     versions : sequence of str
         Versions that the target recently had, as far as the node knows.
+    is_keeper : bool
+        Whether the answer is that of a keeper.
     """
 
     origin: StreamOrigin | None
     versions: Sequence[str]
+    is_keeper: bool = False
 
 
 class StreamVersionPeers(abc.ABC):
     """Messages to the other nodes; all raise ``PeerError``."""
 
     @abc.abstractmethod
-    async def report(self, node: str, origins: Mapping[str, StreamOrigin]) -> None:
-        """Ask ``node`` to remember streams by the request that began them."""
+    async def report(
+        self,
+        node: str,
+        origins: Mapping[str, StreamOrigin],
+        versions: Mapping[str, Sequence[str]],
+    ) -> Mapping[str, Sequence[str]]:
+        """Ask ``node`` to remember streams by the request that began them.
+
+        Parameters
+        ----------
+        versions : mapping of str to sequence of str
+            Versions that targets have now.
+
+        Returns
+        -------
+        mapping of str to sequence of str
+            Versions that these targets have or recently had, as a keeper remembers.
+        """
 
     @abc.abstractmethod
     async def find(self, node: str, request: str, target: str) -> FoundStream:
         """Ask ``node`` what it knows about a stream and its target."""
 
 
-class _Memory:
-    """Origins of recent streams by the request that began them."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._origins: OrderedDict[str, tuple[StreamOrigin, float]] = OrderedDict()
-
-    def add(self, request: str, origin: StreamOrigin) -> None:
-        now = self._clock.read_monotonic()
-        self._origins.pop(request, None)
-        self._origins[request] = origin, now
-        while self._origins:
-            _, added_at = next(iter(self._origins.values()))
-            if len(self._origins) <= _MAX_STREAMS and added_at >= now - _RETENTION:
-                return
-            self._origins.popitem(last=False)
-
-    def get(self, request: str) -> StreamOrigin | None:
-        found = self._origins.get(request)
-        return None if found is None else found[0]
-
-    def list_for(self, target: str) -> dict[str, StreamOrigin]:
-        return {
-            request: origin
-            for request, (origin, _) in self._origins.items()
-            if origin.target == target
-        }
-
-
 class StreamVersions:
     """Finds the version at which a stream that a caller takes up may go on.
 
     While a target has replicas of several versions, each node reports the streams that
-    it begins to a few nodes, chosen by rendezvous hashing of the request. A stream that
-    no node knows goes on only if its target had a single version.
+    it begins to a few nodes and keepers, chosen by rendezvous hashing of the request. A
+    stream that none of them knows goes on only if its target had a single version.
+
+    Keepers are processes that are not lost together with the nodes. They also remember
+    which versions targets had, for nodes that have all started again.
 
     Parameters
     ----------
     list_members : callable
         Returns the names of all nodes.
+    list_keepers : callable
+        Returns the names of the keepers.
+    list_targets : callable
+        Returns the names of the targets.
     list_versions : callable
         Returns the versions that a target recently had, as far as this node knows.
     is_store_unavailable : callable
@@ -118,14 +113,23 @@
         list_members: Callable[[], list[str]],
         list_versions: Callable[[str], set[str]],
         is_store_unavailable: Callable[[], bool],
+        list_keepers: Callable[[], Iterable[str]] = tuple,
+        list_targets: Callable[[], Iterable[str]] = tuple,
     ) -> None:
         self._peers = peers
+        self._clock = clock
+        self._started_at = clock.read_monotonic()
+        self._list_keepers = list_keepers
+        self._list_targets = list_targets
+        self._versions_changed = asyncio.Event()
+        # Versions from before this node started.
+        self._kept_versions = VersionMemory(clock)
         self._node = node
         self._list_members = list_members
         self._list_versions = list_versions
         self._is_store_unavailable = is_store_unavailable
-        self._begun = _Memory(clock)
-        self._reported = _Memory(clock)
+        self._begun = StreamMemory(clock)
+        self._reported = StreamMemory(clock)
         self._mixed_targets: set[str] = set()
         self._pending: dict[str, dict[str, StreamOrigin]] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -138,8 +142,13 @@
 
     def update(self, targets: Iterable[str]) -> None:
         """Apply changed replicas; report the streams of targets that became mixed."""
+        self._versions_changed.set()
+        self._update_mixed(targets)
+
+    def _update_mixed(self, targets: Iterable[str]) -> None:
         for target in targets:
-            if len(self._list_versions(target)) <= 1:
+            versions = self._list_versions(target)
+            if len(versions.union(self._kept_versions.list_for(target))) <= 1:
                 self._mixed_targets.discard(target)
             elif target not in self._mixed_targets:
                 self._mixed_targets.add(target)
@@ -184,7 +193,7 @@
                 is_same = each.origin.target == target
                 return each.origin.version if is_same else None
             versions.update(each.versions)
-        if len(versions) == 1 and self._is_certain(has_answers=len(found) > 1):
+        if len(versions) == 1 and self._is_certain(found):
             version = versions.pop()
             origin = StreamOrigin(target, version)
             if request is not None:
@@ -196,10 +205,14 @@
             f"has {len(versions)}; send the request again from its start"
         )
 
-    def _is_certain(self, *, has_answers: bool) -> bool:
+    def _is_certain(self, answers: Sequence[FoundStream]) -> bool:
         """Return whether this node would know of a second version."""
+        is_new = self._clock.read_monotonic() < self._started_at + STREAM_RETENTION
+        if is_new and any(self._list_keepers()):
+            # All nodes may have started again after a version had left.
+            return any(answer.is_keeper for answer in answers)
         return (
-            has_answers
+            len(answers) > 1
             or not self._is_store_unavailable()
             or set(self._list_members()) <= {self._node}
         )
@@ -231,12 +244,10 @@
         return answers
 
     def _choose_nodes(self, request: str) -> list[str]:
-        """Return the other nodes that remember a stream."""
-        ranked = sorted(
-            self._list_members(),
-            key=lambda name: xxhash.xxh3_64_intdigest(f"{name}/{request}".encode()),
-        )
-        return [name for name in ranked[:_COPIES] if name != self._node]
+        """Return the other nodes and the keepers that remember a stream."""
+        nodes = _rank(self._list_members(), request)[:_COPIES]
+        keepers = _rank(self._list_keepers(), request)[:_KEEPER_COPIES]
+        return [name for name in nodes if name != self._node] + keepers
 
     def _report(self, origins: Mapping[str, StreamOrigin]) -> None:
         for request, origin in origins.items():
@@ -252,7 +263,7 @@
         await asyncio.sleep(_REPORT_DELAY)
         origins = self._pending.pop(node)
         try:
-            await self._peers.report(node, origins)
+            await self._peers.report(node, origins, {})
         except PeerError as exc:
             _LOG.info(
                 "streams not reported to another node: %s",
@@ -260,6 +271,35 @@
                 extra={"node": node, "count": len(origins)},
             )
 
+    async def run(self) -> None:
+        """Report the versions of targets to the keepers until cancelled."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_VERSIONS_INTERVAL):
+                    await self._versions_changed.wait()
+            await asyncio.sleep(_REPORT_DELAY)
+            self._versions_changed.clear()
+            versions = {
+                target: sorted(self._list_versions(target))
+                for target in self._list_targets()
+            }
+            await asyncio.gather(
+                *(self._report_versions(k, versions) for k in self._list_keepers())
+            )
+
+    async def _report_versions(
+        self, keeper: str, versions: Mapping[str, Sequence[str]]
+    ) -> None:
+        try:
+            self._kept_versions.add(await self._peers.report(keeper, {}, versions))
+            self._update_mixed(versions)
+        except PeerError as exc:
+            _LOG.info(
+                "versions of targets not reported: %s",
+                exc.message,
+                extra={"node": keeper},
+            )
+
     async def close(self) -> None:
         """Cancel the reports that have not been sent."""
         for task in tuple(self._tasks):
@@ -267,6 +307,12 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
+def _rank(names: Iterable[str], request: str) -> list[str]:
+    return sorted(
+        names, key=lambda name: xxhash.xxh3_64_intdigest(f"{name}/{request}".encode())
+    )
+
+
 def _log_found(request: str | None, origin: StreamOrigin, *, source: str) -> None:
     _LOG.info(
         "version of a resumed stream found",
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -307,6 +307,8 @@
             is_store_unavailable=lambda: any(
                 follower.is_store_unavailable for follower in self._followers
             ),
+            list_keepers=self._roster.list_loan_servers,
+            list_targets=self._directory.list_services,
         )
         register_stream_handlers(self._server, self._streams, node=self._name)
 
@@ -425,6 +427,7 @@
         self._spawn(self._crash_exchange.run())
         self._spawn(self._loan_log.run())
         self._spawn(self._limit_exchange.run())
+        self._spawn(self._streams.run())
         self._spawn(self._expire_directory())
         _LOG.info(
             "node started",
--- a/src/fireflyspread/gateway/_streams.py
+++ b/src/fireflyspread/gateway/_streams.py
@@ -1,6 +1,6 @@
 """Messages between gateway nodes about the versions that began streams."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 from fireflyspread.exceptions import PeerError
 from fireflyspread.forwarding import (
@@ -36,13 +36,28 @@
 
     async def _ask(self, node: str, message: Message) -> Message:
         member = self._roster.find(node)
-        if member is None:
+        address = self._roster.list_loan_servers().get(node)
+        if member is not None:
+            address = member.peers
+        if address is None:
             raise PeerError(f"{node} is not a member; ask another node")
-        return await self._client.ask(member.peers, message, timeout=_MESSAGE_TIMEOUT)
+        return await self._client.ask(address, message, timeout=_MESSAGE_TIMEOUT)
 
-    async def report(self, node: str, origins: Mapping[str, StreamOrigin]) -> None:
-        rows = {request: (o.target, o.version) for request, o in origins.items()}
-        await self._ask(node, RecordStreams(node=self._node, origins=rows))
+    async def report(
+        self,
+        node: str,
+        origins: Mapping[str, StreamOrigin],
+        versions: Mapping[str, Sequence[str]],
+    ) -> Mapping[str, Sequence[str]]:
+        message = RecordStreams(
+            node=self._node,
+            origins={request: (o.target, o.version) for request, o in origins.items()},
+            versions={target: tuple(names) for target, names in versions.items()},
+        )
+        answer = await self._ask(node, message)
+        if not isinstance(answer, StreamsRecorded):
+            raise PeerError(f"{node} answered {type(answer).__name__}")
+        return answer.versions
 
     async def find(self, node: str, request: str, target: str) -> FoundStream:
         message = FindStream(node=self._node, request=request, target=target)
@@ -50,7 +65,11 @@
         if not isinstance(answer, StreamFound):
             raise PeerError(f"{node} answered {type(answer).__name__}")
         origin = None if answer.origin is None else StreamOrigin(*answer.origin)
-        return FoundStream(origin=origin, versions=answer.versions)
+        return FoundStream(
+            origin=origin,
+            versions=answer.versions,
+            is_keeper=node in self._roster.list_loan_servers(),
+        )
 
 
 def register_stream_handlers(
--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -17,6 +17,7 @@
 from fireflyspread.exceptions import FireflyError, PeerError, SettingsError, StoreError
 from fireflyspread.gateway._settings import LoanSettings
 from fireflyspread.loans._file import Loan, LoanFile
+from fireflyspread.loans._streams import register_stream_handlers
 from fireflyspread.loans._writer import LoanWriter
 from fireflyspread.logs import configure_logging
 from fireflyspread.nodes import (
@@ -110,6 +111,7 @@
         _LOG.error("cannot read the loans: %s", exc)
     server = PeerServer(settings.peers, node=name)
     register_handlers(server, file, clock, node=name)
+    register_stream_handlers(server, clock, node=name)
     await server.start()
     _LOG.info("loan server started", extra={"node": name})
     store = KvStore(
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -407,13 +407,24 @@
     ----------
     origins : dict of str to tuple
         Target and software version by the request that began the stream.
+    versions : dict of str to tuple
+        Versions that targets have now, if the receiver remembers them.
     """
 
     origins: dict[str, tuple[str, str]]
+    versions: dict[str, tuple[str, ...]] = {}
 
 
 class StreamsRecorded(Message, frozen=True, kw_only=True):
-    """Answer to ``RecordStreams``."""
+    """Answer to ``RecordStreams``.
+
+    Attributes
+    ----------
+    versions : dict of str to tuple
+        Versions that the targets of the message have or recently had.
+    """
+
+    versions: dict[str, tuple[str, ...]] = {}
 
 
 class FindStream(Message, frozen=True, kw_only=True):
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -194,7 +194,12 @@
 class NoStreamPeers(StreamVersionPeers):
     """The peers of a deployment with one node."""
 
-    async def report(self, node: str, origins: Mapping[str, StreamOrigin]) -> None:
+    async def report(
+        self,
+        node: str,
+        origins: Mapping[str, StreamOrigin],
+        versions: Mapping[str, Sequence[str]],
+    ) -> Mapping[str, Sequence[str]]:
         raise PeerError("there are no other nodes")
 
     async def find(self, node: str, request: str, target: str) -> FoundStream:
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -1,7 +1,7 @@
 """Tests of finding the version at which a stream may go on, without a network."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 
 import pytest
 
@@ -47,8 +47,14 @@
             raise PeerError(f"{node} is lost")
         return self.nodes[node]
 
-    async def report(self, node: str, origins: Mapping[str, StreamOrigin]) -> None:
+    async def report(
+        self,
+        node: str,
+        origins: Mapping[str, StreamOrigin],
+        versions: Mapping[str, Sequence[str]],
+    ) -> Mapping[str, Sequence[str]]:
         self._get(node).add_reported(origins)
+        return {}
 
     async def find(self, node: str, request: str, target: str) -> FoundStream:
         return self._get(node).look_up(request, target)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -169,6 +169,27 @@
         await _restart_all(cluster)
         await _take_all_up(session, cluster, begun, cluster.nodes)
 
+    async def test_stream_goes_on_after_a_restart_of_all_nodes(self, cluster, session):
+        """Guards against versions that nobody remembers once all nodes are lost."""
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        await asyncio.sleep(0.1)
+        await _restart_all(cluster)
+        count = await _take_all_up(session, cluster, begun, cluster.nodes)
+        assert count >= 0.9 * _STREAMS
+
+    async def test_stream_is_not_joined_after_its_version_and_all_nodes_are_gone(
+        self, cluster, session
+    ):
+        """Guards against nodes that know only the version that is left."""
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        await asyncio.sleep(0.1)
+        for node in cluster.nodes:
+            await node.stop(signal.SIGKILL)
+        for replica in cluster.models[::2]:
+            cluster.store.remove(f"servers/{replica.instance}")
+        await asyncio.gather(*(n.start(is_first=False) for n in cluster.nodes))
+        await _take_all_up(session, cluster, begun, cluster.nodes)
+
     async def test_stream_without_its_version_is_refused_at_once(
         self, cluster, session
     ):
@@ -196,3 +217,30 @@
         await _restart_all(cluster)
         count = await _take_all_up(session, cluster, begun, cluster.nodes)
         assert count == _STREAMS
+
+    async def test_stream_is_not_joined_with_a_version_that_came_during_the_restart(
+        self, cluster, session
+    ):
+        """Guards against a release that no node has seen."""
+        for number in range(len(cluster.models)):
+            await _set_version(cluster, number, "v1")
+        await _restart_all(cluster)
+        await asyncio.sleep(0.5)
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        for node in cluster.nodes:
+            await node.stop(signal.SIGKILL)
+        for number in range(len(cluster.models)):
+            cluster.models[number].instance += "-new"
+            cluster.store.remove(f"servers/m-{number}")
+            await _set_version(cluster, number, "v2")
+        await asyncio.gather(*(n.start(is_first=False) for n in cluster.nodes))
+        requests = [name for r in begun for name in (r, f"{r}-again")]
+        before = {r: sum(r in m.count_runs() for m in cluster.models) for r in requests}
+        await asyncio.gather(
+            *(
+                _take_up(session, cluster.nodes[0], request, first)
+                for request, first in begun.items()
+            )
+        )
+        after = {r: sum(r in m.count_runs() for m in cluster.models) for r in requests}
+        assert after == before
