Split the relay, the permits and the node's limiters into modules of their own

No change of behaviour: messages, client and server of the relay; the scheduler's use of permits; the limiters of teams and replicas of a gateway node. Replies over HTTP share one base class.

--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -5,7 +5,7 @@
 import logging
 import random
 import secrets
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 import msgspec
@@ -22,6 +22,7 @@
     StreamVersions,
 )
 from fireflyspread.gateway._crashes import CRASHES_PREFIX, CrashExchange
+from fireflyspread.gateway._limiters import NodeLimiters
 from fireflyspread.gateway._listeners import (
     OperatorListener,
     PrefixSplitter,
@@ -34,20 +35,17 @@
     register_budget_handlers,
 )
 from fireflyspread.gateway._rates import RateMembership, add_tolerance
-from fireflyspread.gateway._relay import HttpRelayNodes, RelayServer
+from fireflyspread.gateway._relay_client import HttpRelayNodes
+from fireflyspread.gateway._relay_server import RelayServer
 from fireflyspread.gateway._settings import GatewaySettings
 from fireflyspread.gateway._streams import (
     NodeStreamVersionPeers,
     register_stream_handlers,
 )
-from fireflyspread.limits import ReplicaLimiter, ShareLimiter
 from fireflyspread.metrics import Metrics
 from fireflyspread.nodes import (
-    LimitExchange,
-    NodeTokenPeers,
     PeerClient,
     PeerServer,
-    register_token_handler,
 )
 from fireflyspread.platform import (
     CONFIG_KEY,
@@ -65,7 +63,6 @@
     make_status_key,
 )
 from fireflyspread.recovery import (
-    LEASE_SECONDS,
     ROSTER_PREFIX,
     NodeAddress,
     PrefixFollower,
@@ -122,11 +119,6 @@
 # Seconds for which a suspect waits until its replica is idle. Programs have a second or
 # two in all, and other nodes send to the replica meanwhile.
 _MAX_ISOLATION_WAIT = 0.5
-# Seconds after which changed limits of a team are active on all nodes.
-_LIMITS_DELAY = 2.0
-# Tokens of a team's burst per home node. With fewer homes, each knows more precisely
-# how much of the rate is left; with only two, the loss of one takes half of the rate.
-_BURST_FOR_EACH_HOME = 20.0
 
 
 class GatewayNode:
@@ -196,51 +188,15 @@
         self._server = PeerServer(settings.listen.peers, node=self._name)
 
     def _build_limiters(self) -> None:
-        self._limiter = ShareLimiter(
-            self._name,
-            self._make_token_peers(),
-            clock=self._clock,
-            rng=self._rng,
-            check_authority=self._roster.check_authority,
-            authority_ttl=LEASE_SECONDS,
-            limits_delay=_LIMITS_DELAY,
-            new_teams_start_full=True,
-            burst_for_each_home=_BURST_FOR_EACH_HOME,
-        )
-        self._replica_limiter = ReplicaLimiter(
-            self._name,
-            self._make_token_peers(
-                find_limit=lambda name: self._replica_limiter.find_limit(name)
-            ),
-            clock=self._clock,
-            rng=self._rng,
-        )
-        register_token_handler(
+        self._limiters = NodeLimiters(
+            self._client,
             self._server,
-            self._limiter,
-            self._replica_limiter,
+            self._roster,
             node=self._name,
             incarnation=self._incarnation,
-        )
-        self._limit_exchange = LimitExchange(
-            self._client,
-            self._replica_limiter.limits,
-            node=self._name,
-            list_members=self._roster.list_peers,
+            clock=self._clock,
             rng=self._rng,
         )
-        self._limit_exchange.register(self._server)
-
-    def _make_token_peers(
-        self, *, find_limit: Callable[[str], float] | None = None
-    ) -> NodeTokenPeers:
-        return NodeTokenPeers(
-            self._client,
-            node=self._name,
-            incarnation=self._incarnation,
-            find_member=self._roster.find,
-            find_limit=find_limit,
-        )
 
     def _build_scheduler(self) -> None:
         self._placement = PromptPlacement(self._rng, zone=self._settings.node.zone)
@@ -261,7 +217,7 @@
             health_factory=lambda clock: ReplicaHealth(
                 clock, slow_factor=_SLOW_FACTOR, consecutive_broken=_CONSECUTIVE_BROKEN
             ),
-            replica_limiter=self._replica_limiter,
+            replica_limiter=self._limiters.replicas,
         )
 
     def _build_peers(self) -> None:
@@ -333,7 +289,7 @@
         )
         self._forwarder = Forwarder(
             configs=self._configs,
-            limiter=self._limiter,
+            limiter=self._limiters.teams,
             budgets=self._budget_owners,
             scheduler=self._scheduler,
             directory=self._directory,
@@ -426,7 +382,7 @@
         self._spawn(self._exchange.run())
         self._spawn(self._crash_exchange.run())
         self._spawn(self._loan_log.run())
-        self._spawn(self._limit_exchange.run())
+        self._spawn(self._limiters.run())
         self._spawn(self._streams.run())
         self._spawn(self._expire_directory())
         _LOG.info(
@@ -462,7 +418,7 @@
             ("members.known", len(self._roster.list_peers()) + 1),
             ("replicas.unreached", len(self._backend.list_broken_paths())),
             ("requests.relayed", self._relay_server.running),
-            ("replicas.limited", len(self._replica_limiter.limits.list_rates())),
+            ("replicas.limited", len(self._limiters.replicas.limits.list_rates())),
             ("fingerprints.suspect", len(quarantine.list_suspects())),
             ("fingerprints.quarantined", len(quarantine.list_quarantined())),
         ]
@@ -477,8 +433,7 @@
             "loan_keepers": self._roster.list_loan_servers(),
             "replicas": self._directory.dump(),
             "scheduler": self._scheduler.dump(),
-            "rates": self._limiter.dump(),
-            "replica_limits": self._replica_limiter.dump(),
+            **self._limiters.dump(),
             "budgets": self._accounts.dump(),
         }
 
@@ -547,8 +502,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for runner in self._runners:
             await runner.cleanup()
-        await self._limiter.close()
-        await self._replica_limiter.close()
+        await self._limiters.close()
         await self._streams.close()
         await self._backend.close()
         await self._relay_nodes.close()
@@ -559,7 +513,7 @@
 
     def _apply_config(self, config: ForwardingConfig) -> None:
         self._frontend.set_limits(config.limits)
-        self._limiter.set_teams(
+        self._limiters.teams.set_teams(
             {
                 name: add_tolerance(team, self._settings.rates)
                 for name, team in config.team_limits.items()
@@ -590,10 +544,8 @@
         _LOG.info(
             "members updated", extra={"node": self._name, "members": sorted(names)}
         )
-        self._rate_membership.apply(
-            names,
-            (self._limiter, self._replica_limiter),
-            is_returning=self._roster.is_returning,
+        self._limiters.apply(
+            names, self._rate_membership, is_returning=self._roster.is_returning
         )
         self._scheduler.set_node_count(len(names))
 
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -4,7 +4,6 @@
 import logging
 import socket
 import time
-from collections.abc import AsyncIterator
 from contextvars import ContextVar
 from typing import Any
 
@@ -18,6 +17,7 @@
     accepts_connection,
     read_limit,
 )
+from fireflyspread._http_reply import HttpReply
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
@@ -217,14 +217,13 @@
         return await super().start(connection)
 
 
-class _HttpReply(Reply):
-    """Response read with aiohttp."""
+class _ReplicaReply(HttpReply):
+    """Response of a replica."""
 
     def __init__(
         self, response: aiohttp.ClientResponse, replica: Replica, now: float
     ) -> None:
-        self._response = response
-        self._replica = replica.name
+        super().__init__(response, f"replica {replica.name}")
         headers = response.headers
         self.status = response.status
         self.headers = select_response_headers(headers, headers.items())
@@ -234,22 +233,6 @@
         self.rate_limit = read_limit(response, names.SERVER_LIMIT)
         self.framing = _read_framing(response)
 
-    async def iterate(self) -> AsyncIterator[bytes]:
-        try:
-            async for chunk in self._response.content.iter_any():
-                yield chunk
-        except (aiohttp.ClientError, OSError) as exc:
-            raise ReplicaCrashedError(
-                f"connection to replica {self._replica} broke during the response: "
-                f"{exc}; resume or retry"
-            ) from exc
-
-    async def close(self) -> None:
-        if self._response.content.at_eof():
-            self._response.release()
-        else:
-            self._response.close()
-
 
 class ReplicaClient(Backend):
     """Sends requests to replicas over persistent connections."""
@@ -284,7 +267,7 @@
             raise ReplicaCrashedError(
                 f"no response from replica {replica.name}: {exc}; retry if repeatable"
             ) from exc
-        reply = _HttpReply(response, replica, self._clock.read_monotonic())
+        reply = _ReplicaReply(response, replica, self._clock.read_monotonic())
         if reply.is_refusal or reply.is_wrong_instance:
             return reply
         if response.headers.get(names.REQUEST_ID) != request.id:
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -9,11 +9,12 @@
 
 from fireflyspread.bundle import Replica, Target
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import OverloadedError, RateLimitedError
+from fireflyspread.exceptions import OverloadedError
 from fireflyspread.limits import ReplicaLimiter
 from fireflyspread.routing._crashes import identify_process
 from fireflyspread.routing._health import ReplicaHealth
 from fireflyspread.routing._isolation import Isolation, RunningRequest
+from fireflyspread.routing._permits import Permits
 from fireflyspread.routing._placement import (
     Placement,
     PrefixAwarePlacement,
@@ -46,9 +47,6 @@
 # Interval (seconds) at which waiting requests are considered again, because load
 # reports and ejections expire and waiting for a holder stops paying off.
 _TICK_SECONDS = 0.1
-# Maximum wait (seconds) when all replicas have used up the limits that they name. As
-# many requests are served with a longer queue, but all of them late.
-_MAX_PERMIT_WAIT = 0.8
 # Intervals of ``Hello`` messages after which the neighbours have reported a crash.
 _HELLO_INTERVALS = 2
 _NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE})
@@ -111,7 +109,7 @@
         self._target_of_replica: dict[str, TargetState] = {}
         self.quarantine = quarantine or Quarantine(clock)
         self._isolation = isolation_factory(self.quarantine, rng)
-        self._replica_limiter = replica_limiter
+        self._permits = Permits(replica_limiter)
 
     @classmethod
     def from_config(
@@ -150,34 +148,16 @@
 
     async def _take_permit(self, ticket: Ticket) -> bool:
         """Take a permit of the replica; without one, release its slot."""
-        if self._replica_limiter is None:
-            return True
         is_permitted = False
         try:
-            await self._replica_limiter.acquire(identify_process(ticket.replica))
-            is_permitted = True
-        except RateLimitedError as exc:
-            _LOG.info(
-                "replica not used, its limit is used up",
-                extra={
-                    "request": ticket.work.request,
-                    "replica": ticket.replica.name,
-                    "retry_after": exc.retry_after,
-                },
-            )
+            is_permitted = await self._permits.take(ticket)
         finally:
             if not is_permitted:
                 self.release(ticket, Result.CANCELLED)
         return is_permitted
 
-    def _cancel_permit(self, ticket: Ticket) -> None:
-        if self._replica_limiter is not None:
-            self._replica_limiter.cancel(identify_process(ticket.replica))
-
     async def acquire_resend(self, ticket: Ticket, *, max_wait: float) -> None:
-        if self._replica_limiter is not None:
-            process = identify_process(ticket.replica)
-            await self._replica_limiter.acquire(process, max_wait=max_wait)
+        await self._permits.take_for_resend(ticket, max_wait=max_wait)
 
     async def _wait_for_slot(
         self, work: Work, state: TargetState, enqueued_at: float
@@ -195,7 +175,7 @@
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and not future.exception():
-                self._cancel_permit(future.result())
+                self._permits.cancel(future.result())
                 self.release(future.result(), Result.CANCELLED)
             else:
                 self._drop(state, entry)
@@ -243,11 +223,13 @@
             self._refuses_early and len(state.queue) and now + delay > work.deadline
         ):
             raise make_overloaded(state.target.name, delay)
-        permit_wait = self._estimate_wait_for_permit(work, state, allowed)
-        max_wait = work.deadline - now
-        if not work.is_continuation:
-            max_wait = min(max_wait, _MAX_PERMIT_WAIT)
-        if permit_wait > max_wait:
+        permit_wait = self._permits.find_excessive_wait(
+            work,
+            [r for r in allowed if state.health.may_use(r.replica.name)],
+            queued=len(state.queue),
+            now=now,
+        )
+        if permit_wait is not None:
             raise make_overloaded(state.target.name, permit_wait)
         if len(state.queue) >= self._max_queued_requests:
             victim = state.queue.find_victim(work)
@@ -263,30 +245,6 @@
             ahead, state.count_slots(self._leaving_vms)
         )
 
-    def _estimate_wait_for_permit(
-        self, work: Work, state: TargetState, allowed: list[ReplicaState]
-    ) -> float:
-        """Return the seconds until a permit if no replica can be used without one."""
-        if self._replica_limiter is None:
-            return 0.0
-        pauses, rate = [], 0.0
-        for replica in allowed:
-            if not state.health.may_use(replica.replica.name):
-                continue
-            pauses.append(self._read_pause(replica))
-            process = identify_process(replica.replica)
-            rate += self._replica_limiter.get_fair_rate(process)
-        if not pauses or not min(pauses):
-            return 0.0
-        ahead = 0 if work.is_continuation else len(state.queue)
-        return max(min(pauses), (ahead + 1) / rate)
-
-    def _read_pause(self, replica: ReplicaState) -> float:
-        """Return the seconds for which the limit of a replica is used up."""
-        if self._replica_limiter is None:
-            return 0.0
-        return self._replica_limiter.read_pause(identify_process(replica.replica))
-
     def _refuse(self, state: TargetState, entry: QueueEntry) -> None:
         delay = self._estimate_wait(entry.work, state)
         self._drop(state, entry)
@@ -308,7 +266,9 @@
 
     def _schedule_tick(self, state: TargetState) -> None:
         """Schedule the next tick, earlier if a replica can be used again before."""
-        pauses = [self._read_pause(replica) for replica in state.replicas.values()]
+        pauses = [
+            self._permits.read_pause(replica) for replica in state.replicas.values()
+        ]
         delay = min((p for p in pauses if p), default=_TICK_SECONDS)
         loop = asyncio.get_running_loop()
         at = loop.time() + min(_TICK_SECONDS, delay)
@@ -337,7 +297,7 @@
         """Start, refuse or drop one waiting request; return False if there is none."""
         usable = state.list_usable(self._leaving_vms)
         free = state.list_free(usable, self._get_guaranteed_slots(state))
-        free = [replica for replica in free if not self._read_pause(replica)]
+        free = self._permits.list_usable(free)
         if not free and usable and not self.quarantine.has_entries():
             return False
         if self.quarantine.has_entries() and self._start_suspect(state, usable):
@@ -379,7 +339,8 @@
             allowed = [
                 replica
                 for replica in usable
-                if work.may_run_on(replica.replica) and not self._read_pause(replica)
+                if work.may_run_on(replica.replica)
+                and not self._permits.read_pause(replica)
             ]
             replica = self._isolation.place(work, state, allowed, now)
             if replica is not None:
@@ -402,7 +363,7 @@
             holder not in allowed
             or holder.isolated_request is not None
             or holder.reserved_for is not None
-            or self._read_pause(holder)
+            or self._permits.read_pause(holder)
             or not state.health.may_use(holder.replica.name)
         ):
             holder = None
@@ -423,10 +384,8 @@
             self._isolation.release(work, state)
         state.queue.take(entry)
         state.start(replica, work)
-        process = identify_process(replica.replica)
-        self.quarantine.start(work.fingerprint, process)
-        if self._replica_limiter is not None:
-            self._replica_limiter.begin(process)
+        self.quarantine.start(work.fingerprint, identify_process(replica.replica))
+        self._permits.begin(replica.replica)
         self._running_requests[work.request, name] = RunningRequest(
             state, replica, is_isolated, is_alone
         )
@@ -470,9 +429,7 @@
     def report_limit(
         self, replica: Replica, rate: float | None, *, sent_at: float
     ) -> None:
-        if self._replica_limiter is not None:
-            process = identify_process(replica)
-            self._replica_limiter.limits.record(process, rate, sent_at=sent_at)
+        self._permits.record(replica, rate, sent_at=sent_at)
 
     def set_leaving_vms(self, vms: frozenset[str]) -> None:
         if vms != self._leaving_vms:
