--- a/tests/gateway/test_cut_nodes.py
+++ b/tests/gateway/test_cut_nodes.py
@@ -22,7 +22,7 @@
 
 _PATHS = ("/prices/1", "/orders/1", "/turns/stream")
 # Seconds after which a cut node must serve its callers again.
-_CONTACT_SECONDS = 3.0
+_CONTACT_SECONDS = 1.0
 
 
 @pytest.fixture
