--- a/standins/store_view.py
+++ b/standins/store_view.py
@@ -13,6 +13,7 @@
 __all__ = ["StoreView"]
 
 _SERVERS_PREFIX = "servers/"
+_SHUTDOWN_TIMEOUT = 0.1  # seconds
 
 
 class StoreView:
@@ -34,7 +35,11 @@
         self._proxies: dict[str, Proxy] = {}
         self._addresses: dict[str, str] = {}
         self._session: aiohttp.ClientSession | None = None
-        self._runner = web.ServerRunner(web.Server(self._handle, access_log=None))
+        # Watches that wait at the store would delay the stop by up to 20 s.
+        self._runner = web.ServerRunner(
+            web.Server(self._handle, access_log=None, handler_cancellation=True),
+            shutdown_timeout=_SHUTDOWN_TIMEOUT,
+        )
         self.address = ""
 
     async def start(self) -> None:
