Attribute a refusal without an id only on a connection of one request

A faulty replica wrote an earlier refusal once more, without an id, where the next answer on the kept connection was due. It was taken for that answer, so a caller was told 'not run' for an order that the replica ran. Such a response counts as a refusal only on a connection that has carried no other request; elsewhere the request may have run. A refused request is not sent on its connection again, because a repeat of its refusal would have the expected id.

--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -110,6 +110,7 @@
 
 
 _max_idle_seconds: ContextVar[float] = ContextVar("rest", default=_KEEPALIVE_SECONDS)
+_request_id: ContextVar[str] = ContextVar("request_id", default="")
 
 
 class _MatchingProtocol(ResetAwareProtocol):
@@ -120,6 +121,10 @@
     """
 
     expected_id: str | None = None
+    # Requests sent on this connection.
+    sent_count = 0
+    # Request that was refused last on this connection.
+    refused_id: str | None = None
     _unexpected_count = 0
     # Bytes since the last progress of a body.
     _idle_bytes = 0
@@ -200,6 +205,9 @@
                 continue
             if time.monotonic() - idle_since > _max_idle_seconds.get():
                 return None
+            if protocol.refused_id == _request_id.get():
+                # A repeat of that refusal would have the expected id.
+                return None
             # aiohttp takes the first connection of the deque.
             connections.rotate(1)
             return await super()._get(key, traces)
@@ -210,12 +218,31 @@
 class _MatchingResponse(aiohttp.ClientResponse):
     """Sets the request id that its connection expects in the response."""
 
+    _protocol: _MatchingProtocol
+    _is_first_on_connection = False
+
     async def start(self, connection: Any) -> aiohttp.ClientResponse:
-        connection.protocol.expected_id = self.request_info.headers.get(
-            names.REQUEST_ID
-        )
+        self._protocol = connection.protocol
+        self._protocol.expected_id = self.request_info.headers.get(names.REQUEST_ID)
+        self._protocol.sent_count += 1
+        self._is_first_on_connection = self._protocol.sent_count == 1
         return await super().start(connection)
 
+    def belongs_to(self, request_id: str) -> bool:
+        """Return whether this is a response to the request.
+
+        A response without an id is one only on a connection that has carried no other
+        request: on others it may repeat the response to an earlier one.
+        """
+        found = self.headers.get(names.REQUEST_ID)
+        if found is None:
+            return self._is_first_on_connection
+        return found == request_id
+
+    def mark_refused(self, request_id: str) -> None:
+        """Keep the request from being sent on this connection again."""
+        self._protocol.refused_id = request_id
+
 
 class _ReplicaReply(HttpReply):
     """Response of a replica."""
@@ -248,6 +275,7 @@
         has_body = bool(request.body) or request.method not in ("GET", "HEAD")
         sent_at = self._clock.read_monotonic()
         _max_idle_seconds.set(self._get_max_idle(replica, dispatch, sent_at))
+        _request_id.set(request.id)
         try:
             response = await self._session.request(
                 request.method,
@@ -267,15 +295,18 @@
             raise ReplicaCrashedError(
                 f"no response from replica {replica.name}: {exc}; retry if repeatable"
             ) from exc
+        assert isinstance(response, _MatchingResponse)
         reply = _ReplicaReply(response, replica, self._clock.read_monotonic())
-        if reply.is_refusal or reply.is_wrong_instance:
-            return reply
-        if response.headers.get(names.REQUEST_ID) != request.id:
+        is_not_run = reply.is_refusal or reply.is_wrong_instance
+        has_id = names.REQUEST_ID in response.headers
+        if not response.belongs_to(request.id) or not (has_id or is_not_run):
             response.close()
             raise TargetError(
-                f"replica {replica.name} sent the response to another request; "
-                "retry if repeatable"
+                f"replica {replica.name} sent a response that names another request "
+                "or none; retry if repeatable"
             )
+        if is_not_run:
+            response.mark_refused(request.id)
         return reply
 
     async def accepts_connection(self, replica: Replica) -> bool:
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -42,6 +42,9 @@
         Requests a second that answers name as the limit of all nodes together.
     refuse : int
         Number of next requests that are refused as not run.
+    repeat_refusals : str or None
+        Whether the next request on the connection of a refusal is answered first by
+        that refusal: "anonymous" without an id, "named" with the id of that refusal.
     reset_answers : int
         Number of next answers whose connection is reset right behind the last bytes.
     reset_events : int
@@ -59,6 +62,7 @@
     empty_streams: int = 0
     limit: float | None = None
     refuse: int = 0
+    repeat_refusals: str | None = None
     reset_answers: int = 0
     reset_events: int = 0
     unframed: bool = False
@@ -133,6 +137,7 @@
         self._event_count = events
         self._stamps = itertools.count(1)
         self._active = 0
+        self._refused_on: dict[Any, str] = {}
 
     def add_routes(self, app: web.Application) -> None:
         """Answer every path."""
@@ -196,7 +201,10 @@
         if self.faults.refuse > 0:
             self.faults.refuse -= 1
             headers[_PREFIX + "Not-Executed"] = "1"
+            self._refused_on[request.transport] = headers[_PREFIX + "Request-Id"]
             return web.Response(status=503, headers=headers)
+        if self.faults.repeat_refusals and request.transport in self._refused_on:
+            self._repeat_refusal(request)
         run = Run(
             request=request.headers.get(_PREFIX + "Request-Id", ""),
             tenant=request.headers.get(_PREFIX + "Tenant", ""),
@@ -220,6 +228,17 @@
         finally:
             self._active -= 1
 
+    def _repeat_refusal(self, request: web.Request) -> None:
+        refused = self._refused_on.pop(request.transport)
+        name = f"{_PREFIX}Request-Id: {refused}\r\n"
+        if self.faults.repeat_refusals == "anonymous":
+            name = ""
+        assert request.transport is not None
+        request.transport.write(
+            f"HTTP/1.1 503 Service Unavailable\r\n{name}{_PREFIX}Not-Executed: 1\r\n"
+            "Content-Length: 0\r\n\r\n".encode()
+        )
+
     async def _is_crashing(self, request: web.Request) -> bool:
         marker = self.faults.crash_on
         return bool(marker) and (
