Keep turns that callers continue from

A turn of a route that keeps turns carries only its new input and the id of the turn it continues from.

New package turns: a complete turn is written, with its chain, by group commit to the store before the end of its answer leaves. While the store does not answer it is written to the disks of the loan servers, one more than may be lost, and moved to the store afterwards by its node or by the loan servers. Two other nodes remember each turn, so most lookups need no call to the store. A turn is reported as not found only if the store and all loan servers say so.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -44,6 +44,14 @@
         "version": version,
         "routes": [
             make_route("turns", "streaming", "models", resumable=True),
+            make_route(
+                "chains",
+                "streaming",
+                "models",
+                resumable=True,
+                retainContext=True,
+                retentionS=60,
+            ),
             make_route("prices", "safe", "orders", maxAttempts=2),
             make_route("orders", "unsafe", "orders"),
         ],
@@ -196,6 +204,7 @@
             "peers": self.peers,
             "store": {"address": self.store},
             "data_folder": str(data),
+            "is_first_start": is_first,
         }
         path = self.folder / f"{self.name}.json"
         path.write_text(json.dumps(settings))
--- a/src/fireflyspread/exceptions.py
+++ b/src/fireflyspread/exceptions.py
@@ -227,6 +227,20 @@
     status = 422
 
 
+class TurnNotFoundError(NotFoundError):
+    """There is no turn with this id for the team."""
+
+    code = "turn_not_found"
+
+
+class TurnUncertainError(FireflyError):
+    """Whether there is a turn with this id cannot be told now."""
+
+    code = "turn_uncertain"
+    status = 503
+    outcome = Outcome.NOT_RUN
+
+
 class StreamVersionError(FireflyError):
     """A stream cannot go on at the software version that began it."""
 
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -1,6 +1,7 @@
 """Places one request, sends it, relays the answer and retries."""
 
 import logging
+from collections.abc import Sequence
 from typing import Any
 
 from fireflyspread.budgets import Reservation
@@ -29,6 +30,7 @@
 from fireflyspread.forwarding._stream_memory import StreamOrigin
 from fireflyspread.forwarding._stream_versions import StreamVersions
 from fireflyspread.routing import ReplicaDirectory, Result, Scheduler, Ticket, Work
+from fireflyspread.turns import TurnRecorder
 
 __all__ = ["Attempt"]
 
@@ -69,6 +71,8 @@
         Monotonic seconds.
     version : int
         Version of the configuration that admitted the request.
+    recorder : TurnRecorder or None
+        Keeps the answer as a turn; None if the route does not keep turns.
 
     Attributes
     ----------
@@ -99,6 +103,7 @@
         stream_versions: StreamVersions,
         backend: Backend,
         clock: Clock,
+        recorder: TurnRecorder | None = None,
     ) -> None:
         self.request = request
         self.route = route
@@ -116,6 +121,7 @@
         self._directory = directory
         self._stream_versions = stream_versions
         self._backend = backend
+        self._recorder = recorder
         self._clock = clock
         self._splitter = EventSplitter()
         self._reservation: Reservation | None = None
@@ -326,7 +332,7 @@
         if not self._sink.is_started:
             self._status = reply.status
             self._first_byte_at = self._clock.read_monotonic()
-            await self._sink.start(reply.status, reply.headers)
+            await self._sink.start(reply.status, self._select_stream_headers(reply))
         has_event = False
         async for chunk in reply.iterate():
             self._received_bytes += len(chunk)
@@ -336,6 +342,8 @@
                 if has_event and self.stream_version is None:
                     self._record_stream(replica.version)
                 self._charge_budget(events)
+                if self._recorder is not None:
+                    self._recorder.add(complete)
                 await self._sink.write(complete)
                 self._last_data_at = self._clock.read_monotonic()
         if self._splitter.has_partial_event:
@@ -347,8 +355,22 @@
                 f"replica {replica.name} closed the connection before the first event "
                 "of the stream; resume it"
             )
+        if self._recorder is not None:
+            # Before the caller sees the end, after which it may continue from the turn.
+            await self._recorder.finish()
         await self._sink.finish()
 
+    def _select_stream_headers(self, reply: Reply) -> Sequence[tuple[str, str]]:
+        if self._recorder is None:
+            return reply.headers
+        # The last byte of a body with a length would tell its end too early.
+        return [each for each in reply.headers if each[0].lower() != "content-length"]
+
+    def save_partial(self) -> None:
+        """Remember the events of a kept turn whose answer broke off."""
+        if self._recorder is not None:
+            self._recorder.save_partial()
+
     def _record_stream(self, version: str) -> None:
         self.stream_version = version
         self._stream_versions.record(
--- a/src/fireflyspread/forwarding/_config.py
+++ b/src/fireflyspread/forwarding/_config.py
@@ -74,6 +74,9 @@
         Maximum number of replicas that may run one request.
     resumable : bool
         Whether another replica may resume a stream.
+    turn_retention : float
+        Seconds for which complete turns are kept so that callers can continue from
+        them; 0 if turns carry their whole prompt.
     open : bool
         Whether requests without a key are accepted.
     """
@@ -91,6 +94,7 @@
     gap_target: float = 0.0
     max_silence: float = math.inf
     open: bool = False
+    turn_retention: float = 0.0
 
     @property
     def is_repeatable(self) -> bool:
--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -4,6 +4,7 @@
 import logging
 
 import xxhash
+from attrs import evolve
 
 from fireflyspread.budgets import BudgetOwners, Reservation
 from fireflyspread.clock import Clock
@@ -20,6 +21,7 @@
 from fireflyspread.forwarding._config import (
     ForwardingConfig,
     ForwardingRoute,
+    RouteKind,
     TeamPolicy,
 )
 from fireflyspread.forwarding._config_holder import ConfigHolder
@@ -29,6 +31,7 @@
 from fireflyspread.limits import RateLimiter
 from fireflyspread.metrics import Metrics
 from fireflyspread.routing import ReplicaDirectory, Scheduler
+from fireflyspread.turns import TurnKeeper, TurnRecorder
 
 __all__ = ["Forwarder"]
 
@@ -60,6 +63,7 @@
         scheduler: Scheduler,
         directory: ReplicaDirectory,
         stream_versions: StreamVersions,
+        turns: TurnKeeper,
         backend: Backend,
         clock: Clock,
         metrics: Metrics,
@@ -70,6 +74,7 @@
         self._scheduler = scheduler
         self._directory = directory
         self._stream_versions = stream_versions
+        self._turns = turns
         self._backend = backend
         self._clock = clock
         self._metrics = metrics
@@ -90,7 +95,10 @@
             config = self._configs.get()
             route = _find_route(config, request)
             team = _authenticate(config, route, request.key)
-            attempt = self._make_attempt(config, route, team, request, sink)
+            request, recorder = await self._begin_turn(route, team, request)
+            attempt = self._make_attempt(
+                config, route, team, request, sink, recorder=recorder
+            )
             await self._admit_and_run(attempt, team)
             self._record_answer(request, attempt)
         except FireflyError as exc:
@@ -109,8 +117,30 @@
             self._metrics.count("requests.abandoned")
             raise
         finally:
+            if attempt is not None:
+                attempt.save_partial()
             self.running -= 1
 
+    async def _begin_turn(
+        self,
+        route: ForwardingRoute,
+        team: TeamPolicy | None,
+        request: ForwardRequest,
+    ) -> tuple[ForwardRequest, TurnRecorder | None]:
+        """Return the request with the turns that it continues from, and a recorder."""
+        if route.kind is not RouteKind.STREAM or not route.turn_retention:
+            return request, None
+        recorder = await self._turns.begin(
+            request.id,
+            team="" if team is None else team.name,
+            previous=request.previous_turn,
+            input=request.body,
+            retention=route.turn_retention,
+            resumes=request.resumes,
+            last_event=request.last_event_id,
+        )
+        return evolve(request, body=recorder.body), recorder
+
     def _make_attempt(
         self,
         config: ForwardingConfig,
@@ -118,6 +148,8 @@
         team: TeamPolicy | None,
         request: ForwardRequest,
         sink: ResponseSink,
+        *,
+        recorder: TurnRecorder | None,
     ) -> Attempt:
         max_wait = route.timeout
         if request.max_wait is not None:
@@ -137,6 +169,7 @@
             stream_versions=self._stream_versions,
             backend=self._backend,
             clock=self._clock,
+            recorder=recorder,
         )
 
     async def _admit_and_run(self, attempt: Attempt, team: TeamPolicy | None) -> None:
--- a/src/fireflyspread/forwarding/_request.py
+++ b/src/fireflyspread/forwarding/_request.py
@@ -92,6 +92,8 @@
         Id of the event after which the caller resumes a stream.
     resumes : str or None
         Id of the caller's request that brought the first event of that stream.
+    previous_turn : str or None
+        Id of the turn that this one continues from.
     """
 
     id: str
@@ -108,6 +110,7 @@
     prompt: Prompt | None = None
     last_event_id: str | None = None
     resumes: str | None = None
+    previous_turn: str | None = None
 
 
 class ResponseSink(abc.ABC):
--- a/src/fireflyspread/gateway/_listeners.py
+++ b/src/fireflyspread/gateway/_listeners.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
-from fireflyspread.exceptions import BundleError, StoreError
+from fireflyspread.exceptions import BundleError, PeerError, StoreError
 from fireflyspread.forwarding import ConfigHolder, ForwardingConfig
 from fireflyspread.recovery import (
     LOAN_SERVERS_PREFIX,
@@ -23,6 +23,8 @@
 # Attempts, and seconds between them, to acknowledge a retirement order while writes to
 # the store fail.
 _MAX_ACKNOWLEDGE_ATTEMPTS = 20
+# Attempts to empty a loan server before its retirement is acknowledged all the same.
+_MAX_EMPTYING_ATTEMPTS = 4
 _ACKNOWLEDGE_INTERVAL = 0.5
 
 
@@ -102,7 +104,13 @@
 class OperatorListener(PrefixListener):
     """Activates configurations and acknowledges orders to retire a VM.
 
-    No data on a VM's disk has to outlive the VM, so each order is acknowledged at once.
+    A loan server first moves the turns on its disk to the store. One that does not
+    answer is acknowledged as retired after the last attempt.
+
+    Parameters
+    ----------
+    empty_server : callable
+        Has the loan server of a name move its turns; raises ``PeerError``.
     """
 
     def __init__(
@@ -114,6 +122,7 @@
         retirement_prefix: str,
         decode: Callable[[bytes], ForwardingConfig],
         make_status: Callable[[str], tuple[str, bytes]],
+        empty_server: Callable[[str], Awaitable[None]],
     ) -> None:
         self._configs = configs
         self._store = store
@@ -121,6 +130,7 @@
         self._retirement_prefix = retirement_prefix
         self._decode = decode
         self._make_status = make_status
+        self._empty_server = empty_server
         self._tasks: set[asyncio.Task[None]] = set()
         self._acknowledged: set[str] = set()
 
@@ -149,6 +159,14 @@
 
     async def _acknowledge(self, order: str) -> None:
         key, value = self._make_status(order)
+        name = order.removeprefix(self._retirement_prefix)
+        for _ in range(_MAX_EMPTYING_ATTEMPTS):
+            try:
+                await self._empty_server(name)
+                break
+            except PeerError as exc:
+                _LOG.warning("VM %s not emptied: %s", name, exc.message)
+            await asyncio.sleep(_ACKNOWLEDGE_INTERVAL)
         for _ in range(_MAX_ACKNOWLEDGE_ATTEMPTS):
             try:
                 # Every node writes this status; only the first write succeeds.
@@ -156,7 +174,6 @@
                 _LOG.info("VM retirement order acknowledged", extra={"order": order})
                 if isinstance(result, int):
                     # Draws would wait for the retired loan server while it is listed.
-                    name = order.removeprefix(self._retirement_prefix)
                     await self._store.delete(LOAN_SERVERS_PREFIX + name)
                 return
             except StoreError as exc:
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -42,6 +42,11 @@
     NodeStreamVersionPeers,
     register_stream_handlers,
 )
+from fireflyspread.gateway._turns import (
+    LoanServerDisks,
+    NodeTurnPeers,
+    register_turn_handlers,
+)
 from fireflyspread.metrics import Metrics
 from fireflyspread.nodes import (
     PeerClient,
@@ -79,6 +84,7 @@
     RetryBudget,
 )
 from fireflyspread.settings import Address
+from fireflyspread.turns import TurnKeeper, TurnMemory, TurnStore, TurnWriter
 
 __all__ = ["GatewayNode"]
 
@@ -139,6 +145,7 @@
         self._build_limiters()
         self._build_scheduler()
         self._build_peers()
+        self._build_turns()
         self._build_forwarder()
         self._build_followers()
 
@@ -268,6 +275,37 @@
         )
         register_stream_handlers(self._server, self._streams, node=self._name)
 
+    def _build_turns(self) -> None:
+        settings = self._settings
+        self._turn_disks = LoanServerDisks(
+            self._client,
+            self._roster.list_loan_servers,
+            self._clock,
+            node=self._name,
+            max_losses=settings.max_disk_losses,
+        )
+        self._turn_peers = NodeTurnPeers(self._client, self._roster, node=self._name)
+        memory = TurnMemory(self._clock, max_bytes=settings.turns.max_memory_bytes)
+        store = TurnStore(self._store, self._clock)
+        self._turn_writer = TurnWriter(
+            store,
+            self._turn_disks,
+            self._clock,
+            count_nodes=lambda: len(self._roster.list_names()),
+            writes_per_second=settings.store.writes_per_second,
+        )
+        self._turns = TurnKeeper(
+            memory=memory,
+            store=store,
+            writer=self._turn_writer,
+            disks=self._turn_disks,
+            peers=self._turn_peers,
+            limits=settings.turns,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+        register_turn_handlers(self._server, memory, node=self._name)
+
     def _build_forwarder(self) -> None:
         self._replica_client = ReplicaClient(self._clock)
         self._relay_nodes = HttpRelayNodes(
@@ -294,6 +332,7 @@
             scheduler=self._scheduler,
             directory=self._directory,
             stream_versions=self._streams,
+            turns=self._turns,
             backend=self._backend,
             clock=self._clock,
             metrics=self._metrics,
@@ -309,6 +348,7 @@
             retirement_prefix=RETIREMENT_PREFIX,
             decode=decode_config,
             make_status=lambda order: (make_status_key(order), encode_retired()),
+            empty_server=self._turn_disks.flush,
         )
         registrations = RegistrationListener(
             self._directory, prefix=REGISTRATIONS_PREFIX, decode=decode_registration
@@ -384,6 +424,7 @@
         self._spawn(self._loan_log.run())
         self._spawn(self._limiters.run())
         self._spawn(self._streams.run())
+        self._spawn(self._turn_writer.run())
         self._spawn(self._expire_directory())
         _LOG.info(
             "node started",
@@ -418,6 +459,7 @@
             ("members.known", len(self._roster.list_peers()) + 1),
             ("replicas.unreached", len(self._backend.list_broken_paths())),
             ("requests.relayed", self._relay_server.running),
+            *self._turns.list_gauges(),
             ("replicas.limited", len(self._limiters.replicas.limits.list_rates())),
             ("fingerprints.suspect", len(quarantine.list_suspects())),
             ("fingerprints.quarantined", len(quarantine.list_quarantined())),
@@ -504,6 +546,8 @@
             await runner.cleanup()
         await self._limiters.close()
         await self._streams.close()
+        await self._turn_peers.close()
+        await self._turn_disks.close()
         await self._backend.close()
         await self._relay_nodes.close()
         await self._replica_client.close()
--- a/src/fireflyspread/gateway/_settings.py
+++ b/src/fireflyspread/gateway/_settings.py
@@ -9,6 +9,7 @@
 from fireflyspread._structuring import decode_json, make_converter, structure
 from fireflyspread.exceptions import SettingsError
 from fireflyspread.settings import Address, Logging, Node
+from fireflyspread.turns import TurnLimits
 
 __all__ = [
     "GatewayListen",
@@ -54,10 +55,13 @@
     ----------
     timeout : float
         Seconds for one call other than a watch.
+    writes_per_second : float
+        Writes that the store accepts from all processes together.
     """
 
     address: Address
     timeout: float = field(default=1.0, validator=_POSITIVE)
+    writes_per_second: float = field(default=400.0, validator=_POSITIVE)
 
 
 @frozen(kw_only=True)
@@ -70,12 +74,16 @@
         Messages from the nodes.
     data_folder : str
         Folder on a durable disk.
+    is_first_start : bool
+        Whether the whole system starts for the first time, so that no turn can have
+        been lost with a disk.
     """
 
     node: Node
     peers: Address
     store: StoreAccess
     data_folder: str = field(validator=validators.min_len(1))
+    is_first_start: bool = False
     logging: Logging = field(factory=Logging)
 
     @classmethod
@@ -112,6 +120,8 @@
     is_first_start : bool
         Whether the whole system starts for the first time, so that no node can have
         used any rate yet.
+    max_disk_losses : int
+        Disks of loan servers that may be lost at the same time.
     stop_grace : float
         Seconds between the stop signal and the end of the process.
     """
@@ -121,6 +131,8 @@
     store: StoreAccess
     is_first_start: bool = False
     rates: RateTolerance = field(factory=RateTolerance)
+    turns: TurnLimits = field(factory=TurnLimits)
+    max_disk_losses: int = field(default=1, validator=validators.ge(0))
     stop_grace: float = field(default=8.0, validator=_POSITIVE)
     logging: Logging = field(factory=Logging)
 
--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -18,6 +18,8 @@
 from fireflyspread.gateway._settings import LoanSettings
 from fireflyspread.loans._file import Loan, LoanFile
 from fireflyspread.loans._streams import register_stream_handlers
+from fireflyspread.loans._turn_file import TurnFile
+from fireflyspread.loans._turns import TurnKeeping
 from fireflyspread.loans._writer import LoanWriter
 from fireflyspread.logs import configure_logging
 from fireflyspread.nodes import (
@@ -30,6 +32,7 @@
 )
 from fireflyspread.platform import KvStore, make_connector
 from fireflyspread.recovery import LOAN_SERVERS_PREFIX, SnapshotStore, Write
+from fireflyspread.turns import TurnStore
 
 __all__ = ["main"]
 
@@ -104,30 +107,42 @@
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     clock, name = SystemClock(), settings.node.name
     file = LoanFile(settings.data_folder, clock)
+    turn_file = TurnFile(
+        settings.data_folder, clock, is_first_start=settings.is_first_start
+    )
     try:
         await asyncio.to_thread(file.open)
     except OSError as exc:
         # The first loan opens the file again; until then no loans are listed.
         _LOG.error("cannot read the loans: %s", exc)
+    try:
+        await asyncio.to_thread(turn_file.open)
+    except OSError as exc:
+        _LOG.error("cannot read the turns: %s", exc)
     server = PeerServer(settings.peers, node=name)
     register_handlers(server, file, clock, node=name)
     register_stream_handlers(server, clock, node=name)
-    await server.start()
-    _LOG.info("loan server started", extra={"node": name})
     store = KvStore(
         str(settings.store.address),
         connector=make_connector(keepalive=_STORE_KEEPALIVE_SECONDS),
         timeout=settings.store.timeout,
     )
+    turns = TurnKeeping(turn_file, TurnStore(store, clock), node=name)
+    turns.register(server)
+    await server.start()
+    _LOG.info("loan server started", extra={"node": name})
+    moving = asyncio.create_task(turns.run())
     registration = asyncio.create_task(
         register_address(store, name, str(settings.peers))
     )
     await stop.wait()
     _LOG.info("loan server stopped", extra={"node": name})
     registration.cancel()
+    moving.cancel()
     await server.stop()
     await store.close()
     file.close()
+    turn_file.close()
 
 
 def main() -> None:
--- a/src/fireflyspread/loans/_file.py
+++ b/src/fireflyspread/loans/_file.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from fireflyspread.clock import Clock
+from fireflyspread.loans._durable import replace_file, write_bytes
 
 __all__ = ["Loan", "LoanFile"]
 
@@ -83,7 +84,7 @@
         if self._file is None:
             self.open()
         assert self._file is not None
-        _write_all(self._file, loans)
+        write_bytes(self._file, _encode(loans))
         os.fsync(self._file)
         self._add(loans)
         self._appended_lines += len(loans)
@@ -124,19 +125,7 @@
         recent = self.list_recent()
         self._loans_by_program, self._appended_lines = {}, 0
         self._add(recent)
-        temporary = self._path.with_suffix(".new")
-        file = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
-        try:
-            _write_all(file, recent)
-            os.fsync(file)
-        finally:
-            os.close(file)
-        temporary.rename(self._path)
-        folder = os.open(self._path.parent, os.O_RDONLY)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
+        replace_file(self._path, _encode(recent))
         if self._file is not None:
             os.close(self._file)
         self._file = os.open(self._path, os.O_WRONLY | os.O_APPEND)
@@ -148,10 +137,8 @@
             self._file = None
 
 
-def _write_all(file: int, loans: Sequence[Loan]) -> None:
-    data = b"".join(msgspec.json.encode(loan) + b"\n" for loan in loans)
-    while data:
-        data = data[os.write(file, data) :]
+def _encode(loans: Iterable[Loan]) -> bytes:
+    return b"".join(msgspec.json.encode(loan) + b"\n" for loan in loans)
 
 
 def _parse(data: bytes) -> list[Loan]:
--- a/src/fireflyspread/loans/_writer.py
+++ b/src/fireflyspread/loans/_writer.py
@@ -1,28 +1,34 @@
-"""Group commit of loans."""
+"""Group commit to a file."""
 
 import asyncio
+from collections.abc import Callable, Sequence
+from typing import Generic, TypeVar
 
 from fireflyspread.loans._file import Loan, LoanFile
 
-__all__ = ["LoanWriter"]
+__all__ = ["GroupWriter", "LoanWriter"]
 
+T = TypeVar("T")
 
-class LoanWriter:
-    """Appends loans to a file; loans that arrive during a sync share the next one.
 
-    Of two loans to a program, the second is acknowledged after the first is written,
-    so its lender learns of the first.
+class GroupWriter(Generic[T]):
+    """Appends records to a file; those that arrive during a sync share the next one.
+
+    Parameters
+    ----------
+    append : callable
+        Writes records and syncs the file; runs in another thread.
     """
 
-    def __init__(self, file: LoanFile) -> None:
-        self._file = file
-        self._pending: list[tuple[Loan, asyncio.Future[None]]] = []
+    def __init__(self, append: Callable[[Sequence[T]], None]) -> None:
+        self._append = append
+        self._pending: list[tuple[T, asyncio.Future[None]]] = []
         self._task: asyncio.Task[None] | None = None
 
-    async def append(self, loan: Loan) -> None:
-        """Return once ``loan`` is on the disk; raises ``OSError``."""
+    async def append(self, record: T) -> None:
+        """Return once ``record`` is on the disk; raises ``OSError``."""
         written = asyncio.get_running_loop().create_future()
-        self._pending.append((loan, written))
+        self._pending.append((record, written))
         if self._task is None:
             self._task = asyncio.create_task(self._write())
         await written
@@ -31,8 +37,8 @@
         while self._pending:
             batch, self._pending = self._pending, []
             try:
-                loans = [loan for loan, _ in batch]
-                await asyncio.to_thread(self._file.append, loans)
+                records = [record for record, _ in batch]
+                await asyncio.to_thread(self._append, records)
             except OSError as exc:
                 _complete(batch, exc)
             else:
@@ -40,8 +46,19 @@
         self._task = None
 
 
+class LoanWriter(GroupWriter[Loan]):
+    """Appends loans to their file.
+
+    Of two loans to a program, the second is acknowledged after the first is written,
+    so its lender learns of the first.
+    """
+
+    def __init__(self, file: LoanFile) -> None:
+        super().__init__(file.append)
+
+
 def _complete(
-    batch: list[tuple[Loan, asyncio.Future[None]]], error: OSError | None
+    batch: list[tuple[T, asyncio.Future[None]]], error: OSError | None
 ) -> None:
     for _, written in batch:
         if written.done():
--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -56,6 +56,12 @@
     "seconds",
     "first",
     "cut",
+    "turn",
+    "chain",
+    "bytes",
+    "age",
+    "pending",
+    "reason",
 )
 
 
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -5,6 +5,7 @@
 from fireflyspread.exceptions import PeerError, UnsupportedVersionError
 from fireflyspread.loans import Loan
 from fireflyspread.routing import CrashReport
+from fireflyspread.turns import Turn
 
 __all__ = [
     "MESSAGE_VERSION",
@@ -43,6 +44,12 @@
     "TokensGranted",
     "decode_message",
     "encode_message",
+    "KeepTurns",
+    "ForgetTurns",
+    "FlushTurns",
+    "TurnsKept",
+    "FindTurn",
+    "TurnFound",
 ]
 
 MESSAGE_VERSION = 1
@@ -449,6 +456,47 @@
     versions: tuple[str, ...]
 
 
+class KeepTurns(Message, frozen=True, kw_only=True):
+    """Asks a node to remember turns, or a loan server to write them to its disk."""
+
+    turns: tuple[Turn, ...]
+
+
+class ForgetTurns(Message, frozen=True, kw_only=True):
+    """Tells a loan server that the store has turns."""
+
+    turns: tuple[str, ...]
+
+
+class FlushTurns(Message, frozen=True, kw_only=True):
+    """Asks a loan server to write all its turns to the store."""
+
+
+class TurnsKept(Message, frozen=True, kw_only=True):
+    """Answer to ``KeepTurns``, ``ForgetTurns`` and ``FlushTurns``."""
+
+
+class FindTurn(Message, frozen=True, kw_only=True):
+    """Asks for a turn."""
+
+    turn: str
+
+
+class TurnFound(Message, frozen=True, kw_only=True):
+    """Answer to ``FindTurn``.
+
+    Attributes
+    ----------
+    turn : Turn or None
+        None if the process does not have it.
+    complete_since : float
+        Unix seconds; turns that ended earlier may have been lost with a disk.
+    """
+
+    turn: Turn | None
+    complete_since: float = 0.0
+
+
 class ConfirmFence(Message, frozen=True, kw_only=True):
     """Asks whether the node still acts on a target under an older bundle."""
 
@@ -508,6 +556,12 @@
     | StreamsRecorded
     | FindStream
     | StreamFound
+    | KeepTurns
+    | ForgetTurns
+    | FlushTurns
+    | TurnsKept
+    | FindTurn
+    | TurnFound
     | ConfirmFence
     | FenceConfirmed
     | Failed
--- a/src/fireflyspread/platform/_config.py
+++ b/src/fireflyspread/platform/_config.py
@@ -53,6 +53,9 @@
     max_attempts: int = _DEFAULT_MAX_REPLICAS
     auth_exempt: bool = False
     resumable: bool = False
+    # Whether a turn carries only its new input, and seconds for which turns are kept.
+    retain_context: bool = False
+    retention_s: float = 0.0
 
 
 class _Engine(msgspec.Struct, rename="camel"):
@@ -137,6 +140,7 @@
         gap_target=route.target_gap_ms / 1000,
         max_silence=_compute_max_silence(route),
         open=route.auth_exempt,
+        turn_retention=route.retention_s if route.retain_context else 0.0,
     )
 
 
--- a/src/fireflyspread/platform/_front.py
+++ b/src/fireflyspread/platform/_front.py
@@ -161,6 +161,7 @@
         prompt=_read_prompt(headers),
         last_event_id=headers.get(names.LAST_EVENT_ID),
         resumes=headers.get(names.RESUMES),
+        previous_turn=headers.get(names.PREVIOUS_TURN),
     )
 
 
--- a/src/fireflyspread/platform/_headers.py
+++ b/src/fireflyspread/platform/_headers.py
@@ -8,6 +8,7 @@
     "LENGTH_HINT",
     "MODEL",
     "NOT_EXECUTED",
+    "PREVIOUS_TURN",
     "PROGRAM_DEADLINE",
     "PROGRAM_ID",
     "PROMPT_PREFIX",
@@ -53,6 +54,8 @@
 PROGRAM_DEADLINE = _PREFIX + "Program-Deadline"
 TOKEN_BUDGET = _PREFIX + "Token-Budget"
 LAST_EVENT_ID = "Last-Event-Id"
+# Request id of the turn that a turn continues from.
+PREVIOUS_TURN = _PREFIX + "Previous-Turn"
 # Request id of the client attempt that brought the first event of a resumed stream.
 RESUMES = "Resumes"
 
--- a/src/fireflyspread/platform/_kv_store.py
+++ b/src/fireflyspread/platform/_kv_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from base64 import b64decode, b64encode
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 from typing import Any
 from urllib.parse import quote
 
@@ -195,6 +195,18 @@
             return tuple(_read_entry(item) for item in items if item.revision)
         return _decode_write(content, _Committed, status).revision
 
+    async def put_all(self, items: Mapping[str, bytes], *, lease: int) -> None:
+        body = {
+            "expectedRevision": [],
+            "setKeys": [
+                {"key": key, "value": b64encode(value).decode(), "lease": lease}
+                for key, value in items.items()
+            ],
+            "remove": [],
+        }
+        status, content = await self._call("POST", "/v1/kv-txn", body, is_write=True)
+        _decode_write(content, _Committed, status)
+
     async def replace(
         self, key: str, value: bytes, *, revision: int, lease: int = 0
     ) -> int | None:
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -205,6 +205,7 @@
                 continue
             if time.monotonic() - idle_since > _max_idle_seconds.get():
                 return None
+            assert isinstance(protocol, _MatchingProtocol)
             if protocol.refused_id == _request_id.get():
                 # A repeat of that refusal would have the expected id.
                 return None
--- a/src/fireflyspread/recovery/_store.py
+++ b/src/fireflyspread/recovery/_store.py
@@ -1,7 +1,7 @@
 """Interface of the platform's key-value store."""
 
 import abc
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 
 from attrs import frozen
 
@@ -181,6 +181,16 @@
             The store has discarded these changes; take a new snapshot.
         """
 
+    @abc.abstractmethod
+    async def put_all(self, items: Mapping[str, bytes], *, lease: int) -> None:
+        """Set all keys or none, at most 32, whatever their values were.
+
+        Raises
+        ------
+        StoreError
+            The store did not answer, or the lease has ended.
+        """
+
     @abc.abstractmethod
     async def write_all(self, writes: Sequence[Write]) -> int | tuple[Entry, ...]:
         """Make all writes or none, at most ``WRITES_PER_TRANSACTION``.
--- /dev/null
+++ b/src/fireflyspread/turns/_turn.py
@@ -0,0 +1,71 @@
+"""Turns that callers can continue from, and the text of their chains."""
+
+import re
+
+import msgspec
+
+__all__ = ["Turn", "decode_turn", "encode_turn", "extract_data"]
+
+_DATA_LINE = re.compile(rb"^data:(?: (.*)|(.*))$", re.MULTILINE)
+
+
+class Turn(msgspec.Struct, frozen=True, kw_only=True):
+    """A complete turn together with all turns that it continues from.
+
+    Attributes
+    ----------
+    id : str
+        Id of the request.
+    team : str
+        Team that may continue from the turn; empty on routes open to all.
+    parts : tuple of bytes
+        Inputs and outputs of the chain by turns, oldest first.
+    ended_at : float
+        Unix seconds.
+    retention : float
+        Seconds after its end for which the turn can be continued.
+    """
+
+    id: str
+    team: str
+    parts: tuple[bytes, ...]
+    ended_at: float
+    retention: float
+
+    @property
+    def size(self) -> int:
+        """Bytes of the chain."""
+        return sum(map(len, self.parts))
+
+    @property
+    def chain_length(self) -> int:
+        """Number of turns in the chain."""
+        return len(self.parts) // 2
+
+    def has_expired(self, now: float) -> bool:
+        """Return whether the retention is over at ``now``, in Unix seconds."""
+        return now > self.ended_at + self.retention
+
+
+def extract_data(events: bytes) -> bytes:
+    """Return the data lines of events, each followed by a line feed."""
+    return b"".join(a + b + b"\n" for a, b in _DATA_LINE.findall(events))
+
+
+_DECODER = msgspec.msgpack.Decoder(Turn)
+
+
+def encode_turn(turn: Turn) -> bytes:
+    """Return ``turn`` as MessagePack."""
+    return msgspec.msgpack.encode(turn)
+
+
+def decode_turn(data: bytes) -> Turn:
+    """Return the turn in ``data``.
+
+    Raises
+    ------
+    ValueError
+        The bytes are not a turn.
+    """
+    return _DECODER.decode(data)
--- /dev/null
+++ b/src/fireflyspread/turns/_writer.py
@@ -0,0 +1,164 @@
+"""Group commit of turns."""
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable
+
+from attrs import define, field
+
+from fireflyspread.clock import Clock
+from fireflyspread.exceptions import PeerError, StoreError
+from fireflyspread.turns._interfaces import TurnDisks
+from fireflyspread.turns._store import TURNS_PER_WRITE, TurnStore
+from fireflyspread.turns._turn import Turn
+
+__all__ = ["TurnWriter"]
+
+_LOG = logging.getLogger(__name__)
+
+# Fraction of the store's writes that all nodes together may use for turns.
+_STORE_SHARE = 0.25
+# Seconds beyond the interval of writes that a turn waits for the store before it is
+# written to disks as well. The store answers in about 4 ms.
+_STORE_PATIENCE = 0.05
+# Seconds between attempts after a failure.
+_RETRY_INTERVAL = 0.2
+# Bytes of the turns of one write, and number of turns that wait for the store.
+_MAX_WRITE_BYTES = 512 * 1024
+_MAX_PENDING = 20_000
+
+
+@define(eq=False)
+class _Pending:
+    turn: Turn
+    is_stored: asyncio.Future[None]
+    is_on_disk: bool = field(default=False)
+
+
+class TurnWriter:
+    """Makes turns durable in the store, or on disks while the store does not answer.
+
+    Turns on disks are written to the store once it is available again.
+
+    Parameters
+    ----------
+    count_nodes : callable
+        Returns the number of nodes that share the store's writes.
+    writes_per_second : float
+        Writes that the store accepts from all nodes together.
+    """
+
+    def __init__(
+        self,
+        store: TurnStore,
+        disks: TurnDisks,
+        clock: Clock,
+        *,
+        count_nodes: Callable[[], int],
+        writes_per_second: float,
+    ) -> None:
+        self._store = store
+        self._disks = disks
+        self._clock = clock
+        self._count_nodes = count_nodes
+        self._writes_per_second = writes_per_second
+        self._queue: deque[_Pending] = deque()
+        self._wake = asyncio.Event()
+        self.is_store_failing = False
+
+    @property
+    def pending_count(self) -> int:
+        """Number of turns that the store does not have yet."""
+        return len(self._queue)
+
+    @property
+    def _interval(self) -> float:
+        return self._count_nodes() / (_STORE_SHARE * self._writes_per_second)
+
+    async def write(self, turn: Turn) -> str:
+        """Return where the turn is durable, ``store`` or ``disks``, once it is."""
+        pending = _Pending(turn, asyncio.get_running_loop().create_future())
+        if len(self._queue) < _MAX_PENDING:
+            self._queue.append(pending)
+            self._wake.set()
+        patience = 0.0 if self.is_store_failing else self._interval + _STORE_PATIENCE
+        await asyncio.wait({pending.is_stored}, timeout=patience)
+        while not pending.is_stored.done():
+            if await self._write_to_disks(pending):
+                return "disks"
+        return "store"
+
+    async def _write_to_disks(self, pending: _Pending) -> bool:
+        """Return whether disks hold the turn; returns early if the store has it."""
+        copies = asyncio.ensure_future(self._disks.write(pending.turn))
+        try:
+            await asyncio.wait(
+                {copies, pending.is_stored}, return_when=asyncio.FIRST_COMPLETED
+            )
+            if pending.is_stored.done():
+                return False
+            await copies
+        except PeerError as exc:
+            _LOG.warning(
+                "turn not written to disks: %s",
+                exc.message,
+                extra={"turn": pending.turn.id},
+            )
+            await asyncio.wait({pending.is_stored}, timeout=_RETRY_INTERVAL)
+            return False
+        finally:
+            copies.cancel()
+        pending.is_on_disk = True
+        return True
+
+    async def run(self) -> None:
+        """Write to the store until cancelled."""
+        while True:
+            await self._wake.wait()
+            started_at = self._clock.read_monotonic()
+            batch = self._take_batch()
+            pause = self._interval
+            try:
+                await self._store.write([pending.turn for pending in batch])
+            except StoreError as exc:
+                self._queue.extendleft(reversed(batch))
+                self._set_failing(True, exc)
+                pause = _RETRY_INTERVAL
+            else:
+                self._set_failing(False)
+                self._complete(batch)
+            if not self._queue:
+                self._wake.clear()
+            elapsed = self._clock.read_monotonic() - started_at
+            await asyncio.sleep(max(0.0, pause - elapsed))
+
+    def _take_batch(self) -> list[_Pending]:
+        batch: list[_Pending] = []
+        size = 0
+        while self._queue and len(batch) < TURNS_PER_WRITE:
+            size += self._queue[0].turn.size
+            if batch and size > _MAX_WRITE_BYTES:
+                break
+            batch.append(self._queue.popleft())
+        return batch
+
+    def _complete(self, batch: list[_Pending]) -> None:
+        for pending in batch:
+            if not pending.is_stored.done():
+                pending.is_stored.set_result(None)
+        on_disk = [pending.turn.id for pending in batch if pending.is_on_disk]
+        if on_disk:
+            self._disks.forget(on_disk)
+
+    def _set_failing(self, is_failing: bool, exc: StoreError | None = None) -> None:
+        if is_failing != self.is_store_failing:
+            self.is_store_failing = is_failing
+            _LOG.info(
+                "turns are written to %s",
+                "disks, because the store failed" if is_failing else "the store again",
+                extra={
+                    "pending": len(self._queue),
+                    "reason": None if exc is None else exc.message,
+                },
+            )
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -81,6 +81,8 @@
         Value of the ``Time-Remaining`` header in milliseconds.
     is_complete : bool
         Whether the whole answer was sent.
+    body : bytes
+        Body of the request.
     """
 
     request: str
@@ -90,6 +92,7 @@
     remaining: float
     events: int = field(default=0)
     is_complete: bool = False
+    body: bytes = b""
 
 
 class _UnframedResponse(web.StreamResponse):
@@ -215,6 +218,7 @@
         self.runs.append(run)
         self._active += 1
         try:
+            run.body = await request.read()
             if await self._is_crashing(request):
                 self.crash(self.faults.crash_seconds)
                 await asyncio.Event().wait()
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -55,6 +55,7 @@
     ReplicaRecord,
 )
 from tests.recovery.snapshot_store import MemoryStore
+from tests.turns.fakes import make_turn_keeper
 
 
 @define(kw_only=True)
@@ -312,6 +313,7 @@
                 list_versions=self.directory.list_versions,
                 is_store_unavailable=lambda: False,
             ),
+            turns=make_turn_keeper(self.store, clock),
             backend=self.backend,
             clock=clock,
             metrics=Metrics(),
--- a/tests/recovery/snapshot_store.py
+++ b/tests/recovery/snapshot_store.py
@@ -1,7 +1,7 @@
 """In-memory snapshot store with fault injection."""
 
 import asyncio
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Mapping, Sequence
 
 from fireflyspread.exceptions import (
     HistoryLostError,
@@ -97,6 +97,19 @@
                 return found, self.revision
             await self._changed.wait()
 
+    async def put_all(self, items: Mapping[str, bytes], *, lease: int) -> None:
+        await asyncio.sleep(0)
+        self._check()
+        self.calls += 1
+        if lease not in self.leases:
+            raise StoreError("the lease has ended; grant another")
+        for key, value in items.items():
+            self.put(key, value)
+            self.leases[lease].add(key)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreUncertainError("no answer; retry")
+
     async def write_all(self, writes: Sequence[Write]) -> int | tuple[Entry, ...]:
         await asyncio.sleep(0)
         self._check()
--- /dev/null
+++ b/tests/turns/test_writer.py
@@ -0,0 +1,94 @@
+"""Tests of the group commit of turns."""
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator
+
+import pytest
+
+from fireflyspread.clock import SystemClock
+from tests.recovery.snapshot_store import MemoryStore
+from tests.turns.fakes import FakeDisks, make_writer
+from tests.turns.test_turn import make_turn
+
+
+class _Fixture:
+    """A running writer before a store and disks."""
+
+    def __init__(self) -> None:
+        self.store = MemoryStore()
+        self.disks = FakeDisks()
+        self.writer = make_writer(self.store, SystemClock(), self.disks)
+
+    async def write(self, *names: str) -> list[str]:
+        """Write turns at the same time; return where they became durable."""
+        now = SystemClock().read_wall()
+        turns = [make_turn(name, ended_at=now) for name in names]
+        return await asyncio.gather(*(self.writer.write(turn) for turn in turns))
+
+    def count_stored(self) -> int:
+        """Return the number of turns in the store."""
+        return sum(key.startswith("turns/") for key in self.store.entries)
+
+
+@pytest.fixture
+async def running() -> AsyncIterator[_Fixture]:
+    fixture = _Fixture()
+    task = asyncio.create_task(fixture.writer.run())
+    yield fixture
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+async def _wait_for(check) -> None:
+    for _ in range(400):
+        if check():
+            return
+        await asyncio.sleep(0.01)
+    raise AssertionError("the condition was not met within 4 s")
+
+
+class TestTurnWriter:
+    async def test_turns_share_writes(self, running):
+        """Guards against a call to the store for each turn under load."""
+        sources = await running.write(*(f"t{n}" for n in range(30)))
+        assert sources == ["store"] * 30
+        assert running.store.calls <= 2
+        assert running.count_stored() == 30
+
+    async def test_disks_hold_turns_while_the_store_is_away(self, running):
+        """Guards against answers that wait for the end of an outage."""
+        running.store.is_down = True
+        assert await running.write("t0", "t1") == ["disks", "disks"]
+        assert set(running.disks.turns) == {"t0", "t1"}
+        running.store.is_down = False
+        await _wait_for(lambda: running.count_stored() == 2)
+        await _wait_for(lambda: not running.disks.turns)
+        assert running.writer.pending_count == 0
+
+    async def test_turn_waits_if_neither_can_hold_it(self, running):
+        """Guards against the end of an answer whose turn would be lost."""
+        running.store.is_down = True
+        running.disks.is_full = True
+        writing = asyncio.create_task(running.write("t0"))
+        await asyncio.sleep(0.3)
+        assert not writing.done()
+        running.store.is_down = False
+        assert await writing == ["store"]
+
+    async def test_lost_answer_is_repeated(self, running):
+        """Guards against a turn that counts as lost although it was written."""
+        running.store.lose_answers = 1
+        (source,) = await running.write("t0")
+        assert source == "disks"
+        await _wait_for(lambda: running.writer.pending_count == 0)
+        assert running.count_stored() == 1
+
+    async def test_ended_lease_is_replaced(self, running):
+        """Guards against writes that fail for good after the store lost a lease."""
+        assert await running.write("t0") == ["store"]
+        running.store.leases.clear()
+        await running.write("t1")
+        await _wait_for(lambda: running.writer.pending_count == 0)
+        assert running.count_stored() == 2
