Have another node write a turn for one that is cut off

It now asks two other nodes at a time to make the turn durable, and to look in the store and on the disks for turns that it cannot find. A search is certain if fewer than two disks are missing or were emptied. Expiry allows for clocks that differ by up to 10 s.

--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -290,6 +290,7 @@
         self._turn_writer = TurnWriter(
             store,
             self._turn_disks,
+            self._turn_peers,
             self._clock,
             count_nodes=lambda: len(self._roster.list_names()),
             writes_per_second=settings.store.writes_per_second,
@@ -304,7 +305,9 @@
             clock=self._clock,
             metrics=self._metrics,
         )
-        register_turn_handlers(self._server, memory, node=self._name)
+        register_turn_handlers(
+            self._server, memory, self._turn_writer, self._turns, node=self._name
+        )
 
     def _build_forwarder(self) -> None:
         self._replica_client = ReplicaClient(self._clock)
--- a/src/fireflyspread/gateway/_turns.py
+++ b/src/fireflyspread/gateway/_turns.py
@@ -1,6 +1,7 @@
 """Messages between processes about kept turns."""
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable, Coroutine, Iterable, Sequence
 from typing import Any
@@ -21,7 +22,15 @@
     TurnsKept,
 )
 from fireflyspread.recovery import Roster
-from fireflyspread.turns import DiskAnswer, Turn, TurnDisks, TurnMemory, TurnPeers
+from fireflyspread.turns import (
+    DiskAnswer,
+    Turn,
+    TurnDisks,
+    TurnKeeper,
+    TurnMemory,
+    TurnPeers,
+    TurnWriter,
+)
 
 __all__ = ["LoanServerDisks", "NodeTurnPeers", "register_turn_handlers"]
 
@@ -37,8 +46,14 @@
 # takes up to 60 ms on a slow disk.
 _MESSAGE_TIMEOUT = 0.1
 _DISK_TIMEOUT = 0.3
+# Seconds for another node to write a turn, or to look in the store and on the disks.
+_HELP_TIMEOUT = 0.6
+# Nodes asked at once for that.
+_HELPERS = 2
 # Seconds for a loan server to move its turns to the store.
 _FLUSH_TIMEOUT = 2.0
+# Seconds for which turns are kept at most, for disks that were emptied.
+_MAX_RETENTION = 600.0
 # Fewest loan servers that must hold a turn, whatever others have been lost.
 _MIN_DISKS = 2
 
@@ -107,16 +122,56 @@
                 extra={"node": name, "count": len(turns)},
             )
 
-    async def _ask(self, name: str, message: Message) -> Message:
+    async def _ask(
+        self, name: str, message: Message, *, timeout: float = _MESSAGE_TIMEOUT
+    ) -> Message:
         member = self._roster.find(name)
         if member is None:
             raise PeerError(f"{name} is not a member; ask another node")
-        return await self._client.ask(member.peers, message, timeout=_MESSAGE_TIMEOUT)
+        return await self._client.ask(member.peers, message, timeout=timeout)
+
+    def _choose_helpers(self, turn_id: str, attempt: int) -> list[str]:
+        names = [
+            n for n in _rank(self._roster.list_names(), turn_id) if n != self._node
+        ]
+        if not names:
+            return []
+        first = _HELPERS * attempt % len(names)
+        return (names[first:] + names[:first])[:_HELPERS]
+
+    async def write(self, turn: Turn, *, attempt: int) -> None:
+        message = KeepTurns(node=self._node, turns=(turn,), is_durable=True)
+        names = self._choose_helpers(turn.id, attempt)
+        asked = [
+            asyncio.ensure_future(self._ask(name, message, timeout=_HELP_TIMEOUT))
+            for name in names
+        ]
+        try:
+            for answer in asyncio.as_completed(asked):
+                with contextlib.suppress(PeerError):
+                    await answer
+                    return
+        finally:
+            for task in asked:
+                task.cancel()
+        raise PeerError(f"nodes {', '.join(names)} did not write the turn; ask others")
 
     async def find(self, turn_id: str) -> Turn | None:
+        message = FindTurn(node=self._node, turn=turn_id)
+        names = self._choose_nodes(turn_id)
+        return await self._find_first(names, message, _MESSAGE_TIMEOUT)
+
+    async def search(self, turn_id: str) -> Turn | None:
+        message = FindTurn(node=self._node, turn=turn_id, is_search=True)
+        names = self._choose_helpers(turn_id, 0)
+        return await self._find_first(names, message, _HELP_TIMEOUT)
+
+    async def _find_first(
+        self, names: Sequence[str], message: FindTurn, timeout: float
+    ) -> Turn | None:
         asked = [
-            asyncio.ensure_future(self._find_at(name, turn_id))
-            for name in self._choose_nodes(turn_id)
+            asyncio.ensure_future(self._find_at(name, message, timeout))
+            for name in names
         ]
         try:
             for answer in asyncio.as_completed(asked):
@@ -128,14 +183,16 @@
             for task in asked:
                 task.cancel()
 
-    async def _find_at(self, name: str, turn_id: str) -> Turn | None:
+    async def _find_at(
+        self, name: str, message: FindTurn, timeout: float
+    ) -> Turn | None:
         try:
-            answer = await self._ask(name, FindTurn(node=self._node, turn=turn_id))
+            answer = await self._ask(name, message, timeout=timeout)
         except PeerError as exc:
             _LOG.info(
                 "a node did not answer for a turn: %s",
                 exc.message,
-                extra={"node": name, "turn": turn_id},
+                extra={"node": name, "turn": message.turn},
             )
             return None
         return answer.turn if isinstance(answer, TurnFound) else None
@@ -217,11 +274,13 @@
         for answer in found:
             if answer.turn is not None:
                 return DiskAnswer(answer.turn, True)
-        # A disk without losses since the start of the system has all its turns.
-        is_certain = len(found) == len(servers) and all(
-            answer.complete_since == 0.0 for answer in found
-        )
-        return DiskAnswer(None, is_certain)
+        complete = sum(self._is_complete(answer) for answer in found)
+        # Each turn is on at least ``_MIN_DISKS`` disks.
+        return DiskAnswer(None, len(servers) - complete < _MIN_DISKS)
+
+    def _is_complete(self, answer: TurnFound) -> bool:
+        """Return whether the disk has lost no turn that could still be continued."""
+        return answer.complete_since < self._clock.read_wall() - _MAX_RETENTION
 
     def forget(self, turn_ids: Sequence[str]) -> None:
         message = ForgetTurns(node=self._node, turns=tuple(turn_ids))
@@ -263,17 +322,29 @@
 
 
 def register_turn_handlers(
-    server: PeerServer, memory: TurnMemory, *, node: str
+    server: PeerServer,
+    memory: TurnMemory,
+    writer: TurnWriter,
+    keeper: TurnKeeper,
+    *,
+    node: str,
 ) -> None:
-    """Handle other nodes' messages about the turns that this node remembers."""
+    """Handle other nodes' messages about turns."""
 
     async def keep(message: KeepTurns) -> Message:
+        if message.is_durable:
+            await asyncio.gather(
+                *(writer.write(turn, may_ask_peers=False) for turn in message.turns)
+            )
         for turn in message.turns:
             memory.add(turn)
         return TurnsKept(node=node)
 
     async def find(message: FindTurn) -> Message:
-        return TurnFound(node=node, turn=memory.get(message.turn))
+        turn = memory.get(message.turn)
+        if turn is None and message.is_search:
+            turn = await keeper.search(message.turn)
+        return TurnFound(node=node, turn=turn)
 
     server.register(KeepTurns, keep)
     server.register(FindTurn, find)
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -457,9 +457,16 @@
 
 
 class KeepTurns(Message, frozen=True, kw_only=True):
-    """Asks a node to remember turns, or a loan server to write them to its disk."""
+    """Asks a node to remember turns, or a loan server to write them to its disk.
+
+    Attributes
+    ----------
+    is_durable : bool
+        Whether a node answers only once the turns are durable.
+    """
 
     turns: tuple[Turn, ...]
+    is_durable: bool = False
 
 
 class ForgetTurns(Message, frozen=True, kw_only=True):
@@ -477,9 +484,16 @@
 
 
 class FindTurn(Message, frozen=True, kw_only=True):
-    """Asks for a turn."""
+    """Asks for a turn.
+
+    Attributes
+    ----------
+    is_search : bool
+        Whether a node also looks in the store and on the disks.
+    """
 
     turn: str
+    is_search: bool = False
 
 
 class TurnFound(Message, frozen=True, kw_only=True):
--- a/src/fireflyspread/turns/_interfaces.py
+++ b/src/fireflyspread/turns/_interfaces.py
@@ -21,6 +21,25 @@
     async def find(self, turn_id: str) -> Turn | None:
         """Return a turn from those nodes; None if none of them has it or answers."""
 
+    @abc.abstractmethod
+    async def search(self, turn_id: str) -> Turn | None:
+        """Have other nodes look in the store and on the disks for a turn."""
+
+    @abc.abstractmethod
+    async def write(self, turn: Turn, *, attempt: int) -> None:
+        """Return once another node has made the turn durable.
+
+        Parameters
+        ----------
+        attempt : int
+            Counts the calls for one turn; each asks other nodes.
+
+        Raises
+        ------
+        PeerError
+            None of the nodes that were asked could do so in time.
+        """
+
 
 @frozen
 class DiskAnswer:
--- a/src/fireflyspread/turns/_keeper.py
+++ b/src/fireflyspread/turns/_keeper.py
@@ -156,7 +156,7 @@
 
     async def _find(self, request: str, turn_id: str, team: str) -> Turn:
         started_at = self._clock.read_monotonic()
-        turn, source = await self._look_up(turn_id)
+        turn, source = await self._look_up(turn_id, may_ask_peers=True)
         seconds = self._clock.read_monotonic() - started_at
         is_found = turn is not None and turn.team == team
         self._metrics.count(f"turns.found.{source}")
@@ -184,14 +184,25 @@
         self._memory.add(turn)
         return turn
 
-    async def _look_up(self, turn_id: str) -> tuple[Turn | None, str]:
+    async def search(self, turn_id: str) -> Turn | None:
+        """Look for a turn on behalf of another node, without asking others."""
+        try:
+            turn, _ = await self._look_up(turn_id, may_ask_peers=False)
+        except TurnUncertainError:
+            return None
+        return turn
+
+    async def _look_up(
+        self, turn_id: str, *, may_ask_peers: bool
+    ) -> tuple[Turn | None, str]:
         """Return a turn and where it was found; None if there is certainly none."""
         turn = self._memory.get(turn_id)
         if turn is not None:
             return turn, "memory"
-        turn = await self._peers.find(turn_id)
-        if turn is not None:
-            return turn, "node"
+        if may_ask_peers:
+            turn = await self._peers.find(turn_id)
+            if turn is not None:
+                return turn, "node"
         reading = asyncio.ensure_future(self._read_store(turn_id))
         try:
             async with asyncio.timeout(_SEARCH_TIMEOUT):
@@ -211,6 +222,11 @@
             return self._check_age(turn), "store"
         if is_answered and found.is_certain:
             return None, "nowhere"
+        if may_ask_peers:
+            # This node may be cut from the store and the disks.
+            turn = self._check_age(await self._peers.search(turn_id))
+            if turn is not None:
+                return turn, "node"
         raise TurnUncertainError(
             f"turn {turn_id} cannot be read while the store or a loan server is "
             "unavailable; repeat the request",
--- a/src/fireflyspread/turns/_store.py
+++ b/src/fireflyspread/turns/_store.py
@@ -7,7 +7,7 @@
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import StoreError
 from fireflyspread.recovery import SnapshotStore
-from fireflyspread.turns._turn import Turn, decode_turn, encode_turn
+from fireflyspread.turns._turn import CLOCK_MARGIN, Turn, decode_turn, encode_turn
 
 __all__ = ["TURNS_PER_WRITE", "TurnStore"]
 
@@ -17,8 +17,6 @@
 # Seconds that a lease lasts beyond the retention of a turn written at its start, so
 # that one lease serves many writes.
 _LEASE_MARGIN_SECONDS = 30
-# Seconds for which the store keeps a turn beyond its retention, because clocks differ.
-_CLOCK_MARGIN_SECONDS = 5
 
 
 class TurnStore:
@@ -40,7 +38,7 @@
         StoreError
             The turns may not have been written.
         """
-        retention = max(turn.retention for turn in turns) + _CLOCK_MARGIN_SECONDS
+        retention = max(turn.retention for turn in turns) + CLOCK_MARGIN
         now = self._clock.read_monotonic()
         if self._lease_until < now + retention:
             ttl = int(retention) + _LEASE_MARGIN_SECONDS
--- a/src/fireflyspread/turns/_turn.py
+++ b/src/fireflyspread/turns/_turn.py
@@ -4,8 +4,10 @@
 
 import msgspec
 
-__all__ = ["Turn", "decode_turn", "encode_turn", "extract_data"]
+__all__ = ["CLOCK_MARGIN", "Turn", "decode_turn", "encode_turn", "extract_data"]
 
+# Seconds by which the clocks of two processes may differ.
+CLOCK_MARGIN = 10.0
 _DATA_LINE = re.compile(rb"^data:(?: (.*)|(.*))$", re.MULTILINE)
 
 
@@ -43,8 +45,14 @@
         return len(self.parts) // 2
 
     def has_expired(self, now: float) -> bool:
-        """Return whether the retention is over at ``now``, in Unix seconds."""
-        return now > self.ended_at + self.retention
+        """Return whether the retention is certainly over.
+
+        Parameters
+        ----------
+        now : float
+            Unix seconds, by a clock that may differ from that of ``ended_at``.
+        """
+        return now > self.ended_at + self.retention + CLOCK_MARGIN
 
 
 def extract_data(events: bytes) -> bytes:
--- a/src/fireflyspread/turns/_writer.py
+++ b/src/fireflyspread/turns/_writer.py
@@ -4,12 +4,13 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from typing import Any
 
 from attrs import define, field
 
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import PeerError, StoreError
-from fireflyspread.turns._interfaces import TurnDisks
+from fireflyspread.turns._interfaces import TurnDisks, TurnPeers
 from fireflyspread.turns._store import TURNS_PER_WRITE, TurnStore
 from fireflyspread.turns._turn import Turn
 
@@ -24,6 +25,8 @@
 _STORE_PATIENCE = 0.05
 # Seconds between attempts after a failure.
 _RETRY_INTERVAL = 0.2
+# Seconds that the disks have before another node is asked, unless they failed before.
+_DISK_PATIENCE = 0.05
 # Bytes of the turns of one write, and number of turns that wait for the store.
 _MAX_WRITE_BYTES = 512 * 1024
 _MAX_PENDING = 20_000
@@ -37,9 +40,10 @@
 
 
 class TurnWriter:
-    """Makes turns durable in the store, or on disks while the store does not answer.
+    """Makes turns durable in the store, or elsewhere while the store does not answer.
 
-    Turns on disks are written to the store once it is available again.
+    They are then written to disks, or by another node if this one reaches too few
+    disks, and written to the store once it is available again.
 
     Parameters
     ----------
@@ -53,6 +57,7 @@
         self,
         store: TurnStore,
         disks: TurnDisks,
+        peers: TurnPeers,
         clock: Clock,
         *,
         count_nodes: Callable[[], int],
@@ -60,57 +65,92 @@
     ) -> None:
         self._store = store
         self._disks = disks
+        self._peers = peers
         self._clock = clock
         self._count_nodes = count_nodes
         self._writes_per_second = writes_per_second
         self._queue: deque[_Pending] = deque()
         self._wake = asyncio.Event()
+        self._in_flight = 0
         self.is_store_failing = False
+        self._are_disks_failing = False
 
     @property
     def pending_count(self) -> int:
         """Number of turns that the store does not have yet."""
-        return len(self._queue)
+        return len(self._queue) + self._in_flight
 
     @property
     def _interval(self) -> float:
         return self._count_nodes() / (_STORE_SHARE * self._writes_per_second)
 
-    async def write(self, turn: Turn) -> str:
-        """Return where the turn is durable, ``store`` or ``disks``, once it is."""
+    async def write(self, turn: Turn, *, may_ask_peers: bool = True) -> str:
+        """Return once a turn is durable.
+
+        Returns
+        -------
+        str
+            Where it is durable: ``store``, ``disks``, or ``node`` if another node told
+            so.
+        """
         pending = _Pending(turn, asyncio.get_running_loop().create_future())
         if len(self._queue) < _MAX_PENDING:
             self._queue.append(pending)
             self._wake.set()
         patience = 0.0 if self.is_store_failing else self._interval + _STORE_PATIENCE
         await asyncio.wait({pending.is_stored}, timeout=patience)
+        attempt = 0
         while not pending.is_stored.done():
-            if await self._write_to_disks(pending):
-                return "disks"
+            found = await self._write_elsewhere(
+                pending, attempt if may_ask_peers else None
+            )
+            if found:
+                return found
+            await asyncio.wait({pending.is_stored}, timeout=_RETRY_INTERVAL)
+            attempt += 1
         return "store"
 
-    async def _write_to_disks(self, pending: _Pending) -> bool:
-        """Return whether disks hold the turn; returns early if the store has it."""
-        copies = asyncio.ensure_future(self._disks.write(pending.turn))
+    async def _write_elsewhere(self, pending: _Pending, attempt: int | None) -> str:
+        """Return where the turn is durable; empty if all failed or the store has it."""
+        writes = {asyncio.ensure_future(self._write_to_disks(pending))}
+        if attempt is not None:
+            writes.add(asyncio.ensure_future(self._ask_peers(pending.turn, attempt)))
+        waiting: set[asyncio.Future[Any]] = {*writes, pending.is_stored}
         try:
-            await asyncio.wait(
-                {copies, pending.is_stored}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if pending.is_stored.done():
-                return False
-            await copies
-        except PeerError as exc:
-            _LOG.warning(
-                "turn not written to disks: %s",
-                exc.message,
-                extra={"turn": pending.turn.id},
-            )
-            await asyncio.wait({pending.is_stored}, timeout=_RETRY_INTERVAL)
-            return False
+            while waiting & writes:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                if pending.is_stored in done:
+                    return ""
+                for write in done:
+                    if write.result():
+                        return write.result()
+            return ""
         finally:
-            copies.cancel()
+            for write in writes:
+                write.cancel()
+
+    async def _write_to_disks(self, pending: _Pending) -> str:
+        try:
+            await self._disks.write(pending.turn)
+        except PeerError as exc:
+            self._are_disks_failing = True
+            _log_failure("turn not written to disks: %s", pending.turn, exc)
+            return ""
+        self._are_disks_failing = False
         pending.is_on_disk = True
-        return True
+        return "disks"
+
+    async def _ask_peers(self, turn: Turn, attempt: int) -> str:
+        if not self._are_disks_failing:
+            await asyncio.sleep(_DISK_PATIENCE)
+        try:
+            await self._peers.write(turn, attempt=attempt)
+        except PeerError as exc:
+            _log_failure("turn not written by another node: %s", turn, exc)
+            return ""
+        return "node"
 
     async def run(self) -> None:
         """Write to the store until cancelled."""
@@ -118,6 +158,7 @@
             await self._wake.wait()
             started_at = self._clock.read_monotonic()
             batch = self._take_batch()
+            self._in_flight = len(batch)
             pause = self._interval
             try:
                 await self._store.write([pending.turn for pending in batch])
@@ -128,6 +169,7 @@
             else:
                 self._set_failing(False)
                 self._complete(batch)
+            self._in_flight = 0
             if not self._queue:
                 self._wake.clear()
             elapsed = self._clock.read_monotonic() - started_at
@@ -162,3 +204,7 @@
                     "reason": None if exc is None else exc.message,
                 },
             )
+
+
+def _log_failure(message: str, turn: Turn, exc: PeerError) -> None:
+    _LOG.warning(message, exc.message, extra={"turn": turn.id})
