Refuse to go on with a stream by an answer of another content type

A stream had begun and broke off, and the next replica answered the resumption with status 200 and a JSON error. Its text was passed on inside the stream, or an empty one ended the stream as complete. Such an answer now counts as a failure of its replica.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -131,6 +131,7 @@
         self._sends = 0
         self._has_started_body = False
         self._status = 0
+        self._media_type = ""
         self._framing: Framing | None = None
         self._received_bytes = 0
         self._rate_limit: float | None = None
@@ -332,7 +333,14 @@
         if not self._sink.is_started:
             self._status = reply.status
             self._first_byte_at = self._clock.read_monotonic()
+            self._media_type = _get_media_type(reply)
             await self._sink.start(reply.status, self._select_stream_headers(reply))
+        elif _get_media_type(reply) != self._media_type:
+            self._ran_on.add(replica.name)
+            raise TargetError(
+                f"replica {replica.name} went on with a stream of {self._media_type} "
+                f"by {_get_media_type(reply)}; resume it elsewhere"
+            )
         has_event = False
         async for chunk in reply.iterate():
             self._received_bytes += len(chunk)
@@ -490,3 +498,10 @@
             "budget": None if program is None else program.budget,
             "program_left": None if program is None else program.remaining,
         }
+
+
+def _get_media_type(reply: Reply) -> str:
+    for name, value in reply.headers:
+        if name.lower() == "content-type":
+            return value.partition(";")[0].strip().lower()
+    return ""
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -38,8 +38,14 @@
         Whether such a crash leaves connections open and without an answer.
     empty_streams : int
         Number of next streams that end before their first event.
+    fail_resumes : str
+        How requests that go on with a stream are answered: "error" with status 500,
+        "json" and "empty" with a complete answer of another content type,
+        "partial_head" with a part of a head; by default they go on.
     limit : float or None
         Requests a second that answers name as the limit of all nodes together.
+    partial_heads : int
+        Number of next requests that run and are answered by a part of a head only.
     refuse : int
         Number of next requests that are refused as not run.
     repeat_refusals : str or None
@@ -60,7 +66,9 @@
     crash_seconds: float = 0.5
     crashes_silently: bool = False
     empty_streams: int = 0
+    fail_resumes: str = ""
     limit: float | None = None
+    partial_heads: int = 0
     refuse: int = 0
     repeat_refusals: str | None = None
     reset_answers: int = 0
@@ -222,6 +230,11 @@
             if await self._is_crashing(request):
                 self.crash(self.faults.crash_seconds)
                 await asyncio.Event().wait()
+            if self.faults.partial_heads > 0:
+                self.faults.partial_heads -= 1
+                return _close_in_head(request)
+            if self.faults.fail_resumes and "Last-Event-Id" in request.headers:
+                return self._fail_resume(request, headers)
             if "/stream" in request.path:
                 with contextlib.suppress(ConnectionError):
                     # A replica stops its work when the node disconnects.
@@ -243,6 +256,17 @@
             "Content-Length: 0\r\n\r\n".encode()
         )
 
+    def _fail_resume(
+        self, request: web.Request, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        if self.faults.fail_resumes == "partial_head":
+            return _close_in_head(request)
+        status = 500 if self.faults.fail_resumes == "error" else 200
+        text = "" if self.faults.fail_resumes == "empty" else '{"error": "cannot"}\n\n'
+        return web.Response(
+            text=text, status=status, headers=headers, content_type="application/json"
+        )
+
     async def _is_crashing(self, request: web.Request) -> bool:
         marker = self.faults.crash_on
         return bool(marker) and (
@@ -313,6 +337,14 @@
         return response
 
 
+def _close_in_head(request: web.Request) -> web.StreamResponse:
+    """Send a part of the head of an answer and close the connection."""
+    assert request.transport is not None
+    request.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 7\r\nX-Part: a")
+    request.transport.close()
+    return web.Response(status=499)
+
+
 def _reset(request: web.Request) -> None:
     """Reset the connection; the bytes written before arrive first."""
     assert request.transport is not None
