Bound the bytes of each write of turns that a loan server moves

After an outage a loan server wrote up to 32 chains with one call, whatever their length: with chains of 100 KB a request of 4 MB in base64. Writer and loan server now take their batches by one rule, 32 turns or 512 KiB. Rename a parameter that hid a builtin.

--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -134,7 +134,7 @@
             request.id,
             team="" if team is None else team.name,
             previous=request.previous_turn,
-            input=request.body,
+            new_input=request.body,
             retention=route.turn_retention,
             resumes=request.resumes,
             last_event=request.last_event_id,
--- a/src/fireflyspread/loans/_turns.py
+++ b/src/fireflyspread/loans/_turns.py
@@ -16,7 +16,7 @@
     TurnFound,
     TurnsKept,
 )
-from fireflyspread.turns import TURNS_PER_WRITE, Turn, TurnStore
+from fireflyspread.turns import Turn, TurnStore, count_batch
 
 __all__ = ["TurnKeeping"]
 
@@ -74,12 +74,14 @@
 
     async def _move(self, *, min_age: float) -> None:
         turns = self._file.list_unstored(min_age=min_age)
-        for start in range(0, len(turns), TURNS_PER_WRITE):
-            batch = turns[start : start + TURNS_PER_WRITE]
+        moved = 0
+        while moved < len(turns):
+            batch = turns[moved:][: count_batch(turns[moved:])]
             await self._store.write(batch)
             self._file.mark_stored(turn.id for turn in batch)
-        if turns:
-            _LOG.info("turns moved to the store", extra={"count": len(turns)})
+            moved += len(batch)
+        if moved:
+            _LOG.info("turns moved to the store", extra={"count": moved})
 
     async def run(self) -> None:
         """Move turns whose node does not until cancelled."""
--- a/src/fireflyspread/turns/__init__.py
+++ b/src/fireflyspread/turns/__init__.py
@@ -4,12 +4,11 @@
 from fireflyspread.turns._keeper import TurnKeeper, TurnLimits
 from fireflyspread.turns._memory import TurnMemory
 from fireflyspread.turns._recorder import TurnRecorder
-from fireflyspread.turns._store import TURNS_PER_WRITE, TurnStore
+from fireflyspread.turns._store import TurnStore, count_batch
 from fireflyspread.turns._turn import Turn, decode_turn, encode_turn, extract_data
 from fireflyspread.turns._writer import TurnWriter
 
 __all__ = [
-    "TURNS_PER_WRITE",
     "DiskAnswer",
     "Turn",
     "TurnDisks",
@@ -20,6 +19,7 @@
     "TurnRecorder",
     "TurnStore",
     "TurnWriter",
+    "count_batch",
     "decode_turn",
     "encode_turn",
     "extract_data",
--- a/src/fireflyspread/turns/_keeper.py
+++ b/src/fireflyspread/turns/_keeper.py
@@ -86,7 +86,7 @@
         *,
         team: str,
         previous: str | None,
-        input: bytes,
+        new_input: bytes,
         retention: float,
         resumes: str | None = None,
         last_event: str | None = None,
@@ -95,6 +95,8 @@
 
         Parameters
         ----------
+        new_input : bytes
+            Body of the request.
         previous : str or None
             Id of the turn that this one continues from.
         retention : float
@@ -117,7 +119,7 @@
         parts: tuple[bytes, ...] = ()
         if previous is not None:
             parts = (await self._find(request, previous, team)).parts
-        size = sum(map(len, parts)) + len(input)
+        size = sum(map(len, parts)) + len(new_input)
         if size > self._limits.max_chain_bytes:
             raise PayloadTooLargeError(
                 f"the chain of turns has {size} bytes, more than "
@@ -127,7 +129,7 @@
             self,
             request=request,
             team=team,
-            parts=(*parts, input),
+            parts=(*parts, new_input),
             retention=retention,
             resumes=resumes,
         )
--- a/src/fireflyspread/turns/_store.py
+++ b/src/fireflyspread/turns/_store.py
@@ -1,6 +1,7 @@
 """Turns in the platform's store."""
 
-from collections.abc import Sequence
+import itertools
+from collections.abc import Iterable, Sequence
 
 import xxhash
 
@@ -9,16 +10,28 @@
 from fireflyspread.recovery import SnapshotStore
 from fireflyspread.turns._turn import CLOCK_MARGIN, Turn, decode_turn, encode_turn
 
-__all__ = ["TURNS_PER_WRITE", "TurnStore"]
+__all__ = ["TurnStore", "count_batch"]
 
-# Entries of one transaction of the store.
-TURNS_PER_WRITE = 32
+# Entries of one transaction of the store, and bytes of their values.
+_MAX_BATCH_TURNS = 32
+_MAX_BATCH_BYTES = 512 * 1024
 _PREFIX = "turns/"
 # Seconds that a lease lasts beyond the retention of a turn written at its start, so
 # that one lease serves many writes.
 _LEASE_MARGIN_SECONDS = 30
 
 
+def count_batch(turns: Iterable[Turn]) -> int:
+    """Return how many of the first turns one write may hold; one at least."""
+    count = size = 0
+    for turn in itertools.islice(turns, _MAX_BATCH_TURNS):
+        size += turn.size
+        if count and size > _MAX_BATCH_BYTES:
+            break
+        count += 1
+    return count
+
+
 class TurnStore:
     """Writes turns under leases that remove them after their retention."""
 
@@ -29,7 +42,7 @@
         self._lease_until = 0.0
 
     async def write(self, turns: Sequence[Turn]) -> None:
-        """Write up to ``TURNS_PER_WRITE`` turns with one call.
+        """Write a batch of turns, see ``count_batch``, with one call.
 
         A turn never changes, so a repeated or late write does no harm.
 
--- a/src/fireflyspread/turns/_writer.py
+++ b/src/fireflyspread/turns/_writer.py
@@ -11,7 +11,7 @@
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import PeerError, StoreError
 from fireflyspread.turns._interfaces import TurnDisks, TurnPeers
-from fireflyspread.turns._store import TURNS_PER_WRITE, TurnStore
+from fireflyspread.turns._store import TurnStore, count_batch
 from fireflyspread.turns._turn import Turn
 
 __all__ = ["TurnWriter"]
@@ -27,8 +27,7 @@
 _RETRY_INTERVAL = 0.2
 # Seconds that the disks have before another node is asked, unless they failed before.
 _DISK_PATIENCE = 0.05
-# Bytes of the turns of one write, and number of turns that wait for the store.
-_MAX_WRITE_BYTES = 512 * 1024
+# Turns that wait for the store.
 _MAX_PENDING = 20_000
 
 
@@ -176,14 +175,8 @@
             await asyncio.sleep(max(0.0, pause - elapsed))
 
     def _take_batch(self) -> list[_Pending]:
-        batch: list[_Pending] = []
-        size = 0
-        while self._queue and len(batch) < TURNS_PER_WRITE:
-            size += self._queue[0].turn.size
-            if batch and size > _MAX_WRITE_BYTES:
-                break
-            batch.append(self._queue.popleft())
-        return batch
+        count = count_batch(pending.turn for pending in self._queue)
+        return [self._queue.popleft() for _ in range(count)]
 
     def _complete(self, batch: list[_Pending]) -> None:
         for pending in batch:
--- a/tests/turns/test_keeper.py
+++ b/tests/turns/test_keeper.py
@@ -32,7 +32,7 @@
 
     async def begin(self, previous: str | None = "t0", **options: object) -> bytes:
         """Begin a turn and return the body for the replica."""
-        values = {"team": "lids", "input": b"new", "retention": 60.0, **options}
+        values = {"team": "lids", "new_input": b"new", "retention": 60.0, **options}
         recorder = await self.keeper.begin("t1", previous=previous, **values)
         return recorder.body
 
