--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -284,7 +284,8 @@
     def _register_again(
         self, service: str, replica: PlatformReplica, address: str, previous: str
     ) -> None:
-        self.store.remove(f"servers/{previous}")
+        if previous != replica.instance:
+            self.store.remove(f"servers/{previous}")
         self._register(service, replica, address)
 
     async def _get_store_address(self, name: str, url: str) -> str:
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -5,6 +5,7 @@
 import itertools
 import socket
 import struct
+import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -32,6 +33,9 @@
         Number of next streams whose connection is reset in the middle of an event.
     crash_on : str
         A request whose path or body contains this text crashes the replica.
+    crash_delay : float
+        Seconds from the arrival of such a request to the crash, which comes although
+        its sender closes the connection.
     crash_seconds : float
         Seconds until the replica is back after such a crash.
     crashes_silently : bool
@@ -55,6 +59,10 @@
         Number of next answers whose connection is reset right behind the last bytes.
     reset_events : int
         Complete events of a stream before such a reset.
+    returns_as : str
+        Who the replica is after a crash: "new" has another identity, "same" has the
+        same one and another start time, "unregistered" is the same one and does not
+        register again.
     unframed : bool
         Whether answers have neither a length nor chunks and end with their connection.
     work : float
@@ -62,6 +70,7 @@
     """
 
     break_streams: int = 0
+    crash_delay: float = 0.0
     crash_on: str = ""
     crash_seconds: float = 0.5
     crashes_silently: bool = False
@@ -73,6 +82,7 @@
     repeat_refusals: str | None = None
     reset_answers: int = 0
     reset_events: int = 0
+    returns_as: str = "new"
     unframed: bool = False
     work: float = 0.002
 
@@ -119,12 +129,17 @@
         Requests in the order of their start.
     arrivals : list of float
         Times of the event loop at which requests arrived, refused ones included.
+    arrived : list of (float, str)
+        Unix seconds and path of each of these requests.
     version : str
         Version of its software.
-    crash_count : int
-        Crashes so far; after each one the replica returns as another instance.
+    crash_times : list of float
+        Unix seconds of the crashes so far.
+    crashed_by : list of str
+        Path of the request that caused each crash; empty for another cause.
     on_restart : callable
-        Called with the previous instance when the replica is back after a crash.
+        Called with the previous instance when the replica is back after a crash and
+        registers again.
     """
 
     faults_class = ReplicaFaults
@@ -140,23 +155,32 @@
         super().__init__(**options)
         self.instance = instance
         self.version = version
-        self.crash_count = 0
+        self.crash_times: list[float] = []
+        self.crashed_by: list[str] = []
         self.on_restart: Callable[[str], None] = lambda previous: None
         self.runs: list[Run] = []
         self.arrivals: list[float] = []
+        self.arrived: list[tuple[float, str]] = []
         self._name = instance
         self._event_count = events
         self._stamps = itertools.count(1)
         self._active = 0
+        self._born = 1
         self._refused_on: dict[Any, str] = {}
 
     def add_routes(self, app: web.Application) -> None:
         """Answer every path."""
         app.router.add_route("*", "/{path:.*}", self._answer)
 
-    def crash(self, seconds: float) -> None:
-        """Reset all connections, and return as another instance after ``seconds``."""
-        self.crash_count += 1
+    @property
+    def crash_count(self) -> int:
+        """Number of crashes so far."""
+        return len(self.crash_times)
+
+    def crash(self, seconds: float, *, path: str = "") -> None:
+        """Reset all connections, and return after ``seconds``."""
+        self.crash_times.append(time.time())
+        self.crashed_by.append(path)
         if self.faults.crashes_silently:
             self.faults.down = "hang"
             self._apply_faults()
@@ -165,9 +189,16 @@
 
         async def restart() -> None:
             await asyncio.sleep(seconds)
+            if self.faults.down == "hang":
+                # The process that comes back knows no connection of the previous one.
+                self.close_connections()
             self.faults.down = ""
-            previous, self.instance = self.instance, f"{self._name}.{self.crash_count}"
-            self.on_restart(previous)
+            previous = self.instance
+            if self.faults.returns_as == "new":
+                self.instance = f"{self._name}.{self.crash_count}"
+            if self.faults.returns_as != "unregistered":
+                self._born += 1
+                self.on_restart(previous)
 
         self.track_task(asyncio.get_running_loop().create_task(restart()))
 
@@ -184,7 +215,7 @@
                 "slots": 8,
                 "state": state,
                 "sequence": 1,
-                "born": 1,
+                "born": self._born,
             }
         )
 
@@ -207,6 +238,7 @@
         target = request.headers.get(_PREFIX + "Target-Instance")
         headers = self._make_headers(request)
         self.arrivals.append(asyncio.get_running_loop().time())
+        self.arrived.append((time.time(), request.path))
         if target is not None and target != self.instance:
             return web.Response(status=421, headers=headers)
         if self.faults.refuse > 0:
@@ -228,8 +260,7 @@
         try:
             run.body = await request.read()
             if await self._is_crashing(request):
-                self.crash(self.faults.crash_seconds)
-                await asyncio.Event().wait()
+                await self._crash_by(request.path)
             if self.faults.partial_heads > 0:
                 self.faults.partial_heads -= 1
                 return _close_in_head(request)
@@ -273,6 +304,21 @@
             marker in request.path or marker.encode() in await request.read()
         )
 
+    async def _crash_by(self, path: str) -> None:
+        """Crash after the delay, unless the process has ended before."""
+        count = self.crash_count
+
+        async def crash_later() -> None:
+            await asyncio.sleep(self.faults.crash_delay)
+            if self.crash_count == count:
+                self.crash(self.faults.crash_seconds, path=path)
+
+        if self.faults.crash_delay:
+            self.track_task(asyncio.get_running_loop().create_task(crash_later()))
+        else:
+            self.crash(self.faults.crash_seconds, path=path)
+        await asyncio.Event().wait()
+
     async def _respond(
         self, request: web.Request, run: Run, headers: dict[str, str]
     ) -> web.StreamResponse:
