Log which requests a lost replica is blamed on and which evidence is dropped

The lines could not tell whether a crash was missed because its request was no longer in flight, because the registration changed first, or because evidence was dropped. No change of behaviour.

--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -112,6 +112,8 @@
                     "request": request.id,
                     "seconds": self._read_elapsed(request),
                     "replica": None if attempt is None else attempt.replica,
+                    "fingerprint": None if attempt is None else attempt.fingerprint,
+                    "may_have_run": attempt is not None and attempt.may_have_run,
                 },
             )
             self._metrics.count("requests.abandoned")
--- a/src/fireflyspread/logs.py
+++ b/src/fireflyspread/logs.py
@@ -43,6 +43,8 @@
     "tokens",
     "attempt",
     "rank",
+    "unanswered",
+    "in_flight",
     "limit",
     "result",
     "may_have_run",
--- a/src/fireflyspread/routing/_crash_evidence.py
+++ b/src/fireflyspread/routing/_crash_evidence.py
@@ -1,5 +1,6 @@
 """Crashes that this node and the other nodes saw, merged."""
 
+import logging
 from collections.abc import Iterable, Iterator, Set
 
 from attrs import evolve
@@ -9,6 +10,8 @@
 
 __all__ = ["CrashEvidence"]
 
+_LOG = logging.getLogger(__name__)
+
 # Crashes in the report of one node, and fingerprints in one of them.
 _MAX_CRASHES = 64
 _MAX_FINGERPRINTS = 256
@@ -94,7 +97,11 @@
         )
         self._own[crash_id] = crash
         if len(self._own) > _MAX_CRASHES:
-            del self._own[next(iter(self._own))]
+            dropped = self._own.pop(next(iter(self._own)))
+            _LOG.info(
+                "evidence of a crash dropped, too many crashes",
+                extra={"replica": dropped.process, "count": len(dropped.ranks)},
+            )
         self.number += 1
         self._merge()
         return crash
--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -1,5 +1,6 @@
 """Isolation of suspected requests on replicas of their own."""
 
+import logging
 import random
 from collections.abc import Sequence
 
@@ -14,6 +15,8 @@
 __all__ = ["Isolation", "RunningRequest"]
 
 
+_LOG = logging.getLogger(__name__)
+
 # Results that leave open whether the replica still runs.
 _UNANSWERED = frozenset({Result.BROKEN, Result.CANCELLED, Result.TIMED_OUT})
 
@@ -172,6 +175,15 @@
                 alone=run.is_alone,
                 shared=run.replica.is_shared(),
             )
+        elif result is Result.CRASHED:
+            _LOG.info(
+                "crash not counted, the replica was expected to stop",
+                extra={
+                    "request": ticket.work.request,
+                    "fingerprint": fingerprint,
+                    "replica": process,
+                },
+            )
         elif result is Result.ANSWERED:
             self._quarantine.record_answer(fingerprint, isolated=run.is_isolated)
         self._quarantine.finish(fingerprint, process, unanswered=result in _UNANSWERED)
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -195,6 +195,14 @@
             for at, at_process, rank in ends
             if at_process == process and at > now - self._loss_window
         }
+        _LOG.info(
+            "replica gone without notice",
+            extra={
+                "replica": process,
+                "unanswered": len(ranks),
+                "in_flight": len(self._in_flight.get(process, {})),
+            },
+        )
         for fingerprint in ranks:
             self.record_crash(
                 fingerprint, process, now - self._loss_window, alone=False, ranks=ranks
