Count each crash of a replica that returns under its identity

Callers of a service of one or two replicas saw it crash as long as the request came: 10 and 17 crashes, 5 and 9 sends later than 3 s after the third. Cause: a series counted different processes, named by identity and start time. A replica that returns before its new registration is known, or that does not register again, keeps the name, so that the series ended at one or two. A series now counts ranks: a crash of rank 3 happened to a request sent after its node knew of one of rank 2, whatever replica it was. Equal requests that are cut off together still count once, and any answer still ends a series.

--- a/src/fireflyspread/routing/_quarantine_policy.py
+++ b/src/fireflyspread/routing/_quarantine_policy.py
@@ -16,14 +16,14 @@
 
 
 def count_series(sightings: Sequence[Sighting]) -> int:
-    """Return the number of crashes of different replicas one after the other.
+    """Return the number of crashes one after the other.
 
     Requests that were in flight on several replicas when these crashed together count
-    once: each of them was sent before any of these crashes was known.
+    once: each of them was sent before any of these crashes was known. Crashes of one
+    replica count each: one that returns before its registration is known, or that does
+    not register again, cannot be told from the process before.
     """
-    ranks = {sighting.rank for sighting in sightings}
-    processes = {sighting.process for sighting in sightings}
-    return min(len(ranks), len(processes))
+    return len({sighting.rank for sighting in sightings})
 
 
 class QuarantinePolicy(abc.ABC):
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -87,6 +87,27 @@
             nodes.run(number, "p", f"r{number}")
         assert nodes.is_quarantined("p") == [True] * 3
 
+    def test_crashes_of_one_process_count_each_time(self) -> None:
+        """Guards against a service of one replica that crashes without an end.
+
+        The replica returns under its identity and its registration is not known yet.
+        """
+        nodes = Nodes.with_size(3)
+        for number in range(3):
+            assert nodes.is_quarantined("p") == [False] * 3
+            nodes.run(number, "p", "r1")
+            nodes.clock.advance(1.0)
+        assert nodes.is_quarantined("p") == [True] * 3
+
+    def test_one_crash_of_a_process_counts_once_at_all_nodes(self) -> None:
+        """Guards against a quarantine for requests that one crash cut off."""
+        nodes = Nodes.with_size(3)
+        for node in range(3):
+            nodes.send(node, "p", "r1")
+        nodes.crash("r1")
+        nodes.exchange()
+        assert [each.list_suspects() for each in nodes.quarantines] == [()] * 3
+
     def test_requests_beside_it_are_not_suspects(self) -> None:
         """Guards against isolating innocent requests of crashes with a known cause."""
         nodes = Nodes.with_size(2)
