Count crashes whose replica is known to be lost before the request ends

Callers of a single replica that fell silent and returned saw it crash 11 times, 6 sends later than 3 s after the third crash. Cause: the new registration (or the end of the old one) is often known a moment before the broken connection. The loss then found no request that had ended, and the crash counted as expected, since the replica had left its target. The quarantine now remembers which processes were lost without draining; a request that ends without an answer on such a process counts as cut off by it. A request cancelled within 0.5 s after its start does not: it may have reached the restarted process under its old registration.

--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -19,6 +19,8 @@
 
 # Results that leave open whether the replica still runs.
 _UNANSWERED = frozenset({Result.BROKEN, Result.CANCELLED, Result.TIMED_OUT})
+# Seconds from the return of a replica until its new registration is known.
+_MIN_LOSS_DELAY = 0.5
 
 
 @frozen
@@ -162,12 +164,7 @@
     ) -> None:
         """Report to the quarantine how a request ended, and end its isolation."""
         fingerprint, process = ticket.work.fingerprint, identify_process(ticket.replica)
-        # A replica that has left its target, or on a leaving VM, is expected to stop.
-        is_expected = (
-            ticket.replica.vm in leaving_vms
-            or ticket.replica.name not in run.state.replicas
-        )
-        if result is Result.CRASHED and not is_expected:
+        if self._is_crash(ticket, run, result, leaving_vms):
             self._quarantine.record_crash(
                 fingerprint,
                 process,
@@ -189,3 +186,27 @@
         self._quarantine.finish(fingerprint, process, unanswered=result in _UNANSWERED)
         if run.is_isolated:
             self.release(ticket.work, run.state)
+
+    def _is_crash(
+        self,
+        ticket: Ticket,
+        run: RunningRequest,
+        result: Result,
+        leaving_vms: frozenset[str],
+    ) -> bool:
+        """Return whether the replica stopped, without notice, with the request."""
+        process = identify_process(ticket.replica)
+        if result in _UNANSWERED:
+            # The replica was found gone before the end of the request. One that has
+            # restarted may have got the request before its new registration.
+            margin = 0.0 if result is Result.BROKEN else _MIN_LOSS_DELAY
+            return self._quarantine.was_lost_after(process, ticket.started_at + margin)
+        if result is not Result.CRASHED:
+            return False
+        if self._quarantine.was_lost_after(process, ticket.started_at):
+            return True
+        # A replica that has left its target, or on a leaving VM, is expected to stop.
+        return not (
+            ticket.replica.vm in leaving_vms
+            or ticket.replica.name not in run.state.replicas
+        )
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from attrs import evolve, frozen
+
 from fireflyspread.clock import Clock
 from fireflyspread.routing._crash_evidence import CrashEvidence
 from fireflyspread.routing._crashes import CrashReport
@@ -20,11 +22,29 @@
 _EVIDENCE_FACTOR = 6
 # Fingerprints of requests without an answer that are kept, and such requests of one.
 _MAX_UNANSWERED = 1024
-_MAX_UNANSWERED_ENDS = 16
+_MAX_UNANSWERED_RUNS = 16
 # Seconds after which the evidence is checked for crashes that are too old.
 _MAX_VERDICT_AGE = 10.0
 
 
+@frozen(kw_only=True)
+class _Run:
+    """A request that was sent to a replica.
+
+    Attributes
+    ----------
+    started_at : float
+        Monotonic seconds.
+    ended_at : float
+        Monotonic seconds; infinite in flight.
+    """
+
+    process: str
+    rank: int
+    started_at: float
+    ended_at: float = float("inf")
+
+
 class Quarantine:
     """Finds the requests that crash replicas.
 
@@ -89,10 +109,12 @@
             min_outage_replicas=min_outage_replicas,
         )
         self.on_change: Callable[[bool], None] = lambda is_urgent: None
-        # Ranks of the requests in flight, by process and fingerprint.
-        self._in_flight: dict[str, dict[str, list[int]]] = {}
-        # Monotonic end, process and rank of requests without an answer, by fingerprint.
-        self._unanswered: dict[str, list[tuple[float, str, int]]] = {}
+        # Requests in flight, by process and fingerprint.
+        self._in_flight: dict[str, dict[str, list[_Run]]] = {}
+        # Requests that ended without an answer, by fingerprint.
+        self._unanswered: dict[str, list[_Run]] = {}
+        # When a process was last found gone, in monotonic seconds.
+        self._lost_at: dict[str, float] = {}
         self._loss_window = loss_window
         self._verdicts = Verdicts()
         # Number of the report of which ``on_change`` was told last.
@@ -101,8 +123,14 @@
 
     def start(self, fingerprint: str, process: str) -> None:
         """Record that a request was sent to a replica."""
-        ranks = self._in_flight.setdefault(process, {}).setdefault(fingerprint, [])
-        ranks.append(1 + self._evidence.read_rank(fingerprint))
+        runs = self._in_flight.setdefault(process, {}).setdefault(fingerprint, [])
+        runs.append(
+            _Run(
+                process=process,
+                rank=1 + self._evidence.read_rank(fingerprint),
+                started_at=self._clock.read_monotonic(),
+            )
+        )
 
     def finish(
         self, fingerprint: str, process: str, *, unanswered: bool = False
@@ -117,12 +145,12 @@
         in_flight = self._in_flight.get(process)
         if in_flight is None or fingerprint not in in_flight:
             return
-        rank = in_flight[fingerprint].pop(0)
+        run = in_flight[fingerprint].pop(0)
         if unanswered:
-            now = self._clock.read_monotonic()
-            ends = self._unanswered.setdefault(fingerprint, [])
-            ends.append((now, process, rank))
-            del ends[:-_MAX_UNANSWERED_ENDS]
+            run = evolve(run, ended_at=self._clock.read_monotonic())
+            runs = self._unanswered.setdefault(fingerprint, [])
+            runs.append(run)
+            del runs[:-_MAX_UNANSWERED_RUNS]
             if len(self._unanswered) > _MAX_UNANSWERED:
                 del self._unanswered[next(iter(self._unanswered))]
         if not in_flight[fingerprint]:
@@ -159,7 +187,7 @@
         self._refresh()
         if ranks is None:
             in_flight = self._in_flight.get(process, {})
-            ranks = {name: max(found) for name, found in in_flight.items()}
+            ranks = {n: max(run.rank for run in runs) for n, runs in in_flight.items()}
         ranks.setdefault(fingerprint, 1 + self._evidence.read_rank(fingerprint))
         crash = self._evidence.add(
             process,
@@ -189,25 +217,36 @@
         this counts the requests that ended without an answer shortly before.
         """
         now = self._clock.read_monotonic()
-        ranks = {
-            fingerprint: rank
-            for fingerprint, ends in self._unanswered.items()
-            for at, at_process, rank in ends
-            if at_process == process and at > now - self._loss_window
+        oldest = now - self._loss_window
+        self._lost_at = {p: at for p, at in self._lost_at.items() if at > oldest}
+        self._lost_at[process] = now
+        blamed = {
+            fingerprint: run
+            for fingerprint, runs in self._unanswered.items()
+            for run in runs
+            if run.process == process and run.ended_at > oldest
         }
         _LOG.info(
             "replica gone without notice",
             extra={
                 "replica": process,
-                "unanswered": len(ranks),
+                "unanswered": len(blamed),
                 "in_flight": len(self._in_flight.get(process, {})),
             },
         )
-        for fingerprint in ranks:
+        for fingerprint, run in blamed.items():
             self.record_crash(
-                fingerprint, process, now - self._loss_window, alone=False, ranks=ranks
+                fingerprint,
+                process,
+                run.started_at,
+                alone=False,
+                ranks={fingerprint: run.rank},
             )
 
+    def was_lost_after(self, process: str, at: float) -> bool:
+        """Return whether a replica was found gone later than ``at``."""
+        return self._lost_at.get(process, -float("inf")) > at
+
     def record_answer(self, fingerprint: str, *, isolated: bool) -> None:
         """Drop the evidence against a request that was answered, if the policy does."""
         self._unanswered.pop(fingerprint, None)
