Keep the evidence against a request that a replica answers with a failure

Beside two replicas of four that answer everything with 500, callers saw 11 and 14 crashes of a request that should be refused after three. Cause: a relayed failure counted as an answer to a run and ended the series, although the replica may have failed before it ran the request. The same holds for statuses that are given before a request runs (408, 413, 421, 425, 429, 431). Such an answer has a result of its own, which clears nothing and is judged like any answer otherwise.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -55,7 +55,8 @@
 # Bytes of an answer that is no stream; a faulty replica may send them without end.
 _MAX_ANSWER_BYTES = 64 << 20
 
-
+# Statuses below 500 that a replica may answer before it runs a request.
+_EARLY_STATUSES = frozenset({408, 413, 421, 425, 429, 431})
 _LOST = frozenset({Result.UNREACHABLE, Result.CRASHED, Result.CANCELLED})
 
 
@@ -185,7 +186,7 @@
             sends = self._sends
             try:
                 await self._run_on_replica(ticket)
-                result = Result.ANSWERED
+                result = self._classify_answer()
                 return
             except TargetError as exc:
                 result = self._classify(exc, ticket.replica)
@@ -202,6 +203,10 @@
                 if result is Result.CANCELLED and self._sends > sends:
                     self._watch.watch(ticket.replica, deadline=self.deadline)
 
+    def _classify_answer(self) -> Result:
+        may_be_unrun = self._status >= 500 or self._status in _EARLY_STATUSES
+        return Result.FAILED if may_be_unrun else Result.ANSWERED
+
     def _classify(self, exc: TargetError, replica: Replica) -> Result:
         match exc:
             case TargetUnreachableError() if replica.name in self._broken_on:
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -409,6 +409,8 @@
             )
             return
         self._isolation.record_result(ticket, run, result, self._leaving_vms)
+        if result is Result.FAILED:
+            result = Result.ANSWERED
         seconds = self._clock.read_monotonic() - ticket.started_at
         run.state.finish(run.replica, work, result, seconds)
         if result is Result.ANSWERED and tokens > 0:
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -105,9 +105,11 @@
     """How a request on a replica ended.
 
     CRASHED means that the replica stopped, BROKEN that only the connection was lost.
+    FAILED is an answer that does not show that the request ran to its end.
     """
 
     ANSWERED = "answered"
+    FAILED = "failed"
     REFUSED = "refused"
     CRASHED = "crashed"
     BROKEN = "broken"
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -46,6 +46,8 @@
         How requests that go on with a stream are answered: "error" with status 500,
         "json" and "empty" with a complete answer of another content type,
         "partial_head" with a part of a head; by default they go on.
+    fails_with : int
+        Status with which requests are answered at once without running; 0 runs them.
     limit : float or None
         Requests a second that answers name as the limit of all nodes together.
     partial_heads : int
@@ -76,6 +78,7 @@
     crashes_silently: bool = False
     empty_streams: int = 0
     fail_resumes: str = ""
+    fails_with: int = 0
     limit: float | None = None
     partial_heads: int = 0
     refuse: int = 0
@@ -246,6 +249,8 @@
             headers[_PREFIX + "Not-Executed"] = "1"
             self._refused_on[request.transport] = headers[_PREFIX + "Request-Id"]
             return web.Response(status=503, headers=headers)
+        if self.faults.fails_with:
+            return web.Response(status=self.faults.fails_with, headers=headers)
         if self.faults.repeat_refusals and request.transport in self._refused_on:
             self._repeat_refusal(request)
         run = Run(
--- a/tests/gateway/test_crash_variants.py
+++ b/tests/gateway/test_crash_variants.py
@@ -46,6 +46,8 @@
         Seconds from the arrival of a request to the crash.
     silent : bool
         Whether a replica that crashes closes no connection.
+    failing : int
+        Replicas beside these that answer every request with a failure.
     count : int
         Requests of different callers' calls that crash replicas, each sent in turn.
     """
@@ -56,6 +58,7 @@
     patience: float = 4.0
     delay: float = 0.0
     silent: bool = False
+    failing: int = 0
     count: int = 1
 
     def list_paths(self) -> list[str]:
@@ -143,6 +146,8 @@
         self._replicas = cluster.models if variant.kind == "stream" else cluster.orders
         for replica in (*cluster.models, *cluster.orders):
             variant.apply(replica)
+        for replica in self._replicas[variant.replicas :]:
+            replica.faults.fails_with = 500
 
     def list_records(self) -> list[Record]:
         """Return what replicas saw of each request that crashes them."""
@@ -198,7 +203,8 @@
 
 
 async def _play(folder: Path, variant: Variant) -> tuple[Play, list[Record]]:
-    async with Cluster(folder, nodes=3, replicas=variant.replicas) as cluster:
+    replicas = variant.replicas + variant.failing
+    async with Cluster(folder, nodes=3, replicas=replicas) as cluster:
         play = Play(cluster, variant)
         return play, await play.run()
 
@@ -262,6 +268,14 @@
         _check(records)
 
 
+class TestFailures:
+    async def test_failures_of_another_replica_clear_nothing(self, tmp_path):
+        """Guards against a faulty replica that ends each series with its errors."""
+        variant = Variant(replicas=2, failing=2)
+        _, records = await _play(tmp_path, variant)
+        _check(records)
+
+
 class TestSeveralRequests:
     @pytest.mark.parametrize("patience", [0.2, 4.0])
     async def test_each_is_refused_after_its_crashes(self, tmp_path, patience):
--- a/tests/routing/test_isolation.py
+++ b/tests/routing/test_isolation.py
@@ -4,13 +4,20 @@
 
 from attrs import evolve
 
-from fireflyspread.routing import PolicyScheduler, Result
+from fireflyspread.routing import (
+    CrashSeriesPolicy,
+    PolicyScheduler,
+    Quarantine,
+    Result,
+)
 from tests.routing.test_policy import (
     in_virtual_time,
     make_scheduler,
+    make_suspect_report,
     make_target,
     make_work,
 )
+from tests.routing.virtual_time import LoopClock
 
 
 async def _run_beside_loss(
@@ -69,3 +76,23 @@
         scheduler.set_targets([evolve(target, replicas=rest)])
         scheduler.release(ticket, Result.CRASHED)
         assert not scheduler.quarantine.get_crashed_replicas("p")
+
+
+class TestAnswers:
+    """PolicyScheduler.release after an answer."""
+
+    @in_virtual_time
+    async def test_failure_clears_nothing(self) -> None:
+        """Guards against errors of a faulty replica that end a series of crashes."""
+        for result, count in ((Result.FAILED, 1), (Result.ANSWERED, 0)):
+            scheduler = make_scheduler(
+                quarantine=Quarantine(
+                    LoopClock(asyncio.get_running_loop()), policy=CrashSeriesPolicy()
+                )
+            )
+            target = make_target(1)
+            scheduler.quarantine.merge("n2", make_suspect_report("p"))
+            ticket = await scheduler.acquire(make_work("p"), target)
+            scheduler.release(ticket, result)
+            found = scheduler.quarantine.get_crashed_replicas("p")
+            assert len(found) == count, result
