Drop the weakest evidence of crashes first, and the oldest open requests

A request with two crashes was forgotten after 64 further crashes of other replicas, and a request of a caller who left was dropped before 1,024 older ones if it had come before. Cause: crashes were dropped by age, also before those whose requests had all been answered, and the open requests by the age of the first request with the fingerprint. Crashes of the longest series now stay, open requests are ordered by their last end and expire. Both unit tests failed before.

--- a/src/fireflyspread/routing/_crash_evidence.py
+++ b/src/fireflyspread/routing/_crash_evidence.py
@@ -97,15 +97,27 @@
         )
         self._own[crash_id] = crash
         if len(self._own) > _MAX_CRASHES:
-            dropped = self._own.pop(next(iter(self._own)))
-            _LOG.info(
-                "evidence of a crash dropped, too many crashes",
-                extra={"replica": dropped.process, "count": len(dropped.ranks)},
-            )
+            self._drop_weakest(keep=crash_id)
         self.number += 1
         self._merge()
         return crash
 
+    def _drop_weakest(self, *, keep: str) -> None:
+        """Drop the oldest of the crashes that belong to the shortest series."""
+
+        def count_series(crash: Crash) -> int:
+            known = (len(self.crashes_of.get(name, ())) for name in crash.ranks)
+            return max(known, default=0)
+
+        others = (crash for crash in self._own.values() if crash.id != keep)
+        weakest = min(others, key=count_series)
+        del self._own[weakest.id]
+        if weakest.ranks:
+            _LOG.warning(
+                "evidence of a crash dropped, too many crashes",
+                extra={"replica": weakest.process, "count": len(weakest.ranks)},
+            )
+
     def _find_id(self, process: str, started_at: float) -> str:
         """Return the id of the known crash that cut off a request, or of a new one."""
         number = 0
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -3,6 +3,7 @@
 import logging
 import secrets
 from collections.abc import Callable
+from itertools import islice
 from typing import Any
 
 from attrs import evolve, frozen
@@ -148,16 +149,23 @@
         run = in_flight[fingerprint].pop(0)
         if unanswered:
             run = evolve(run, ended_at=self._clock.read_monotonic())
-            runs = self._unanswered.setdefault(fingerprint, [])
-            runs.append(run)
-            del runs[:-_MAX_UNANSWERED_RUNS]
-            if len(self._unanswered) > _MAX_UNANSWERED:
-                del self._unanswered[next(iter(self._unanswered))]
+            # At the end of the dictionary, from whose start the oldest are dropped.
+            runs = self._unanswered.pop(fingerprint, [])
+            self._unanswered[fingerprint] = [*runs, run][-_MAX_UNANSWERED_RUNS:]
+            self._drop_unanswered()
         if not in_flight[fingerprint]:
             del in_flight[fingerprint]
         if not in_flight:
             del self._in_flight[process]
 
+    def _drop_unanswered(self) -> None:
+        """Drop the requests that are too old to be blamed, or too many."""
+        oldest = self._clock.read_monotonic() - self._loss_window
+        for fingerprint, runs in tuple(islice(self._unanswered.items(), 2)):
+            is_old = runs[-1].ended_at <= oldest
+            if is_old or len(self._unanswered) > _MAX_UNANSWERED:
+                del self._unanswered[fingerprint]
+
     def record_crash(
         self,
         fingerprint: str,
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -261,6 +261,42 @@
             assert not quarantine.is_suspect("same")
 
 
+class TestLimits:
+    """Evidence among that of many other crashes and requests."""
+
+    def test_other_crashes_do_not_replace_a_series(self) -> None:
+        """Guards against a series that is forgotten while many replicas crash."""
+        nodes = Nodes.with_size(2)
+        for number in range(2):
+            nodes.run(0, "p", f"r{number}")
+        for number in range(100):
+            nodes.send(0, f"other{number}", f"unrelated{number}")
+            nodes.crash(f"unrelated{number}")
+            if number % 2:
+                nodes.send(1, f"other{number}", "healthy")
+                nodes.answer(1, f"other{number}", "healthy")
+            nodes.exchange()
+        nodes.run(0, "p", "r2")
+        assert nodes.is_quarantined("p") == [True, True]
+
+    def test_abandoned_requests_do_not_replace_newer_ones(self) -> None:
+        """Guards against a request that hides among those of callers who left."""
+        nodes = Nodes.with_size(1)
+        quarantine = nodes.quarantines[0]
+        quarantine.start("p", "old")
+        quarantine.finish("p", "old", unanswered=True)
+        for number in range(1020):
+            quarantine.start(f"other{number}", "healthy")
+            quarantine.finish(f"other{number}", "healthy", unanswered=True)
+        quarantine.start("p", "r1")
+        quarantine.finish("p", "r1", unanswered=True)
+        for number in range(10):
+            quarantine.start(f"late{number}", "healthy")
+            quarantine.finish(f"late{number}", "healthy", unanswered=True)
+        quarantine.record_loss("r1")
+        assert quarantine.get_crashed_replicas("p") == {"r1"}
+
+
 _STEPS = st.lists(
     st.tuples(
         st.sampled_from(["send", "answer", "crash", "exchange"]),
