Ignore entries of the store that are nested too deeply or hold no text

Operators of systems like this one saw nodes that stopped following the list of replicas because of one entry. Here: beside an entry with an unknown field that is nested 5,000 deep, requests were served but a replica that registered later got none, also after a restart; a nested entry of a node or a crash report kept the nodes from becoming ready. Cause: msgspec raises RecursionError for such values (UnicodeDecodeError for other bytes), which the decoders did not expect; the watch began anew and failed at the same entry each time. All values from the store, from disks and from relays go through one function that raises one kind of error, which each caller already handles.

--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -11,6 +11,7 @@
 import xxhash
 from attrs import frozen
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.budgets._account import (
     LOST_NODES,
     Account,
@@ -489,7 +490,7 @@
 
 def _decode(value: bytes, account: Account) -> ProgramRecord:
     try:
-        return msgspec.json.decode(value, type=ProgramRecord)
+        return decode_json(value, ProgramRecord)
     except msgspec.DecodeError as exc:
         _LOG.error(
             "budget record cannot be decoded, the whole budget counts as spent: %s",
--- a/src/fireflyspread/bundle/_documents.py
+++ b/src/fireflyspread/bundle/_documents.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.bundle._model import ActiveBundle, Bundle
 from fireflyspread.exceptions import BundleError, NotFoundError, RequestError
 from fireflyspread.recovery import Entry, Store
@@ -127,7 +128,7 @@
 def decode_current(entry: Entry) -> CurrentDocument:
     """Decode the value of ``bundle/current``; raises ``BundleError``."""
     try:
-        return msgspec.json.decode(entry.value, type=CurrentDocument)
+        return decode_json(entry.value, CurrentDocument)
     except msgspec.DecodeError as exc:
         raise BundleError(
             f"{CURRENT_KEY} at revision {entry.revision} is unreadable: {exc}; "
--- a/src/fireflyspread/gateway/_crashes.py
+++ b/src/fireflyspread/gateway/_crashes.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.exceptions import PeerError, StoreError
 from fireflyspread.nodes import ExchangeCrashes, Message, PeerClient, PeerServer
 from fireflyspread.recovery import (
@@ -150,7 +151,7 @@
 
     def _read(self, entry: Entry) -> None:
         try:
-            report = msgspec.json.decode(entry.value, type=CrashReport)
+            report = decode_json(entry.value, CrashReport)
         except msgspec.DecodeError as exc:
             _LOG.warning("crash report %s cannot be decoded: %s", entry.key, exc)
             return
--- a/src/fireflyspread/gateway/_relay_messages.py
+++ b/src/fireflyspread/gateway/_relay_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fireflyspread._decoding import decode_msgpack
 from fireflyspread.bundle import Replica
 
 __all__ = [
@@ -95,7 +96,7 @@
 
 def decode_header(text: str, kind: type[T]) -> T:
     """Return the value of a header; raises ``ValueError`` if it is malformed."""
-    return msgspec.msgpack.decode(base64.b64decode(text), type=kind)
+    return decode_msgpack(base64.b64decode(text), kind)
 
 
 def copy_headers(headers: Sequence[tuple[str, str]]) -> list[tuple[str, str]]:
--- a/src/fireflyspread/gateway/_relay_server.py
+++ b/src/fireflyspread/gateway/_relay_server.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from fireflyspread._decoding import decode_msgpack
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
@@ -82,7 +83,7 @@
             if request.path == CONNECT_PATH:
                 return await self._connect(data)
             if request.path == SEND_PATH:
-                message = msgspec.msgpack.decode(data, type=SendRequest)
+                message = decode_msgpack(data, SendRequest)
                 return await self._relay(request, message)
         except msgspec.DecodeError as exc:
             _LOG.warning("a message of another node cannot be decoded: %s", exc)
@@ -95,7 +96,7 @@
         return web.Response(status=404)
 
     async def _connect(self, data: bytes) -> web.Response:
-        replica = self._find(msgspec.msgpack.decode(data, type=ReplicaInfo))
+        replica = self._find(decode_msgpack(data, ReplicaInfo))
         is_up = not self._is_path_broken(
             replica
         ) and await self._backend.accepts_connection(replica)
--- a/src/fireflyspread/loans/_file.py
+++ b/src/fireflyspread/loans/_file.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.clock import Clock
 from fireflyspread.loans._durable import replace_file, write_bytes
 
@@ -146,7 +147,7 @@
     for line in data.splitlines():
         # A power loss can tear a line that was not acknowledged yet.
         with contextlib.suppress(msgspec.DecodeError):
-            loans.append(msgspec.json.decode(line, type=Loan))
+            loans.append(decode_json(line, Loan))
             continue
         _LOG.warning("ignored torn line of %d bytes in %s", len(line), _FILE_NAME)
     return loans
--- a/src/fireflyspread/loans/_turn_file.py
+++ b/src/fireflyspread/loans/_turn_file.py
@@ -4,9 +4,11 @@
 import os
 from collections.abc import Iterable, Sequence
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.clock import Clock
 from fireflyspread.loans._durable import replace_file, write_bytes
 from fireflyspread.turns import Turn
@@ -108,12 +110,12 @@
         for line in data.splitlines():
             # A power loss can tear a line that was not acknowledged yet.
             try:
-                record = msgspec.json.decode(line)
+                record = decode_json(line, dict[str, Any])
                 if "complete_since" in record:
                     header = msgspec.convert(record, _Header)
                     self.complete_since = header.complete_since
                 else:
-                    turn = msgspec.json.decode(line, type=Turn)
+                    turn = decode_json(line, Turn)
                     self._turns[turn.id] = turn
             except (msgspec.DecodeError, TypeError):
                 _LOG.warning(
--- a/src/fireflyspread/platform/_config.py
+++ b/src/fireflyspread/platform/_config.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.bundle import Team
 from fireflyspread.exceptions import BundleError
 from fireflyspread.forwarding import (
@@ -95,9 +96,6 @@
     tenants: list[_Tenant] | None = None
 
 
-_DECODER = msgspec.json.Decoder(_Config)
-
-
 def decode_config(data: bytes) -> ForwardingConfig:
     """Return the configuration in ``data``.
 
@@ -107,7 +105,7 @@
         The bytes are not a configuration.
     """
     try:
-        config = _DECODER.decode(data)
+        config = decode_json(data, _Config)
         return ForwardingConfig(
             version=config.version,
             routes=tuple(_read_route(route) for route in config.routes),
@@ -117,7 +115,7 @@
             limits=_read_limits(config.limits),
             raw=data,
         )
-    except (msgspec.DecodeError, KeyError, ValueError) as exc:
+    except (msgspec.DecodeError, KeyError, ValueError, OverflowError) as exc:
         raise BundleError(f"the configuration cannot be read: {exc}") from exc
 
 
--- a/src/fireflyspread/platform/_kv_store.py
+++ b/src/fireflyspread/platform/_kv_store.py
@@ -10,6 +10,7 @@
 import msgspec
 from yarl import URL
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.exceptions import (
     HistoryLostError,
     StoreError,
@@ -275,7 +276,7 @@
             f"the store answered {status}: {content[:200]!r}; check the call"
         )
     try:
-        return msgspec.json.decode(content, type=kind)
+        return decode_json(content, kind)
     except msgspec.DecodeError as exc:
         raise malformed_type(
             f"the store's answer cannot be read: {exc}; retry"
--- a/src/fireflyspread/platform/_registrations.py
+++ b/src/fireflyspread/platform/_registrations.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.recovery import Entry
 from fireflyspread.routing import ReplicaRecord
 
@@ -37,8 +38,8 @@
     """
     instance = entry.key.removeprefix(REGISTRATIONS_PREFIX)
     try:
-        registration = msgspec.json.decode(entry.value, type=_Registration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        registration = decode_json(entry.value, _Registration)
+    except msgspec.DecodeError as exc:
         _LOG.warning("registration ignored: %s", exc, extra={"replica": instance})
         return None
     if (
--- a/src/fireflyspread/recovery/_roster.py
+++ b/src/fireflyspread/recovery/_roster.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from fireflyspread._decoding import decode_json
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import NoAuthorityError, StoreError
 from fireflyspread.recovery._follower import PrefixListener
@@ -264,7 +265,7 @@
 
 def _read_address(entry: Entry) -> NodeAddress | None:
     try:
-        return msgspec.json.decode(entry.value, type=NodeAddress)
+        return decode_json(entry.value, NodeAddress)
     except msgspec.DecodeError as exc:
         _LOG.warning("member entry %s cannot be decoded: %s", entry.key, exc)
         return None
--- a/src/fireflyspread/turns/_turn.py
+++ b/src/fireflyspread/turns/_turn.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from fireflyspread._decoding import decode_msgpack
+
 __all__ = ["CLOCK_MARGIN", "Turn", "decode_turn", "encode_turn", "extract_data"]
 
 # Seconds by which the clocks of two processes may differ.
@@ -60,9 +62,6 @@
     return b"".join(a + b + b"\n" for a, b in _DATA_LINE.findall(events))
 
 
-_DECODER = msgspec.msgpack.Decoder(Turn)
-
-
 def encode_turn(turn: Turn) -> bytes:
     """Return ``turn`` as MessagePack."""
     return msgspec.msgpack.encode(turn)
@@ -76,4 +75,4 @@
     ValueError
         The bytes are not a turn.
     """
-    return _DECODER.decode(data)
+    return decode_msgpack(data, Turn)
