Ignore nodes and loan servers whose address is none

Beside entries under cluster/members/ and cluster/journals/ with the address 'nowhere' all gateways ended: 0 of 12 requests served. Cause: PeerClient.ask raised ValueError, which no caller expects, and a task of the node failed. Such entries are ignored with a log line, also those whose name is not that of their key, and ask raises PeerError for what is no address.

--- a/src/fireflyspread/nodes/_peers.py
+++ b/src/fireflyspread/nodes/_peers.py
@@ -235,6 +235,8 @@
                 f"{address} did not answer {type(message).__name__} within "
                 f"{timeout:g} s; check the node and the network"
             ) from exc
+        except ValueError as exc:
+            raise PeerError(f"{address!r} is no address of a node: {exc}") from exc
         except pynng.NNGException as exc:
             raise PeerError(
                 f"the connection to {address} failed during "
--- a/src/fireflyspread/recovery/_roster.py
+++ b/src/fireflyspread/recovery/_roster.py
@@ -12,6 +12,7 @@
 from fireflyspread.exceptions import NoAuthorityError, StoreError
 from fireflyspread.recovery._follower import PrefixListener
 from fireflyspread.recovery._store import Change, Entry, SnapshotStore, Write
+from fireflyspread.settings import Address
 
 __all__ = [
     "LOAN_SERVERS_PREFIX",
@@ -234,8 +235,11 @@
         name = key.removeprefix(LOAN_SERVERS_PREFIX)
         if entry is None:
             self._loan_servers.pop(name, None)
+        elif _is_address(address := entry.value.decode("ascii", "replace")):
+            self._loan_servers[name] = address
         else:
-            self._loan_servers[name] = entry.value.decode("ascii", "replace")
+            _LOG.warning("entry of loan server %s ignored: no address", name)
+            self._loan_servers.pop(name, None)
 
     def apply(self, change: Change) -> None:
         if change.key.startswith(LOAN_SERVERS_PREFIX):
@@ -264,8 +268,24 @@
 
 
 def _read_address(entry: Entry) -> NodeAddress | None:
+    """Return the node that ``entry`` names; None if nodes cannot connect to it."""
     try:
-        return decode_json(entry.value, NodeAddress)
+        address = decode_json(entry.value, NodeAddress)
     except msgspec.DecodeError as exc:
         _LOG.warning("member entry %s cannot be decoded: %s", entry.key, exc)
         return None
+    if (
+        entry.key != _MEMBERS_PREFIX + address.name
+        or not _is_address(address.peers)
+        or (address.relay and not _is_address(address.relay))
+    ):
+        _LOG.warning("member entry %s ignored: wrong name or address", entry.key)
+        return None
+    return address
+
+
+def _is_address(text: str) -> bool:
+    try:
+        return Address.from_text(text).port > 0
+    except ValueError:
+        return False
