Answer requests that outlast the grace of a planned stop

Operators of systems like this one saw requests cut at the end of the grace of a planned stop. Cause: aiohttp waits for a handler up to twice its timeout. All requests now end 1.2 s before the end of the grace, with 504 or 503 as they may have run or not; a stopping node relays nothing new.

--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -6,6 +6,7 @@
 import xxhash
 from attrs import evolve
 
+from fireflyspread._stop_deadline import StopDeadline
 from fireflyspread.budgets import BudgetOwners, Reservation
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
@@ -53,6 +54,8 @@
     ----------
     running : int
         Requests in flight.
+    stop_deadline : StopDeadline
+        When all requests must be answered, because the process stops.
     """
 
     def __init__(
@@ -81,6 +84,9 @@
         self._metrics = metrics
         self._watch = ReplicaWatch(backend, scheduler.record_loss, clock)
         self.running = 0
+        # Callers get an answer that tells whether their request may have run instead of
+        # a connection that breaks off.
+        self.stop_deadline = StopDeadline(clock)
 
     async def forward(self, request: ForwardRequest, sink: ResponseSink) -> None:
         """Forward ``request`` and write the answer to ``sink``.
@@ -174,7 +180,7 @@
             team=team,
             traits=config.services.get(service),
             service=service,
-            deadline=request.received_at + max_wait,
+            deadline=min(request.received_at + max_wait, self.stop_deadline.at),
             version=config.version,
             scheduler=self._scheduler,
             directory=self._directory,
@@ -191,20 +197,10 @@
         remaining = attempt.deadline - self._clock.read_monotonic()
         reservation: Reservation | None = None
         try:
-            async with asyncio.timeout(max(0.0, remaining)):
+            async with self.stop_deadline.limit(attempt.deadline):
                 await attempt.prepare()
                 reservation = await self._reserve(attempt)
-                if team is not None and team.limits is not None:
-                    demand = None
-                    if reservation is not None and reservation.is_new:
-                        demand = estimate_demand(attempt.request)
-                    await self._limiter.acquire(
-                        team.limits,
-                        max_wait=min(
-                            _MAX_RATE_WAIT, _MAX_RATE_WAIT_FRACTION * remaining
-                        ),
-                        demand=demand,
-                    )
+                await self._acquire_rate(attempt, team, reservation, remaining)
                 await attempt.run(reservation)
         except TimeoutError as exc:
             if attempt.may_have_run:
@@ -219,6 +215,24 @@
             if reservation is not None:
                 reservation.close()
 
+    async def _acquire_rate(
+        self,
+        attempt: Attempt,
+        team: TeamPolicy | None,
+        reservation: Reservation | None,
+        remaining: float,
+    ) -> None:
+        if team is None or team.limits is None:
+            return
+        demand = None
+        if reservation is not None and reservation.is_new:
+            demand = estimate_demand(attempt.request)
+        await self._limiter.acquire(
+            team.limits,
+            max_wait=min(_MAX_RATE_WAIT, _MAX_RATE_WAIT_FRACTION * remaining),
+            demand=demand,
+        )
+
     async def _reserve(self, attempt: Attempt) -> Reservation | None:
         request = attempt.request
         program, prompt = request.program, request.prompt
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -107,8 +107,10 @@
 # Seconds after which the platform sends no new connections to a node that is not
 # ready: two readiness checks, one a second.
 _DEREGISTRATION_SECONDS = 2.5
-# Seconds before the end of the stop grace at which running requests are aborted.
+# Seconds before the end of the stop grace at which running requests are answered.
 _STOP_MARGIN = 1.2
+# Seconds after that for the answers to leave.
+_ANSWER_MARGIN = 0.2
 # Seconds to return unspent tokens to the store when the node stops.
 _RETURN_TIMEOUT = 0.5
 # Minimum number of seconds for which a stopping listener waits for its connections.
@@ -397,7 +399,12 @@
     async def start(self) -> None:
         """Open the listeners and start to watch the store."""
         await self._server.start()
-        grace = self._settings.stop_grace - _DEREGISTRATION_SECONDS - _STOP_MARGIN
+        grace = (
+            self._settings.stop_grace
+            - _DEREGISTRATION_SECONDS
+            - _STOP_MARGIN
+            + _ANSWER_MARGIN
+        )
         self._caller_runner = await self._listen(
             self._frontend.server,
             self._settings.listen.callers,
@@ -514,6 +521,11 @@
         loop = asyncio.get_running_loop()
         deregistered_at = loop.time() + _DEREGISTRATION_SECONDS
         _LOG.info("node draining", extra={"node": self._name})
+        stop_at = (
+            self._clock.read_monotonic() + self._settings.stop_grace - _STOP_MARGIN
+        )
+        self._forwarder.stop_deadline.set(stop_at)
+        self._relay_server.stop_deadline.set(stop_at)
         self._is_draining = True
         self._frontend.is_draining = True
         leaving = asyncio.create_task(self._leave())
--- a/src/fireflyspread/gateway/_relay_server.py
+++ b/src/fireflyspread/gateway/_relay_server.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from fireflyspread._decoding import decode_msgpack
+from fireflyspread._stop_deadline import StopDeadline
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
@@ -52,6 +53,13 @@
         Client that connects to replicas directly.
     is_path_broken : callable
         Returns whether this node does not reach a replica.
+
+    Attributes
+    ----------
+    running : int
+        Requests that are relayed now.
+    stop_deadline : StopDeadline
+        When all of them must have ended, because the process stops.
     """
 
     def __init__(
@@ -69,6 +77,7 @@
         self._clock = clock
         self._is_path_broken = is_path_broken
         self.running = 0
+        self.stop_deadline = StopDeadline(clock)
         self.server = web.Server(
             self._handle,
             request_factory=_make_request,
@@ -84,7 +93,8 @@
                 return await self._connect(data)
             if request.path == SEND_PATH:
                 message = decode_msgpack(data, SendRequest)
-                return await self._relay(request, message)
+                async with self.stop_deadline.limit():
+                    return await self._relay(request, message)
         except msgspec.DecodeError as exc:
             _LOG.warning("a message of another node cannot be decoded: %s", exc)
             return web.Response(status=400)
@@ -93,6 +103,12 @@
             return web.Response(
                 status=exc.status, headers={FAILURE_HEADER: encode_header(failure)}
             )
+        except TimeoutError:
+            _LOG.info("a relayed request was cut off, because this node stops")
+            # The other node cannot know whether the request has run.
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response(status=503)
         return web.Response(status=404)
 
     async def _connect(self, data: bytes) -> web.Response:
@@ -117,6 +133,8 @@
         self, request: web.BaseRequest, message: SendRequest
     ) -> web.StreamResponse:
         replica = self._find(message.replica)
+        if self.stop_deadline.at < float("inf"):
+            raise PeerError("this node stops; use another node")
         if self.running >= _MAX_RELAYED_REQUESTS:
             raise PeerError("this node relays too many requests; use another node")
         if self._is_path_broken(replica):
