--- a/tests/gateway/test_crash_variants.py
+++ b/tests/gateway/test_crash_variants.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import random
+import signal
 import time
 from collections.abc import Sequence
 from pathlib import Path
@@ -12,6 +14,7 @@
 
 from soak.cluster import Cluster, make_headers, make_turn_headers
 from standins.platform_replica import PlatformReplica
+from tests.effort import scale_examples
 
 # Crashes after which a request must no longer reach replicas, and the sends that the
 # platform tolerates later than _CONTACT_SECONDS after the last of these crashes.
@@ -25,6 +28,7 @@
 _LATE_SECONDS = 6.0
 _MAX_SECONDS = 30.0
 _MARKER = "poison"
+_SEEDS = range(1, 1 + scale_examples(2))
 _PATHS = {"safe": "/prices/", "unsafe": "/orders/", "stream": "/turns/stream/"}
 
 
@@ -42,6 +46,8 @@
         Kind of route.
     patience : float
         Seconds after which the caller leaves.
+    patiences : tuple of float
+        Of which one is chosen for each request instead, if there are any.
     delay : float
         Seconds from the arrival of a request to the crash.
     silent : bool
@@ -56,6 +62,7 @@
     returns_as: str = "new"
     kind: str = "unsafe"
     patience: float = 4.0
+    patiences: tuple[float, ...] = ()
     delay: float = 0.0
     silent: bool = False
     failing: int = 0
@@ -138,8 +145,15 @@
         Unix seconds of the end and status of each other request.
     """
 
-    def __init__(self, cluster: Cluster, variant: Variant) -> None:
+    def __init__(
+        self,
+        cluster: Cluster,
+        variant: Variant,
+        *,
+        rng: random.Random | None = None,
+    ) -> None:
         self._cluster = cluster
+        self._rng = rng or random.Random(1)
         self._variant = variant
         self._sent = 0
         self.others: list[tuple[float, int]] = []
@@ -163,7 +177,10 @@
             others = group.create_task(self._send_others(session))
             while time.time() < started_at + _MAX_SECONDS:
                 for path in self._variant.list_paths():
-                    group.create_task(self._send(session, path, self._variant.patience))
+                    patience = self._variant.patience
+                    if self._variant.patiences:
+                        patience = self._rng.choice(self._variant.patiences)
+                    group.create_task(self._send(session, path, patience))
                     self._sent += 1
                 await asyncio.sleep(_INTERVAL)
                 last = max(record.late_after for record in self.list_records())
@@ -276,6 +293,76 @@
         _check(records)
 
 
+class _RandomFaults:
+    """Changes how replicas crash, and kills nodes, while a play runs."""
+
+    def __init__(self, cluster: Cluster, rng: random.Random) -> None:
+        self._cluster = cluster
+        self._rng = rng
+
+    async def change_replicas(self) -> None:
+        """Change how a replica crashes next."""
+        rng = self._rng
+        replicas = [*self._cluster.models, *self._cluster.orders]
+        while True:
+            for replica in replicas:
+                faults = replica.faults
+                if faults.down:
+                    continue
+                faults.returns_as = rng.choice(["new", "same", "unregistered"])
+                # Nothing tells a hung process from one that has ended and is back
+                # unless it registers again.
+                faults.crashes_silently = (
+                    faults.returns_as != "unregistered" and rng.random() < 0.3
+                )
+                faults.crash_delay = rng.choice([0.0, 0.0, 0.1, 0.5, 1.0])
+                faults.crash_seconds = rng.uniform(0.8, 2.0)
+            await asyncio.sleep(0.3)
+
+    async def kill_nodes(self) -> None:
+        """Kill and restart a node from time to time."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(1.0, 5.0))
+            node = self._rng.choice(self._cluster.nodes)
+            await node.stop(signal.SIGKILL)
+            await node.start(is_first=False, wait_ready=False)
+
+    async def interrupt_store(self) -> None:
+        """Let the store refuse all calls from time to time."""
+        faults = self._cluster.store.faults
+        while True:
+            await asyncio.sleep(self._rng.uniform(1.0, 5.0))
+            faults.down = "refuse"
+            await asyncio.sleep(self._rng.uniform(0.2, 1.5))
+            faults.down = ""
+
+
+class TestRandomVariants:
+    @pytest.mark.parametrize("seed", _SEEDS)
+    async def test_request_is_refused_however_it_crashes_replicas(self, tmp_path, seed):
+        """Guards against a mix of crashes each of which is counted alone."""
+        rng = random.Random(seed)
+        variant = Variant(
+            replicas=rng.choice([1, 2, 3, 6]),
+            kind=rng.choice(["safe", "unsafe", "stream"]),
+            count=rng.choice([1, 1, 2]),
+            patiences=(0.15, 0.3, 1.0, 4.0),
+        )
+        async with Cluster(tmp_path, nodes=3, replicas=variant.replicas) as cluster:
+            play = Play(cluster, variant, rng=rng)
+            faults = _RandomFaults(cluster, rng)
+            running = [asyncio.create_task(faults.change_replicas())]
+            if seed % 2 == 0:
+                running.append(asyncio.create_task(faults.kill_nodes()))
+                running.append(asyncio.create_task(faults.interrupt_store()))
+            records = await play.run()
+            for task in running:
+                task.cancel()
+            await asyncio.gather(*running, return_exceptions=True)
+        for record in records:
+            assert record.count_late_sends() <= _MAX_LATE_SENDS, record.describe()
+
+
 class TestSeveralRequests:
     @pytest.mark.parametrize("patience", [0.2, 4.0])
     async def test_each_is_refused_after_its_crashes(self, tmp_path, patience):
