Prove two requests that crash the same replicas one after the other

Cause: a crash that both were in flight at counted for whichever was proven first, so the proof of one took away that of the other; and suspects ran at the same time on different nodes, so that each next crash was shared again. Suspects of the same crashes now run in an order that all nodes derive alike, one for two seconds after each crash; and a series of three whose last crash had nothing else in flight is proven whatever explains the crashes before. A request beside a single cause stays free, as before.

--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -124,6 +124,9 @@
 _CONSECUTIVE_BROKEN = 3
 # Seconds within which the reports of other nodes on a crash have arrived.
 _CRASH_REPORT_SECONDS = 0.2
+# Seconds within which a request that crashes replicas comes again and is told apart
+# from those beside it.
+_SUSPECT_TURN_SECONDS = 2.0
 # Seconds for which a suspect waits until its replica is idle. Programs have a second or
 # two in all, and other nodes send to the replica meanwhile.
 _MAX_ISOLATION_WAIT = 0.5
@@ -218,6 +221,7 @@
                 policy=CrashSeriesPolicy(),
                 incarnation=self._incarnation,
                 settle_seconds=_CRASH_REPORT_SECONDS,
+                turn_seconds=_SUSPECT_TURN_SECONDS,
             ),
             isolation_factory=functools.partial(
                 Isolation, max_wait=_MAX_ISOLATION_WAIT, waits_for_repeated=False
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -67,6 +67,9 @@
     settle_seconds : float
         Seconds after the last crash before a quarantine begins. In this time other
         nodes report their requests that were in flight, one of which may be the cause.
+    turn_seconds : float
+        Seconds after a crash for which only one of the suspects that explain it equally
+        well may run, so that the next crash tells them apart.
     loss_window : float
         Seconds from the moment when a replica falls silent until it is known to be
         gone.
@@ -90,6 +93,7 @@
         incarnation: str | None = None,
         ttl: float = 600.0,
         settle_seconds: float = 0.0,
+        turn_seconds: float = 0.0,
         loss_window: float = 6.0,
         outage_window: float = 2.0,
         min_outage_replicas: int = 3,
@@ -106,6 +110,7 @@
             policy=self._policy,
             ttl=ttl,
             settle_seconds=settle_seconds,
+            turn_seconds=turn_seconds,
             outage_window=outage_window,
             min_outage_replicas=min_outage_replicas,
         )
@@ -296,7 +301,7 @@
         return fingerprint in self._verdicts.suspects
 
     def is_pending(self, fingerprint: str) -> bool:
-        """Return whether a suspect must not start before the other nodes' reports."""
+        """Return whether a suspect must not start yet."""
         self._refresh()
         return fingerprint in self._verdicts.pending
 
--- a/src/fireflyspread/routing/_quarantine_policy.py
+++ b/src/fireflyspread/routing/_quarantine_policy.py
@@ -45,6 +45,16 @@
     def is_proven(self, sightings: Sequence[Sighting]) -> bool:
         """Return whether requests with the fingerprint must not run."""
 
+    def is_conclusive(self, sightings: Sequence[Sighting]) -> bool:
+        """Return whether a fingerprint is proven whatever explains its other crashes.
+
+        Parameters
+        ----------
+        sightings : sequence of Sighting
+            All its crashes, also those that a proven fingerprint explains.
+        """
+        return False
+
     @abc.abstractmethod
     def is_cleared(self, *, isolated: bool) -> bool:
         """Return whether an answer shows that the fingerprint crashes nothing."""
@@ -110,5 +120,11 @@
         last = max(sightings, key=lambda sighting: sighting.rank)
         return last.max_other_crashes < len(sightings) or series >= _MAX_SERIES
 
+    def is_conclusive(self, sightings: Sequence[Sighting]) -> bool:
+        # Otherwise two requests that crash replicas would free each other in turn: the
+        # crashes that they have in common count for the one that is proven first.
+        last = max(sightings, key=lambda sighting: sighting.rank)
+        return count_series(sightings) >= _MIN_SERIES and not last.max_other_crashes
+
     def is_cleared(self, *, isolated: bool) -> bool:
         return True
--- a/src/fireflyspread/routing/_verdicts.py
+++ b/src/fireflyspread/routing/_verdicts.py
@@ -1,5 +1,7 @@
 """Verdicts on the requests that were in flight when replicas crashed."""
 
+from collections.abc import Sequence, Set
+
 from attrs import Factory, frozen
 
 from fireflyspread.routing._crash_evidence import CrashEvidence
@@ -18,8 +20,8 @@
     suspects : frozenset of str
         Fingerprints whose requests must run in isolation.
     pending : dict of str to float
-        Suspects with enough evidence for a quarantine, and the monotonic seconds until
-        which reports of other nodes may still arrive.
+        Suspects that must not start, and the monotonic seconds until then: reports of
+        other nodes may still arrive, or another suspect has to run first.
     quarantined : dict of str to float
         Fingerprints whose requests must not run, and the Unix seconds at which the
         quarantine ends.
@@ -41,6 +43,7 @@
     policy: QuarantinePolicy
     ttl: float
     settle_seconds: float
+    turn_seconds: float
     outage_window: float
     min_outage_replicas: int
 
@@ -56,17 +59,7 @@
         if not candidates:
             return Verdicts()
         outages = self._find_outages()
-        proven: dict[str, float] = {}
-        pending: dict[str, float] = {}
-        for fingerprint in candidates:
-            sightings = self._list_sightings(fingerprint, proven, outages)
-            if not self.policy.is_proven(sightings):
-                continue
-            settled_at = self._find_last_report(fingerprint) + self.settle_seconds
-            if settled_at > monotonic:
-                pending[fingerprint] = settled_at
-            else:
-                proven[fingerprint] = self.ttl + max(s.at for s in sightings)
+        proven, pending = self._find_proven(candidates, outages, monotonic)
         quarantined = {f: until for f, until in proven.items() if until > wall}
         suspects = (proven.keys() | pending.keys()) - quarantined.keys()
         for fingerprint in candidates:
@@ -74,10 +67,62 @@
             recent = [s for s in sightings if s.at > wall - self.ttl]
             if fingerprint not in quarantined and self.policy.is_suspect(recent):
                 suspects.add(fingerprint)
+        for fingerprint in suspects - pending.keys():
+            until = self._find_turn(fingerprint, suspects)
+            if until > monotonic:
+                pending[fingerprint] = until
         return Verdicts(
             suspects=frozenset(suspects), pending=pending, quarantined=quarantined
         )
 
+    def _find_proven(
+        self, candidates: Sequence[str], outages: frozenset[str], monotonic: float
+    ) -> tuple[dict[str, float], dict[str, float]]:
+        """Return the proven fingerprints, and those that other nodes may explain yet.
+
+        The values are when the quarantine ends, in Unix seconds, and until when reports
+        may arrive, in monotonic seconds.
+        """
+        conclusive = {
+            fingerprint
+            for fingerprint in candidates
+            if self.policy.is_conclusive(self._list_sightings(fingerprint, {}, outages))
+        }
+        proven: dict[str, float] = {}
+        pending: dict[str, float] = {}
+        # Those whose proof depends on no other fingerprint first.
+        for fingerprint in sorted(candidates, key=lambda f: f not in conclusive):
+            explained = {} if fingerprint in conclusive else proven
+            sightings = self._list_sightings(fingerprint, explained, outages)
+            if fingerprint not in conclusive and not self.policy.is_proven(sightings):
+                continue
+            settled_at = self._find_last_report(fingerprint) + self.settle_seconds
+            if settled_at > monotonic:
+                pending[fingerprint] = settled_at
+            else:
+                proven[fingerprint] = self.ttl + max(s.at for s in sightings)
+        return proven, pending
+
+    def _find_turn(self, fingerprint: str, suspects: Set[str]) -> float:
+        """Return until when a suspect waits for another one, in monotonic seconds.
+
+        Suspects that were in flight at the same crashes run one after the other, in an
+        order that all nodes derive alike. Otherwise each crash would count for all of
+        them, and none would be proven.
+        """
+        crashes_of = self.evidence.crashes_of
+        crash_id = max(
+            crashes_of[fingerprint], key=lambda i: self.evidence.learned_at[i]
+        )
+        is_first = all(
+            len(crashes_of[other]) != len(crashes_of[fingerprint])
+            or other >= fingerprint
+            for other in self.evidence.merged[crash_id].ranks.keys() & suspects
+        )
+        return (
+            0.0 if is_first else self.evidence.learned_at[crash_id] + self.turn_seconds
+        )
+
     def _find_last_report(self, fingerprint: str) -> float:
         """Return when this node learned of the last crash, in monotonic seconds."""
         ids = self.evidence.crashes_of[fingerprint]
--- a/tests/gateway/test_crash_variants.py
+++ b/tests/gateway/test_crash_variants.py
@@ -28,7 +28,7 @@
 _LATE_SECONDS = 6.0
 _MAX_SECONDS = 30.0
 _MARKER = "poison"
-_SEEDS = range(1, 1 + scale_examples(2))
+_SEEDS = range(1, 1 + scale_examples(3))
 _PATHS = {"safe": "/prices/", "unsafe": "/orders/", "stream": "/turns/stream/"}
 
 
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -261,6 +261,75 @@
             assert not quarantine.is_suspect("same")
 
 
+class TestTurns:
+    """Suspects that explain the same crashes."""
+
+    @staticmethod
+    def make_nodes() -> Nodes:
+        """Return nodes after two crashes that two requests explain."""
+        nodes = Nodes.with_size(3)
+        nodes.quarantines = [
+            Quarantine(nodes.clock, policy=CrashSeriesPolicy(), turn_seconds=2.0)
+            for _ in range(3)
+        ]
+        for number in range(2):
+            nodes.send(1, "q", f"r{number}")
+            nodes.run(0, "p", f"r{number}")
+        return nodes
+
+    def test_run_one_after_the_other(self) -> None:
+        """Guards against requests that hide behind each other for five crashes."""
+        nodes = self.make_nodes()
+        for each in nodes.quarantines:
+            assert [each.is_pending(name) for name in "pq"] == [False, True]
+        nodes.run(2, "p", "r2")
+        assert nodes.is_quarantined("p") == [True] * 3
+        assert nodes.is_quarantined("q") == [False] * 3
+        assert not nodes.quarantines[0].is_pending("q")
+
+    def test_end_with_an_answer_to_the_first(self) -> None:
+        """Guards against a wait for a request that has been cleared."""
+        nodes = self.make_nodes()
+        nodes.send(2, "p", "healthy")
+        nodes.answer(2, "p", "healthy")
+        nodes.exchange()
+        for each in nodes.quarantines:
+            assert not each.is_pending("q")
+
+    def test_end_after_a_while(self) -> None:
+        """Guards against a wait for a request that does not come again."""
+        nodes = self.make_nodes()
+        nodes.clock.advance(2.0)
+        for each in nodes.quarantines:
+            assert not each.is_pending("q")
+
+
+class TestConclusiveCrash:
+    """A crash with nothing else in flight, after crashes with other requests."""
+
+    def test_two_causes_do_not_free_each_other(self) -> None:
+        """Guards against a quarantine that ends when another request is proven."""
+        nodes = Nodes.with_size(2)
+        for number in range(2):
+            nodes.send(1, "p", f"r{number}")
+            nodes.run(0, "q", f"r{number}")
+        nodes.run(0, "p", "r2")
+        assert nodes.is_quarantined("p") == [True, True]
+        nodes.run(0, "q", "r3")
+        assert nodes.is_quarantined("q") == [True, True]
+        assert nodes.is_quarantined("p") == [True, True]
+
+    def test_request_beside_another_cause_stays_free(self) -> None:
+        """Guards against a quarantine for crashes that another request explains."""
+        nodes = Nodes.with_size(2)
+        for number in range(3):
+            nodes.send(1, "beside", f"r{number}")
+            nodes.run(0, "p", f"r{number}")
+        nodes.run(0, "p", "r3")
+        assert nodes.is_quarantined("p") == [True, True]
+        assert nodes.is_quarantined("beside") == [False, False]
+
+
 class TestLimits:
     """Evidence among that of many other crashes and requests."""
 
