--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -283,14 +283,10 @@
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        connector = make_connector(
-            keepalive=_KEEPALIVE_SECONDS,
-            kind=_LifoConnector,
-            user_timeout=_REPLICA_USER_TIMEOUT_MS,
-        )
+        self._session = _open_session()
+        connector = self._session.connector
         assert isinstance(connector, _LifoConnector)
         self._connector = connector
-        self._session = _open_session(self._connector)
         self._early_close_until: dict[str, float] = {}
 
     async def send(
@@ -388,9 +384,13 @@
         writer.close()
 
 
-def _open_session(connector: ClientConnector) -> aiohttp.ClientSession:
+def _open_session() -> aiohttp.ClientSession:
     return aiohttp.ClientSession(
-        connector=connector,
+        connector=make_connector(
+            keepalive=_KEEPALIVE_SECONDS,
+            kind=_LifoConnector,
+            user_timeout=_REPLICA_USER_TIMEOUT_MS,
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         response_class=_MatchingResponse,
         auto_decompress=False,
