Reproduce silent ends of replicas and late crashes of equal requests

Callers' requests that crash replicas went on to 10 to 19 of them where the platform allows three and three late sends.

The stand-in of a replica can keep connections of its previous process open and mute, and the play of such requests takes copies at once, the number of nodes, the time until the return and trouble beside it (store, nodes that stop or are killed).

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -23,8 +23,16 @@
 MAX_OUTPUT_TOKENS = 288
 
 
-def make_config(version: int, **changes: Any) -> dict[str, Any]:
-    """Return a configuration with a streaming, a safe and an unsafe route."""
+def make_config(
+    version: int, *, timeout: float = 4.0, **changes: Any
+) -> dict[str, Any]:
+    """Return a configuration with a streaming, a safe and an unsafe route.
+
+    Parameters
+    ----------
+    timeout : float
+        Seconds that each route allows for an answer.
+    """
 
     def make_route(name: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
         return {
@@ -32,7 +40,7 @@
             "host": HOST,
             "prefix": f"/{name}/",
             "kind": kind,
-            "timeoutMs": 4000,
+            "timeoutMs": int(timeout * 1000),
             "targetLatencyMs": 250,
             "priority": 0,
             "service": service,
--- a/standins/_base.py
+++ b/standins/_base.py
@@ -229,10 +229,14 @@
         """Reset all connections and cancel all running requests, as a crash does."""
         for task in tuple(self._running):
             task.cancel()
+        for transport in self.list_transports():
+            transport.abort()
+
+    def list_transports(self) -> list[asyncio.Transport]:
+        """Return the transports of all open connections."""
         server = None if self._runner is None else self._runner.server
-        for connection in () if server is None else server.connections:
-            if connection.transport is not None:
-                connection.transport.abort()
+        connections = () if server is None else server.connections
+        return [each.transport for each in connections if each.transport is not None]
 
     def crash(self, seconds: float) -> None:
         """Refuse connections, as a crashed process does, for ``seconds``."""
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -40,6 +40,9 @@
         Seconds until the replica is back after such a crash.
     crashes_silently : bool
         Whether such a crash leaves connections open and without an answer.
+    stays_silent : bool
+        Whether these connections stay open and without an answer once the replica is
+        back; otherwise they are reset then.
     empty_streams : int
         Number of next streams that end before their first event.
     fail_resumes : str
@@ -89,6 +92,7 @@
     reset_answers: int = 0
     reset_events: int = 0
     returns_as: str = "new"
+    stays_silent: bool = False
     unframed: bool = False
     work: float = 0.002
 
@@ -173,6 +177,8 @@
         self._active = 0
         self._born = 1
         self._refused_on: dict[Any, str] = {}
+        # Connections of previous processes that are open and never answered.
+        self._silent_transports: set[Any] = set()
 
     def add_routes(self, app: web.Application) -> None:
         """Answer every path."""
@@ -197,7 +203,10 @@
             await asyncio.sleep(seconds)
             if self.faults.down == "hang":
                 # The process that comes back knows no connection of the previous one.
-                self.close_connections()
+                if self.faults.stays_silent:
+                    self._silent_transports.update(self.list_transports())
+                else:
+                    self.close_connections()
             self.faults.down = ""
             previous = self.instance
             if self.faults.returns_as == "new":
@@ -243,6 +252,8 @@
         }
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
+        if request.transport in self._silent_transports:
+            await asyncio.Event().wait()
         target = request.headers.get(_PREFIX + "Target-Instance")
         headers = self._make_headers(request)
         self.arrivals.append(asyncio.get_running_loop().time())
--- /dev/null
+++ b/tests/gateway/test_crash_mixes.py
@@ -0,0 +1,84 @@
+"""Tests of gateway processes with requests that crash replicas beside other trouble."""
+
+import pytest
+
+from tests.gateway.crash_play import Trouble, Variant, check, play_variant
+
+_INTERVAL = 0.4  # seconds
+_CRASH_SECONDS = 2.0
+
+
+def _make_variant(**fields) -> Variant:
+    options = {
+        "replicas": 6,
+        "interval": _INTERVAL,
+        "crash_seconds": _CRASH_SECONDS,
+        "max_wait": 5.0,
+        "patience": 5.0,
+        **fields,
+    }
+    return Variant(**options)
+
+
+async def _play_and_check(folder, **fields) -> None:
+    _, records = await play_variant(folder, _make_variant(**fields))
+    check(records)
+
+
+class TestSilentEnds:
+    @pytest.mark.parametrize("returns_as", ["new", "same"])
+    @pytest.mark.parametrize("kind", ["safe", "unsafe", "stream"])
+    async def test_replicas_whose_connections_stay_open_are_crashed_by_few_requests(
+        self, tmp_path, kind, returns_as
+    ):
+        """Guards against crashes that are noticed only when a caller's time is over."""
+        await _play_and_check(
+            tmp_path, kind=kind, returns_as=returns_as, silent=True, stays_silent=True
+        )
+
+    @pytest.mark.parametrize("kind", ["safe", "stream"])
+    async def test_replicas_are_crashed_by_few_requests_at_many_nodes(
+        self, tmp_path, kind
+    ):
+        """Guards against nodes each of which counts its own crashes alone."""
+        await _play_and_check(
+            tmp_path, kind=kind, nodes=8, replicas=12, silent=True, stays_silent=True
+        )
+
+    @pytest.mark.parametrize("trouble", [Trouble.STORE_REFUSES, Trouble.STORE_HANGS])
+    @pytest.mark.parametrize("kind", ["safe", "unsafe", "stream"])
+    async def test_replicas_are_crashed_by_few_requests_beside_a_failing_store(
+        self, tmp_path, kind, trouble
+    ):
+        """Guards against ends of replicas that only the store would tell."""
+        await _play_and_check(
+            tmp_path, kind=kind, trouble=trouble, silent=True, stays_silent=True
+        )
+
+    async def test_replicas_are_crashed_by_few_requests_whose_callers_leave(
+        self, tmp_path
+    ):
+        """Guards against silent ends after the caller has left."""
+        await _play_and_check(
+            tmp_path,
+            kind="safe",
+            trouble=Trouble.STORE_HANGS,
+            silent=True,
+            stays_silent=True,
+            patience=0.3,
+            delay=0.5,
+        )
+
+
+class TestLateCrashes:
+    @pytest.mark.parametrize(
+        ("kind", "delay", "patience"),
+        [("stream", 5.0, 0.3), ("safe", 6.0, 5.0), ("safe", 4.0, 0.6)],
+    )
+    async def test_equal_requests_at_once_crash_few_replicas(
+        self, tmp_path, kind, delay, patience
+    ):
+        """Guards against copies that are sent on while others still run."""
+        await _play_and_check(
+            tmp_path, kind=kind, delay=delay, patience=patience, copies=4
+        )
