Count requests that still wait at a replica when it is lost

Cause: the loss of a registration counted requests that had ended before it.

The loss now counts requests that wait for half a second or longer, if the policy clears them by any answer. test_requests_that_still_wait_ count_at_once failed before.

--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -24,6 +24,9 @@
 # Fingerprints of requests without an answer that are kept, and such requests of one.
 _MAX_UNANSWERED = 1024
 _MAX_UNANSWERED_RUNS = 16
+# Seconds from the return of a replica until its new registration is known. A younger
+# request may run on the new process.
+_MAX_REGISTRATION_SECONDS = 0.5
 # Seconds after which the evidence is checked for crashes that are too old.
 _MAX_VERDICT_AGE = 10.0
 
@@ -226,8 +229,9 @@
     def record_loss(self, process: str) -> None:
         """Record that a replica is gone without having announced it.
 
-        A replica that falls silent is found gone only after its callers have left, so
-        this counts the requests that ended without an answer shortly before.
+        A replica that falls silent leaves its requests waiting until their callers
+        leave. This counts those that still wait, and those that ended without an answer
+        shortly before.
         """
         now = self._clock.read_monotonic()
         oldest = now - self._loss_window
@@ -239,6 +243,10 @@
             for run in runs
             if run.process == process and run.ended_at > oldest
         }
+        if self._policy.presumes_crashes:
+            for fingerprint, runs in self._in_flight.get(process, {}).items():
+                if runs[0].started_at + _MAX_REGISTRATION_SECONDS < now:
+                    blamed[fingerprint] = runs[0]
         _LOG.info(
             "replica gone without notice",
             extra={
--- a/src/fireflyspread/routing/_quarantine_policy.py
+++ b/src/fireflyspread/routing/_quarantine_policy.py
@@ -33,9 +33,13 @@
     ----------
     min_crashes : int
         Crashes below which a fingerprint is neither suspect nor proven.
+    presumes_crashes : bool
+        Whether a request counts before a crash is certain, because any answer clears
+        it: while it waits at a replica that has lost its registration.
     """
 
     min_crashes = 1
+    presumes_crashes = False
 
     @abc.abstractmethod
     def is_suspect(self, sightings: Sequence[Sighting]) -> bool:
@@ -109,6 +113,7 @@
     """
 
     min_crashes = _MIN_SUSPECT_SERIES
+    presumes_crashes = True
 
     def is_suspect(self, sightings: Sequence[Sighting]) -> bool:
         return count_series(sightings) >= _MIN_SUSPECT_SERIES
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -425,3 +425,25 @@
             late.merge(f"n{sender}", nodes.quarantines[sender].make_report())
         assert late.list_quarantined() == nodes.quarantines[0].list_quarantined()
         assert late.list_suspects() == nodes.quarantines[0].list_suspects()
+
+
+class TestLoss:
+    """Replicas whose registration is gone."""
+
+    def test_requests_that_still_wait_count_at_once(self) -> None:
+        """Guards against crashes that count only when the caller's time is over."""
+        nodes = Nodes.with_size(2)
+        for number in range(3):
+            nodes.send(0, "p", f"r{number}")
+            nodes.clock.advance(2.0)
+            nodes.quarantines[0].record_loss(f"r{number}")
+            nodes.exchange()
+        assert nodes.is_quarantined("p") == [True, True]
+
+    def test_request_that_was_just_sent_does_not_count(self) -> None:
+        """Guards against blaming a request that the next process runs."""
+        nodes = Nodes.with_size(1)
+        nodes.send(0, "p", "r0")
+        nodes.clock.advance(0.2)
+        nodes.quarantines[0].record_loss("r0")
+        assert not nodes.quarantines[0].get_crashed_replicas("p")
