Take a replica as gone once another one runs at its address

Cause: the end of a replica was known from the expiry of its entry only. Its successor at the same address, by a registration with a later start or by an answer that names another instance (421), tells the same; and connections of the previous process, which may stay open without an answer, were used for its successor.

Both are now a loss. Idle connections are closed, and those on which a request gets no byte for a second. The tests of the directory and of the client fail without the change, as the methods are missing.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -318,7 +318,9 @@
         self._framing = reply.framing
         if reply.load is not None:
             self._scheduler.report_load(replica.name, reply.load)
-        if not reply.is_wrong_instance:
+        if reply.is_wrong_instance:
+            self._directory.record_other_instance(replica)
+        else:
             if reply.is_leaving:
                 self._directory.mark_leaving(replica)
             self._rate_limit = reply.rate_limit
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -172,6 +172,7 @@
             self._clock,
             self._set_targets,
             on_loss=lambda replica: self._scheduler.record_loss(replica),
+            on_replaced=lambda replica: self._replica_client.close_connections(replica),
         )
 
     def _build_membership(self) -> None:
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -62,6 +62,9 @@
 # Connections to replicas: a sound replica may be silent for a second and go on.
 _REPLICA_USER_TIMEOUT_MS = 1500
 _TCP_KEEPALIVE_SECONDS = 1
+# Seconds from the start of a replica until its registration is known, with a margin. A
+# connection that has been silent for longer belongs to the process before it.
+_SILENT_SECONDS = 1.0
 # Responses on one connection before the expected one, interim ones included, and bytes
 # of the body of one of them. Replicas repeat single answers.
 _MAX_UNEXPECTED_RESPONSES = 16
@@ -127,6 +130,8 @@
     sent_count = 0
     # Request that was refused last on this connection.
     refused_id: str | None = None
+    # When a request was sent, or bytes arrived, on this connection; monotonic seconds.
+    active_at = 0.0
     _unexpected_count = 0
     # Bytes since the last progress of a body.
     _idle_bytes = 0
@@ -150,6 +155,7 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
+        self.active_at = time.monotonic()
         # In slices, because the parser does not return before the end of the data.
         for start in range(0, len(data), _MAX_PARSED_BYTES):
             part = data[start : start + _MAX_PARSED_BYTES]
@@ -228,6 +234,38 @@
                     return protocol
         return None
 
+    def close_silent(self, url: URL, *, since: float) -> int:
+        """Close the connections to a host that are idle or have long been silent.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic seconds; a connection with a request is closed if no byte has
+            arrived on it since.
+
+        Returns
+        -------
+        int
+            Number of connections with a request.
+        """
+        for key, connections in self._conns.items():
+            if (key.host, key.port) == (url.host, url.port):
+                for protocol, _ in connections:
+                    protocol.close()
+        silent = [
+            protocol
+            for protocol in self._acquired
+            if isinstance(protocol, _MatchingProtocol)
+            and protocol.transport is not None
+            and protocol.transport.get_extra_info("peername") == (url.host, url.port)
+            and protocol.active_at < since
+        ]
+        for protocol in silent:
+            protocol.set_exception(aiohttp.ServerDisconnectedError())
+            if protocol.transport is not None:
+                protocol.transport.abort()
+        return len(silent)
+
 
 class _MatchingResponse(aiohttp.ClientResponse):
     """Sets the request id that its connection expects in the response."""
@@ -239,6 +277,7 @@
         self._protocol = connection.protocol
         self._protocol.expected_id = self.request_info.headers.get(names.REQUEST_ID)
         self._protocol.sent_count += 1
+        self._protocol.active_at = time.monotonic()
         self._is_first_on_connection = self._protocol.sent_count == 1
         return await super().start(connection)
 
@@ -288,6 +327,8 @@
         assert isinstance(connector, _LifoConnector)
         self._connector = connector
         self._early_close_until: dict[str, float] = {}
+        # Later checks of connections to replaced processes, by process.
+        self._timers: dict[str, asyncio.TimerHandle] = {}
 
     async def send(
         self, request: ForwardRequest, replica: Replica, dispatch: Dispatch
@@ -348,6 +389,29 @@
             return False
         return True
 
+    def close_connections(self, replica: Replica) -> None:
+        """Close the connections to a process that no longer runs at its address.
+
+        They may stay open without ever being answered. A request that was just sent may
+        run on the successor, so its connection is closed only if it stays silent.
+        """
+        now = time.monotonic()
+        self._close_silent(replica, now - _SILENT_SECONDS)
+        timer = asyncio.get_running_loop().call_later(
+            _SILENT_SECONDS, lambda: self._close_silent(replica, now)
+        )
+        self._timers[replica.vm] = timer
+
+    def _close_silent(self, replica: Replica, since: float) -> None:
+        timer = self._timers.pop(replica.vm, None)
+        if timer is not None:
+            timer.cancel()
+        count = self._connector.close_silent(URL(replica.url), since=since)
+        _LOG.info(
+            "connections to a replaced replica closed",
+            extra={"replica": replica.name, "count": count},
+        )
+
     def _get_max_idle(self, replica: Replica, dispatch: Dispatch, now: float) -> float:
         if dispatch.is_repeatable:
             return _KEEPALIVE_SECONDS
@@ -357,6 +421,8 @@
 
     async def close(self) -> None:
         """Close all connections."""
+        for timer in self._timers.values():
+            timer.cancel()
         await self._session.close()
 
 
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -18,9 +18,9 @@
 # Seconds for which a version counts as recent after its last replica is gone. Streams
 # that it began may be taken up until their callers' deadlines.
 _VERSION_RETENTION = 30.0
-# Processes that are remembered as leaving; one that is forgotten is told again by its
-# next answer.
-_MAX_LEAVING = 4096
+# Processes that are remembered as leaving, and as replaced; one that is forgotten is
+# told again by the next answer.
+_MAX_REMEMBERED = 4096
 # Concurrency of a service without configured slots while it has no replicas.
 _DEFAULT_SLOTS = 8
 
@@ -81,6 +81,8 @@
         Called with the names of the services whose replicas changed.
     on_loss : callable or None
         Called with a replica that is gone, or has restarted, without draining before.
+    on_replaced : callable or None
+        Called with a replica at whose address another process runs now.
     """
 
     def __init__(
@@ -88,10 +90,14 @@
         clock: Clock,
         on_change: Callable[[set[str]], None],
         on_loss: Callable[[Replica], None] | None = None,
+        on_replaced: Callable[[Replica], None] | None = None,
     ) -> None:
         self._clock = clock
         self._on_change = on_change
         self._on_loss = on_loss
+        self._on_replaced = on_replaced
+        # Processes that an answer has shown to be gone, oldest first.
+        self._replaced: dict[str, None] = {}
         self._records: dict[str, ReplicaRecord] = {}
         self._missing: dict[str, _Missing] = {}
         self._grace_until = 0.0
@@ -122,7 +128,7 @@
         """Add or update a registration."""
         self._missing.pop(record.instance, None)
         known = self._records.get(record.instance)
-        if known == record:
+        if known == record or self._is_outdated(record):
             return
         if known is not None:
             self._note_version(known)
@@ -139,8 +145,58 @@
         )
         if known is not None and known.born != record.born:
             self._report_loss(known)
+            self._report_replaced(known)
+        for other in self._list_replaced_by(record):
+            self._drop(other)
+            self._report_replaced(other)
         self._notify({record.service} | ({known.service} if known else set()))
 
+    def _is_outdated(self, record: ReplicaRecord) -> bool:
+        """Return whether a replica that started later has the address."""
+        return any(
+            0 < record.born < other.born
+            for other in self._list_others_at_address(record)
+        )
+
+    def _list_replaced_by(self, record: ReplicaRecord) -> list[ReplicaRecord]:
+        """Return the registrations of processes that ran at the address before."""
+        return [
+            other
+            for other in self._list_others_at_address(record)
+            if 0 < other.born < record.born
+        ]
+
+    def _list_others_at_address(self, record: ReplicaRecord) -> list[ReplicaRecord]:
+        return [
+            other
+            for other in self._records.values()
+            if other.address == record.address and other.instance != record.instance
+        ]
+
+    def record_other_instance(self, replica: Replica) -> None:
+        """Record that another replica has answered at the address of ``replica``.
+
+        While the store is unavailable nothing else tells that it is gone.
+        """
+        record = self._records.get(replica.name)
+        if record is None or replica.vm in self._replaced:
+            return
+        if _make_replica(record) != replica:
+            return
+        self._replaced[replica.vm] = None
+        if len(self._replaced) > _MAX_REMEMBERED:
+            del self._replaced[next(iter(self._replaced))]
+        _LOG.info(
+            "another replica answered at the address of a replica",
+            extra={"replica": replica.name, "target": record.service},
+        )
+        self._report_loss(record)
+        self._report_replaced(record)
+
+    def _report_replaced(self, record: ReplicaRecord) -> None:
+        if self._on_replaced is not None:
+            self._on_replaced(_make_replica(record))
+
     def _report_loss(self, record: ReplicaRecord) -> None:
         replica = _make_replica(record)
         is_expected = record.is_draining or self.is_leaving(replica)
@@ -156,7 +212,7 @@
         if self.is_leaving(replica):
             return
         self._leaving[replica.vm] = None
-        if len(self._leaving) > _MAX_LEAVING:
+        if len(self._leaving) > _MAX_REMEMBERED:
             del self._leaving[next(iter(self._leaving))]
         record = self._records.get(replica.name)
         service = None if record is None else record.service
--- a/tests/platform/test_replicas.py
+++ b/tests/platform/test_replicas.py
@@ -6,6 +6,7 @@
 
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import SystemClock
+from fireflyspread.exceptions import ReplicaCrashedError
 from fireflyspread.forwarding import Dispatch, ForwardRequest
 from fireflyspread.platform import ReplicaClient
 from standins.platform_replica import PlatformReplica
@@ -81,3 +82,56 @@
         finally:
             await client.close()
             await replica.stop()
+
+
+class TestCloseConnections:
+    @pytest.mark.parametrize("delay", [0.5, 1.2])
+    async def test_silent_connections_of_a_replaced_process_are_not_used_again(
+        self, delay
+    ):
+        """Guards against requests that wait on connections nobody answers."""
+        replica = PlatformReplica(instance="o-1")
+        await replica.start()
+        client = ReplicaClient(SystemClock())
+        target = Replica(name="o-1", url=replica.url, zone="z1", vm="o-1")
+        replica.faults.update({"crashes_silently": True, "stays_silent": True})
+        replica.faults.returns_as = "same"
+        try:
+            await (await client.send(_make_request(), target, _DISPATCH)).close()
+            replica.crash(0.1)
+            waiting = asyncio.create_task(
+                client.send(_make_request(), target, _DISPATCH)
+            )
+            await asyncio.sleep(delay)
+            assert not waiting.done()
+            client.close_connections(target)
+            with pytest.raises(ReplicaCrashedError):
+                await asyncio.wait_for(waiting, 5.0)
+            reply = await asyncio.wait_for(
+                client.send(_make_request(), target, _DISPATCH), 1.0
+            )
+            assert reply.status == 200
+            await reply.close()
+        finally:
+            await client.close()
+            await replica.stop()
+
+    async def test_request_that_was_just_sent_goes_on(self):
+        """Guards against cutting off requests that the next process runs."""
+        replica = PlatformReplica(instance="o-1")
+        await replica.start()
+        replica.faults.work = 0.5
+        client = ReplicaClient(SystemClock())
+        target = Replica(name="o-1", url=replica.url, zone="z1", vm="o-1")
+        try:
+            running = asyncio.create_task(
+                client.send(_make_request(), target, _DISPATCH)
+            )
+            await asyncio.sleep(0.2)
+            client.close_connections(target)
+            reply = await running
+            assert reply.status == 200
+            await reply.close()
+        finally:
+            await client.close()
+            await replica.stop()
--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -164,3 +164,50 @@
         directory.mark_leaving(directory.get_target("orders").replicas[0])
         directory.remove("o-1")
         assert lost == []
+
+
+class TestReplaced:
+    """Processes at whose address another one runs."""
+
+    def _make_directory(self) -> tuple[ReplicaDirectory, list[str], list[str]]:
+        losses: list[str] = []
+        replaced: list[str] = []
+        directory = ReplicaDirectory(
+            ManualClock(),
+            lambda changed: None,
+            lambda replica: losses.append(replica.vm),
+            lambda replica: replaced.append(replica.vm),
+        )
+        return directory, losses, replaced
+
+    def test_later_replica_at_the_address_replaces_the_earlier_one(self):
+        """Guards against a dead replica that is used until its entry expires."""
+        directory, losses, replaced = self._make_directory()
+        directory.put(_make_record("first", born=1))
+        directory.put(_make_record("second", born=2))
+        assert losses == replaced == ["first/1"]
+        directory.put(_make_record("first", born=1, zone="late"))
+        assert [r.name for r in directory.get_target("models").replicas] == ["second"]
+
+    def test_restart_under_the_same_identity_replaces_the_process(self):
+        """Guards against connections of the previous process that are used again."""
+        directory, losses, replaced = self._make_directory()
+        directory.put(_make_record("same", born=1))
+        directory.put(_make_record("same", born=2))
+        assert losses == replaced == ["same/1"]
+
+    def test_replicas_without_a_start_time_replace_nothing(self):
+        """Guards against dropping a replica whose order is not known."""
+        directory, losses, _ = self._make_directory()
+        directory.put(_make_record("first"))
+        directory.put(_make_record("second"))
+        assert losses == []
+
+    def test_answer_of_another_replica_is_a_loss_once(self):
+        """Guards against ends that only the store would tell while it is away."""
+        directory, losses, replaced = self._make_directory()
+        directory.put(_make_record("gone", born=1))
+        replica = directory.get_target("models").replicas[0]
+        for _ in range(2):
+            directory.record_other_instance(replica)
+        assert losses == replaced == ["gone/1"]
