Rank nodes for a key by one function

Budgets, versions of streams and kept turns had the same three lines of rendezvous hashing, and trials of requests need them too. No change of behaviour: tests of budgets, forwarding, turns and nodes pass.

--- a/src/fireflyspread/budgets/_owners.py
+++ b/src/fireflyspread/budgets/_owners.py
@@ -5,8 +5,7 @@
 import logging
 from collections.abc import Callable, Iterable
 
-import xxhash
-
+from fireflyspread._ranking import rank_nodes
 from fireflyspread.budgets._accounts import BudgetAccounts, Grant
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import OverloadedError, PeerError, StoreError
@@ -185,11 +184,7 @@
                 )
 
     def _rank(self, program: str) -> list[str]:
-        members = sorted(
-            self._list_members(),
-            key=lambda name: xxhash.xxh3_64_intdigest(f"{name}/{program}".encode()),
-        )
-        return members[:_MAX_DRAWING_NODES]
+        return rank_nodes(self._list_members(), program)[:_MAX_DRAWING_NODES]
 
     def _make_return_callback(self, node: str, program: str) -> Callable[[int], None]:
         def start(left: int) -> None:
--- a/src/fireflyspread/forwarding/_stream_versions.py
+++ b/src/fireflyspread/forwarding/_stream_versions.py
@@ -6,9 +6,9 @@
 import logging
 from collections.abc import Callable, Iterable, Mapping, Sequence
 
-import xxhash
 from attrs import frozen
 
+from fireflyspread._ranking import rank_nodes
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import PeerError, StreamVersionError
 from fireflyspread.forwarding._stream_memory import (
@@ -245,8 +245,8 @@
 
     def _choose_nodes(self, request: str) -> list[str]:
         """Return the other nodes and the keepers that remember a stream."""
-        nodes = _rank(self._list_members(), request)[:_COPIES]
-        keepers = _rank(self._list_keepers(), request)[:_KEEPER_COPIES]
+        nodes = rank_nodes(self._list_members(), request)[:_COPIES]
+        keepers = rank_nodes(self._list_keepers(), request)[:_KEEPER_COPIES]
         return [name for name in nodes if name != self._node] + keepers
 
     def _report(self, origins: Mapping[str, StreamOrigin]) -> None:
@@ -307,12 +307,6 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
 
-def _rank(names: Iterable[str], request: str) -> list[str]:
-    return sorted(
-        names, key=lambda name: xxhash.xxh3_64_intdigest(f"{name}/{request}".encode())
-    )
-
-
 def _log_found(request: str | None, origin: StreamOrigin, *, source: str) -> None:
     _LOG.info(
         "version of a resumed stream found",
--- a/src/fireflyspread/gateway/_turns.py
+++ b/src/fireflyspread/gateway/_turns.py
@@ -3,11 +3,10 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable, Coroutine, Iterable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
-import xxhash
-
+from fireflyspread._ranking import rank_nodes
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import PeerError
 from fireflyspread.nodes import (
@@ -86,7 +85,7 @@
         self._background = _Background()
 
     def _choose_nodes(self, turn_id: str) -> list[str]:
-        names = _rank(self._roster.list_names(), turn_id)[:_COPIES]
+        names = rank_nodes(self._roster.list_names(), turn_id)[:_COPIES]
         return [name for name in names if name != self._node]
 
     def share(self, turn: Turn) -> None:
@@ -132,7 +131,7 @@
 
     def _choose_helpers(self, turn_id: str, attempt: int) -> list[str]:
         names = [
-            n for n in _rank(self._roster.list_names(), turn_id) if n != self._node
+            n for n in rank_nodes(self._roster.list_names(), turn_id) if n != self._node
         ]
         if not names:
             return []
@@ -315,12 +314,6 @@
         await self._background.close()
 
 
-def _rank(names: Iterable[str], turn_id: str) -> list[str]:
-    return sorted(
-        names, key=lambda name: xxhash.xxh3_64_intdigest(f"{name}/{turn_id}".encode())
-    )
-
-
 def register_turn_handlers(
     server: PeerServer,
     memory: TurnMemory,
