Let requests that were in flight at a crash run one at a time

Callers whose requests crash replicas were served on and on: 10 to 19 crashes in 16 of 18 plays of silent ends, late crashes and failing stores, where the platform allows three late sends.

Cause: knowledge was gained by rounds. All that was sent before a crash was known counted once, each node isolated suspects for itself, and a run without an answer counted nothing. If replicas end silently or seconds after they began, each round takes seconds in which all nodes send.

From the first crash on, one request of a fingerprint runs at a time over all nodes, under a trial that a node chosen by rendezvous hashing grants. A run on trial without an answer is a presumed crash; three in a series hold the request back for 20 s and twice as long each time after. Any answer clears. Requests that wait in the queue when a crash becomes known get a trial too, and a request is not sent again to the replica that it may have crashed.

Unit tests of trials and holds fail before, as nothing limits the requests.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -10,6 +10,7 @@
 from fireflyspread.exceptions import (
     DeadlineError,
     Outcome,
+    OverloadedError,
     RateLimitedError,
     ReplicaCrashedError,
     StreamVersionError,
@@ -58,6 +59,8 @@
 # Statuses below 500 that a replica may answer before it runs a request.
 _EARLY_STATUSES = frozenset({408, 413, 421, 425, 429, 431})
 _LOST = frozenset({Result.UNREACHABLE, Result.CRASHED, Result.CANCELLED})
+# The replica may run the request although nobody waits for it.
+_LEFT_RUNNING = frozenset({Result.CANCELLED, Result.ABANDONED})
 
 
 class Attempt:
@@ -199,10 +202,19 @@
                 if not self._may_retry(exc, result):
                     raise
             finally:
+                if result is Result.CANCELLED:
+                    result = self._classify_cancellation(ticket.replica, sends)
                 self._scheduler.release(ticket, result)
-                if result is Result.CANCELLED and self._sends > sends:
+                if result in _LEFT_RUNNING:
                     self._watch.watch(ticket.replica, deadline=self.deadline)
 
+    def _classify_cancellation(self, replica: Replica, sends_before: int) -> Result:
+        if self._sends == sends_before:
+            return Result.UNSENT
+        if self._received_bytes or self._backend.is_path_broken(replica):
+            return Result.ABANDONED
+        return Result.CANCELLED
+
     def _classify_answer(self) -> Result:
         may_be_unrun = self._status >= 500 or self._status in _EARLY_STATUSES
         return Result.FAILED if may_be_unrun else Result.ANSWERED
@@ -274,12 +286,12 @@
                     raise
 
     async def _may_resend(self, ticket: Ticket) -> bool:
-        """Return whether the replica's limit admits another send, after a wait."""
+        """Return whether the scheduler admits another send, after a wait."""
         remaining = self.deadline - self._clock.read_monotonic()
         max_wait = min(_MAX_RESEND_WAIT, _MAX_RESEND_WAIT_FRACTION * remaining)
         try:
             await self._scheduler.acquire_resend(ticket, max_wait=max_wait)
-        except RateLimitedError:
+        except (OverloadedError, RateLimitedError):
             return False
         return True
 
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -42,6 +42,7 @@
     NodeStreamVersionPeers,
     register_stream_handlers,
 )
+from fireflyspread.gateway._trials import NodeTrialPeers, register_trial_handlers
 from fireflyspread.gateway._turns import (
     LoanServerDisks,
     NodeTurnPeers,
@@ -82,6 +83,8 @@
     ReplicaDirectory,
     ReplicaHealth,
     RetryBudget,
+    Trials,
+    TrialTable,
 )
 from fireflyspread.settings import Address
 from fireflyspread.turns import TurnKeeper, TurnMemory, TurnStore, TurnWriter
@@ -232,8 +235,21 @@
                 clock, slow_factor=_SLOW_FACTOR, consecutive_broken=_CONSECUTIVE_BROKEN
             ),
             replica_limiter=self._limiters.replicas,
+            trials=self._build_trials(),
         )
 
+    def _build_trials(self) -> Trials:
+        table = TrialTable(self._clock)
+        register_trial_handlers(self._server, table, node=self._name)
+        self._trials = Trials(
+            table,
+            NodeTrialPeers(self._client, self._roster, node=self._name),
+            node=self._name,
+            clock=self._clock,
+            list_members=self._roster.list_names,
+        )
+        return self._trials
+
     def _build_peers(self) -> None:
         self._loan_log = ReplicatedLoanLog(
             self._client,
@@ -478,6 +494,7 @@
             ("requests.relayed", self._relay_server.running),
             *self._turns.list_gauges(),
             ("replicas.limited", len(self._limiters.replicas.limits.list_rates())),
+            ("requests.on_trial", self._trials.running),
             ("fingerprints.suspect", len(quarantine.list_suspects())),
             ("fingerprints.quarantined", len(quarantine.list_quarantined())),
         ]
@@ -568,6 +585,7 @@
             await runner.cleanup()
         await self._limiters.close()
         await self._streams.close()
+        await self._trials.close()
         await self._turn_peers.close()
         await self._turn_disks.close()
         await self._forwarder.close()
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -12,10 +12,12 @@
     "AcquireTokens",
     "AllowanceTaken",
     "AuthorityRenewed",
+    "BeginTrial",
     "BudgetReserved",
     "BundleFetched",
     "ConfigFetched",
     "ConfirmFence",
+    "EndTrial",
     "ExchangeCrashes",
     "ExchangeLimits",
     "Failed",
@@ -42,6 +44,8 @@
     "TakeAllowance",
     "TakeRecords",
     "TokensGranted",
+    "TrialBegun",
+    "TrialEnded",
     "decode_message",
     "encode_message",
     "KeepTurns",
@@ -394,6 +398,46 @@
     report: CrashReport
 
 
+class BeginTrial(Message, frozen=True, kw_only=True):
+    """Asks whether a request that was in flight at a crash may run.
+
+    Attributes
+    ----------
+    request : str
+        Unique to the trial.
+    seconds : float
+        Maximum length of the trial.
+    """
+
+    fingerprint: str
+    request: str
+    seconds: float
+
+
+class TrialBegun(Message, frozen=True, kw_only=True):
+    """Answer to ``BeginTrial``; not granted while an equal request is on trial."""
+
+    granted: bool
+
+
+class EndTrial(Message, frozen=True, kw_only=True):
+    """Reports the end of a trial.
+
+    Attributes
+    ----------
+    answered : bool
+        Whether the replica answered, so that equal requests need no trial.
+    """
+
+    fingerprint: str
+    request: str
+    answered: bool
+
+
+class TrialEnded(Message, frozen=True, kw_only=True):
+    """Answer to ``EndTrial``."""
+
+
 class ExchangeLimits(Message, frozen=True, kw_only=True):
     """Limits that replicas named; answered with those that the receiver knows.
 
@@ -545,6 +589,10 @@
     | RenewAuthority
     | AuthorityRenewed
     | AcquireTokens
+    | BeginTrial
+    | TrialBegun
+    | EndTrial
+    | TrialEnded
     | TokensGranted
     | ReserveBudget
     | BudgetReserved
--- a/src/fireflyspread/routing/__init__.py
+++ b/src/fireflyspread/routing/__init__.py
@@ -29,6 +29,7 @@
     Work,
 )
 from fireflyspread.routing._sessions import SessionRetentionPolicy
+from fireflyspread.routing._trials import Trial, TrialPeers, Trials, TrialTable
 
 __all__ = [
     "CacheHint",
@@ -59,6 +60,10 @@
     "Scheduler",
     "SessionRetentionPolicy",
     "Ticket",
+    "Trial",
+    "TrialPeers",
+    "TrialTable",
+    "Trials",
     "Work",
     "draw_backoff",
     "identify_process",
--- a/src/fireflyspread/routing/_crash_evidence.py
+++ b/src/fireflyspread/routing/_crash_evidence.py
@@ -47,6 +47,7 @@
         self._incarnation = incarnation
         self._ttl = ttl
         self.number = 0
+        self._presumed_count = 0
         self._own: dict[str, Crash] = {}
         self._own_answered: set[tuple[str, str]] = set()
         # By node and incarnation: a restarted node may not know what it saw before.
@@ -102,6 +103,22 @@
         self._merge()
         return crash
 
+    def add_presumed(self, process: str, fingerprint: str, rank: int) -> None:
+        """Add a crash whose only sign is a request without an answer."""
+        self._presumed_count += 1
+        crash_id = f"{process}?{self._incarnation}.{self._presumed_count}"
+        self._own[crash_id] = Crash(
+            id=crash_id,
+            process=process,
+            at=self._clock.read_wall(),
+            ranks={fingerprint: rank},
+            is_presumed=True,
+        )
+        if len(self._own) > _MAX_CRASHES:
+            self._drop_weakest(keep=crash_id)
+        self.number += 1
+        self._merge()
+
     def _drop_weakest(self, *, keep: str) -> None:
         """Drop the oldest of the crashes that belong to the shortest series."""
 
--- a/src/fireflyspread/routing/_crashes.py
+++ b/src/fireflyspread/routing/_crashes.py
@@ -34,6 +34,8 @@
         Whether the node sent nothing else to the replica.
     is_shared : bool
         Whether the replica reported requests of other nodes.
+    is_presumed : bool
+        Whether the only sign of the crash is that a suspected request got no answer.
     """
 
     id: str
@@ -42,6 +44,7 @@
     ranks: dict[str, int] = Factory(dict)
     is_alone: bool = False
     is_shared: bool = False
+    is_presumed: bool = False
 
 
 @frozen(kw_only=True)
@@ -84,6 +87,7 @@
     ranks: dict[str, int] = field(factory=dict)
     alone: set[str] = field(factory=set)
     is_shared: bool = False
+    is_presumed: bool = False
 
     def add(self, crash: Crash) -> None:
         """Add the report of one more node."""
@@ -93,6 +97,7 @@
         if crash.is_alone:
             self.alone.update(crash.ranks)
         self.is_shared |= crash.is_shared
+        self.is_presumed |= crash.is_presumed
 
 
 @frozen(kw_only=True)
@@ -112,6 +117,8 @@
         has most of them; 0 if there was none.
     is_outage : bool
         Whether several replicas crashed at about the same time.
+    is_presumed : bool
+        Whether the only sign of the crash is that the request got no answer.
     """
 
     process: str
@@ -121,3 +128,4 @@
     is_shared: bool
     max_other_crashes: int
     is_outage: bool
+    is_presumed: bool = False
--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -18,7 +18,8 @@
 _LOG = logging.getLogger(__name__)
 
 # Results that leave open whether the replica still runs.
-_UNANSWERED = frozenset({Result.BROKEN, Result.CANCELLED, Result.TIMED_OUT})
+_WITHOUT_ANSWER = frozenset({Result.BROKEN, Result.CANCELLED, Result.TIMED_OUT})
+_UNANSWERED = _WITHOUT_ANSWER | {Result.ABANDONED}
 # Seconds from the return of a replica until its new registration is known.
 _MIN_LOSS_DELAY = 0.5
 
@@ -183,6 +184,8 @@
             )
         elif result is Result.ANSWERED:
             self._quarantine.record_answer(fingerprint, isolated=run.is_isolated)
+        elif result in _WITHOUT_ANSWER:
+            self._quarantine.record_unanswered(fingerprint, process)
         self._quarantine.finish(fingerprint, process, unanswered=result in _UNANSWERED)
         if run.is_isolated:
             self.release(ticket.work, run.state)
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -9,7 +9,7 @@
 
 from fireflyspread.bundle import Replica, Target
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import OverloadedError
+from fireflyspread.exceptions import OverloadedError, QuarantinedError
 from fireflyspread.limits import ReplicaLimiter
 from fireflyspread.routing._crashes import identify_process
 from fireflyspread.routing._health import ReplicaHealth
@@ -23,6 +23,7 @@
 from fireflyspread.routing._quarantine import Quarantine
 from fireflyspread.routing._queue import FairQueue, Queue, QueueEntry
 from fireflyspread.routing._refusals import (
+    make_on_trial,
     make_overloaded,
     make_quarantined,
     set_error,
@@ -36,6 +37,7 @@
     Work,
 )
 from fireflyspread.routing._target import TargetState
+from fireflyspread.routing._trials import Trial, Trials
 from fireflyspread.settings import Settings
 
 __all__ = ["PolicyScheduler"]
@@ -49,7 +51,13 @@
 _TICK_SECONDS = 0.1
 # Intervals of ``Hello`` messages after which the neighbours have reported a crash.
 _HELLO_INTERVALS = 2
-_NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE})
+# Maximum wait (seconds, and fraction of the time until the deadline) while an equal
+# request is on trial. Most are answered within a fraction of a second.
+_MAX_TRIAL_WAIT = 1.0
+_TRIAL_WAIT_FRACTION = 1 / 3
+# Seconds after the deadline of a request at which its trial ends by itself.
+_TRIAL_MARGIN = 1.0
+_NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE, Result.UNSENT})
 
 
 class PolicyScheduler(Scheduler):
@@ -72,6 +80,9 @@
         Returns the isolation of suspects.
     replica_limiter : ReplicaLimiter or None
         Gives permits for replicas that limit their requests; None ignores limits.
+    trials : Trials or None
+        Lets requests that were in flight at a crash run one at a time; None does not
+        limit them beyond the isolation of suspects.
     """
 
     def __init__(
@@ -89,8 +100,10 @@
         refuses_early: bool = True,
         isolation_factory: Callable[[Quarantine, random.Random], Isolation] = Isolation,
         replica_limiter: ReplicaLimiter | None = None,
+        trials: Trials | None = None,
     ) -> None:
         self._clock = clock
+        self._trials = trials
         self._queue_factory = queue_factory
         self._placement = placement or PrefixAwarePlacement(rng)
         self._health_factory = health_factory
@@ -140,11 +153,55 @@
         self._admit(work, state)
         enqueued_at = self._clock.read_monotonic()
         while True:
-            ticket = await self._wait_for_slot(work, state, enqueued_at)
-            if await self._take_permit(ticket):
-                # Another request may ask for the next permit of the replica now.
-                self._dispatch(state)
-                return ticket
+            trial = await self._begin_trial(work)
+            try:
+                ticket = await self._wait_for_slot(work, state, enqueued_at)
+            except BaseException:
+                self._end_trial(trial, is_answered=False)
+                raise
+            ticket.trial = trial
+            if not await self._take_permit(ticket):
+                continue
+            # Another request may ask for the next permit of the replica now.
+            self._dispatch(state)
+            if trial is None and self._needs_trial(work):
+                # A replica has crashed with an equal request while this one waited.
+                self.release(ticket, Result.UNSENT)
+                continue
+            return ticket
+
+    def _needs_trial(self, work: Work) -> bool:
+        return self._trials is not None and self.quarantine.has_evidence(
+            work.fingerprint
+        )
+
+    async def _begin_trial(self, work: Work) -> Trial | None:
+        """Wait until a request that was in flight at a crash may run."""
+        if self._trials is None or not self._needs_trial(work):
+            return None
+        now = self._clock.read_monotonic()
+        try:
+            trial = await self._trials.begin(
+                work.fingerprint,
+                work.request,
+                seconds=max(0.0, work.deadline - now) + _TRIAL_MARGIN,
+                max_wait=min(
+                    _MAX_TRIAL_WAIT, _TRIAL_WAIT_FRACTION * (work.deadline - now)
+                ),
+                is_needed=lambda: self._needs_trial(work),
+            )
+        except TimeoutError as exc:
+            raise make_on_trial(work.fingerprint) from exc
+        try:
+            self.check_quarantine(work.fingerprint)
+        except QuarantinedError:
+            self._end_trial(trial, is_answered=False)
+            raise
+        return trial
+
+    def _end_trial(self, trial: Trial | None, *, is_answered: bool) -> None:
+        if trial is not None and self._trials is not None:
+            self._trials.end(trial, is_answered=is_answered)
 
     async def _take_permit(self, ticket: Ticket) -> bool:
         """Take a permit of the replica; without one, release its slot."""
@@ -153,10 +210,12 @@
             is_permitted = await self._permits.take(ticket)
         finally:
             if not is_permitted:
-                self.release(ticket, Result.CANCELLED)
+                self.release(ticket, Result.UNSENT)
         return is_permitted
 
     async def acquire_resend(self, ticket: Ticket, *, max_wait: float) -> None:
+        if self._needs_trial(ticket.work):
+            raise make_on_trial(ticket.work.fingerprint)
         await self._permits.take_for_resend(ticket, max_wait=max_wait)
 
     async def _wait_for_slot(
@@ -176,7 +235,7 @@
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and not future.exception():
                 self._permits.cancel(future.result())
-                self.release(future.result(), Result.CANCELLED)
+                self.release(future.result(), Result.UNSENT)
             else:
                 self._drop(state, entry)
                 self._dispatch(state)
@@ -409,6 +468,7 @@
             )
             return
         self._isolation.record_result(ticket, run, result, self._leaving_vms)
+        self._end_trial(ticket.trial, is_answered=result is Result.ANSWERED)
         if result is Result.FAILED:
             result = Result.ANSWERED
         seconds = self._clock.read_monotonic() - ticket.started_at
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -226,6 +226,29 @@
         )
         self._judge(is_urgent=max(crash.ranks.values()) > 1)
 
+    def record_unanswered(self, fingerprint: str, process: str) -> None:
+        """Record that a request ended without an answer, for whatever reason.
+
+        Call this before ``finish``. A request that was in flight at a crash may have
+        crashed this replica too, which nothing may ever tell.
+        """
+        runs = self._in_flight.get(process, {}).get(fingerprint)
+        if not self._policy.presumes_crashes or not runs:
+            return
+        rank = runs[0].rank
+        if rank == 1 or not self.has_evidence(fingerprint):
+            return
+        self._evidence.add_presumed(process, fingerprint, rank)
+        _LOG.info(
+            "request suspected of crashing replicas got no answer",
+            extra={"fingerprint": fingerprint, "replica": process, "rank": rank},
+        )
+        self._judge(is_urgent=True)
+
+    def has_evidence(self, fingerprint: str) -> bool:
+        """Return whether the fingerprint was in flight at a crash and not answered."""
+        return fingerprint in self._evidence.crashes_of
+
     def record_loss(self, process: str) -> None:
         """Record that a replica is gone without having announced it.
 
--- a/src/fireflyspread/routing/_quarantine_policy.py
+++ b/src/fireflyspread/routing/_quarantine_policy.py
@@ -5,7 +5,12 @@
 
 from fireflyspread.routing._crashes import Sighting
 
-__all__ = ["CrashSeriesPolicy", "IsolationPolicy", "QuarantinePolicy"]
+__all__ = [
+    "CrashSeriesPolicy",
+    "IsolationPolicy",
+    "QuarantinePolicy",
+    "count_series",
+]
 
 # Crashes one after the other that quarantine a request.
 _MIN_SERIES = 3
@@ -35,7 +40,8 @@
         Crashes below which a fingerprint is neither suspect nor proven.
     presumes_crashes : bool
         Whether a request counts before a crash is certain, because any answer clears
-        it: while it waits at a replica that has lost its registration.
+        it: while it waits at a replica that has lost its registration, and when it ends
+        without an answer after it was in flight at a crash.
     """
 
     min_crashes = 1
@@ -59,6 +65,13 @@
         """
         return False
 
+    def is_held(self, sightings: Sequence[Sighting]) -> bool:
+        """Return whether requests with the fingerprint must not run for a while.
+
+        Unlike a proof this needs no crash that a node has seen, so it ends soon.
+        """
+        return False
+
     @abc.abstractmethod
     def is_cleared(self, *, isolated: bool) -> bool:
         """Return whether an answer shows that the fingerprint crashes nothing."""
@@ -108,6 +121,11 @@
     tells them apart. A request is not quarantined as long as another one was in flight
     at the last crash that explains as many crashes.
 
+    A request that has crashed a replica may also end without an answer because its
+    caller leaves before the replica ends, or because the replica falls silent and
+    nothing tells why. Such an end counts as one more crash of the series, but it only
+    holds the request back for a while.
+
     Any answer ends a series: a request that crashes every replica that runs it is never
     answered.
     """
@@ -118,6 +136,11 @@
     def is_suspect(self, sightings: Sequence[Sighting]) -> bool:
         return count_series(sightings) >= _MIN_SUSPECT_SERIES
 
+    def is_held(self, sightings: Sequence[Sighting]) -> bool:
+        return count_series(sightings) >= _MIN_SERIES and any(
+            sighting.is_presumed for sighting in sightings
+        )
+
     def is_proven(self, sightings: Sequence[Sighting]) -> bool:
         series = count_series(sightings)
         if series < _MIN_SERIES:
@@ -128,8 +151,10 @@
     def is_conclusive(self, sightings: Sequence[Sighting]) -> bool:
         # Otherwise two requests that crash replicas would free each other in turn: the
         # crashes that they have in common count for the one that is proven first.
+        if count_series(sightings) < _MIN_SERIES:
+            return False
         last = max(sightings, key=lambda sighting: sighting.rank)
-        return count_series(sightings) >= _MIN_SERIES and not last.max_other_crashes
+        return not last.max_other_crashes
 
     def is_cleared(self, *, isolated: bool) -> bool:
         return True
--- a/src/fireflyspread/routing/_refusals.py
+++ b/src/fireflyspread/routing/_refusals.py
@@ -7,11 +7,12 @@
 )
 from fireflyspread.routing._queue import QueueEntry
 
-__all__ = ["make_overloaded", "make_quarantined", "set_error"]
+__all__ = ["make_on_trial", "make_overloaded", "make_quarantined", "set_error"]
 
 # Seconds.
 _MIN_RETRY_AFTER = 0.1
 _MAX_RETRY_AFTER = 60.0
+_TRIAL_RETRY_AFTER = 1.0
 
 
 def set_error(entry: QueueEntry, error: FireflyError) -> None:
@@ -28,6 +29,15 @@
     )
 
 
+def make_on_trial(fingerprint: str) -> OverloadedError:
+    """Return the error for a request that waits for the end of an equal one."""
+    return OverloadedError(
+        f"a replica crashed with an equal request (fingerprint {fingerprint}), and "
+        "another one is running; retry later",
+        retry_after=_TRIAL_RETRY_AFTER,
+    )
+
+
 def make_overloaded(target: str, delay: float) -> OverloadedError:
     return OverloadedError(
         f"target {target} cannot start the request before its deadline; retry later",
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -6,6 +6,7 @@
 from attrs import define, field, frozen
 
 from fireflyspread.bundle import Replica, Target
+from fireflyspread.routing._trials import Trial
 
 __all__ = ["LoadReport", "Result", "Scheduler", "Ticket", "Work"]
 
@@ -72,12 +73,15 @@
         Name of the target that the replica belongs to.
     started_at : float
         Monotonic seconds.
+    trial : Trial or None
+        Trial of a request that may crash its replica.
     """
 
     work: Work
     target: str
     replica: Replica
     started_at: float = field()
+    trial: Trial | None = None
 
 
 @frozen(kw_only=True)
@@ -105,7 +109,9 @@
     """How a request on a replica ended.
 
     CRASHED means that the replica stopped, BROKEN that only the connection was lost.
-    FAILED is an answer that does not show that the request ran to its end.
+    FAILED is an answer that does not show that the request ran to its end. CANCELLED
+    means that the caller left, or its time was over, before an answer began; ABANDONED
+    that the answer had begun, UNSENT that the request was not sent.
     """
 
     ANSWERED = "answered"
@@ -116,6 +122,8 @@
     UNREACHABLE = "unreachable"
     TIMED_OUT = "timed_out"
     CANCELLED = "cancelled"
+    ABANDONED = "abandoned"
+    UNSENT = "unsent"
 
 
 class Scheduler(abc.ABC):
@@ -146,6 +154,8 @@
         ------
         RateLimitedError
             The replica's limit is used up.
+        OverloadedError
+            The request was in flight at a crash and has to wait for its turn.
         """
 
     @abc.abstractmethod
--- a/src/fireflyspread/routing/_verdicts.py
+++ b/src/fireflyspread/routing/_verdicts.py
@@ -6,10 +6,15 @@
 
 from fireflyspread.routing._crash_evidence import CrashEvidence
 from fireflyspread.routing._crashes import Sighting
-from fireflyspread.routing._quarantine_policy import QuarantinePolicy
+from fireflyspread.routing._quarantine_policy import QuarantinePolicy, count_series
 
 __all__ = ["Judge", "Verdicts"]
 
+# Seconds for which a request is held back after a series without a proof, and the
+# length of the shortest one. Each further crash doubles the time.
+_MIN_HOLD_SECONDS = 20.0
+_FIRST_HOLD = 3
+
 
 @frozen(kw_only=True)
 class Verdicts:
@@ -64,6 +69,9 @@
         suspects = (proven.keys() | pending.keys()) - quarantined.keys()
         for fingerprint in candidates:
             sightings = self._list_sightings(fingerprint, proven, outages)
+            held_until = self._find_end_of_hold(sightings)
+            if fingerprint not in proven and held_until > wall:
+                quarantined[fingerprint] = held_until
             recent = [s for s in sightings if s.at > wall - self.ttl]
             if fingerprint not in quarantined and self.policy.is_suspect(recent):
                 suspects.add(fingerprint)
@@ -75,6 +83,14 @@
             suspects=frozenset(suspects), pending=pending, quarantined=quarantined
         )
 
+    def _find_end_of_hold(self, sightings: Sequence[Sighting]) -> float:
+        """Return until when a fingerprint is held back, in Unix seconds; 0 if not."""
+        if not self.policy.is_held(sightings):
+            return 0.0
+        doublings = count_series(sightings) - _FIRST_HOLD
+        seconds = min(self.ttl, _MIN_HOLD_SECONDS * 2.0**doublings)
+        return max(sighting.at for sighting in sightings) + seconds
+
     def _find_proven(
         self, candidates: Sequence[str], outages: frozenset[str], monotonic: float
     ) -> tuple[dict[str, float], dict[str, float]]:
@@ -86,7 +102,13 @@
         conclusive = {
             fingerprint
             for fingerprint in candidates
-            if self.policy.is_conclusive(self._list_sightings(fingerprint, {}, outages))
+            if self.policy.is_conclusive(
+                [
+                    sighting
+                    for sighting in self._list_sightings(fingerprint, {}, outages)
+                    if not sighting.is_presumed
+                ]
+            )
         }
         proven: dict[str, float] = {}
         pending: dict[str, float] = {}
@@ -94,7 +116,8 @@
         for fingerprint in sorted(candidates, key=lambda f: f not in conclusive):
             explained = {} if fingerprint in conclusive else proven
             sightings = self._list_sightings(fingerprint, explained, outages)
-            if fingerprint not in conclusive and not self.policy.is_proven(sightings):
+            seen = [s for s in sightings if not s.is_presumed]
+            if fingerprint not in conclusive and not self.policy.is_proven(seen):
                 continue
             settled_at = self._find_last_report(fingerprint) + self.settle_seconds
             if settled_at > monotonic:
@@ -150,6 +173,7 @@
                         default=0,
                     ),
                     is_outage=crash_id in outages,
+                    is_presumed=crash.is_presumed,
                 )
             )
         return sightings
--- a/tests/gateway/crash_play.py
+++ b/tests/gateway/crash_play.py
@@ -40,6 +40,8 @@
 _MAX_SECONDS = 30.0
 # Refusals in a row that span _CONTACT_SECONDS and _LATE_SECONDS.
 _MIN_REFUSED = 30
+# Seconds between requests that crash nothing.
+_OTHERS_INTERVAL = 0.1
 _MARKER = "poison"
 _PATHS = {"safe": "/prices/", "unsafe": "/orders/", "stream": "/turns/stream/"}
 
@@ -80,6 +82,8 @@
         Requests of different callers' calls that crash replicas, each sent in turn.
     copies : int
         Equal requests that are sent at once.
+    is_spread : bool
+        Whether requests that are sent at once go to different nodes.
     nodes : int
         Gateway nodes, to which requests are sent in turn.
     interval : float
@@ -104,6 +108,7 @@
     failing: int = 0
     count: int = 1
     copies: int = 1
+    is_spread: bool = False
     nodes: int = 3
     interval: float = _INTERVAL
     crash_seconds: float = _CRASH_SECONDS
@@ -203,6 +208,8 @@
         self._rng = rng or random.Random(1)
         self._variant = variant
         self._sent = 0
+        # Number of the node that gets the next request.
+        self._turn = 0
         self.others: list[tuple[float, int]] = []
         self.statuses: dict[str, list[int]] = {n: [] for n in variant.list_paths()}
         self._replicas = cluster.models if variant.kind == "stream" else cluster.orders
@@ -228,8 +235,14 @@
                     patience = self._variant.patience
                     if self._variant.patiences:
                         patience = self._rng.choice(self._variant.patiences)
-                    group.create_task(self._send_crashing(session, path, patience))
+                    group.create_task(
+                        self._send_crashing(
+                            session, path, patience, number=self._sent, turn=self._turn
+                        )
+                    )
                     self._sent += 1
+                    self._turn += self._variant.is_spread
+                self._turn += not self._variant.is_spread
                 await asyncio.sleep(self._variant.interval)
                 last = max(record.late_after for record in self.list_records())
                 min_refused = self._variant.copies * _MIN_REFUSED
@@ -242,9 +255,16 @@
         return self.list_records()
 
     async def _send_crashing(
-        self, session: aiohttp.ClientSession, path: str, patience: float
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        patience: float,
+        *,
+        number: int,
+        turn: int,
     ) -> None:
-        self.statuses[path].append(await self._send(session, path, patience))
+        status = await self._send(session, path, patience, number=number, turn=turn)
+        self.statuses[path].append(status)
 
     def count_refused(self, path: str) -> int:
         """Return how many of the last requests with a path were refused in a row."""
@@ -252,25 +272,39 @@
         return sum(1 for _ in itertools.takewhile(lambda s: s == 503, statuses))
 
     async def _send_others(self, session: aiohttp.ClientSession) -> None:
-        number = 0
-        while True:
-            path = f"{_PATHS['safe']}other{number}"
-            status = await self._send(session, path, 4.0)
-            self.others.append((time.time(), status))
-            number += 1
-            await asyncio.sleep(0.1)
+        """Send requests to the same service that crash nothing."""
+        kind = "stream" if self._variant.kind == "stream" else "safe"
+        async with asyncio.TaskGroup() as group:
+            for number in itertools.count():
+                path = f"{_PATHS[kind]}other{number}"
+                group.create_task(self._send_other(session, path, turn=number))
+                await asyncio.sleep(_OTHERS_INTERVAL)
+
+    async def _send_other(
+        self, session: aiohttp.ClientSession, path: str, *, turn: int
+    ) -> None:
+        status = await self._send(
+            session, path, self._variant.max_wait, number=turn, turn=turn
+        )
+        self.others.append((time.time(), status))
 
     async def _send(
-        self, session: aiohttp.ClientSession, path: str, patience: float
+        self,
+        session: aiohttp.ClientSession,
+        path: str,
+        patience: float,
+        *,
+        number: int,
+        turn: int,
     ) -> int:
         """Send one request and return its status, or 0 without an answer."""
-        request = f"r{self._sent}-{path.rpartition('/')[2]}"
+        request = f"r{number}-{path.rpartition('/')[2]}"
         headers = make_headers(request)
         if path.startswith(_PATHS["stream"]):
             headers = make_turn_headers(request, f"p-{request}")
         max_wait = str(int(self._variant.max_wait * 1000))
         headers["Fireflyspread-Time-Remaining"] = max_wait
-        node = self._cluster.nodes[self._sent % len(self._cluster.nodes)]
+        node = self._cluster.nodes[turn % len(self._cluster.nodes)]
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with (
                 asyncio.timeout(patience),
--- a/tests/gateway/test_crash_mixes.py
+++ b/tests/gateway/test_crash_mixes.py
@@ -1,9 +1,19 @@
 """Tests of gateway processes with requests that crash replicas beside other trouble."""
 
+import random
+
 import pytest
 
-from tests.gateway.crash_play import Trouble, Variant, check, play_variant
+from tests.effort import scale_examples
+from tests.gateway.crash_play import (
+    MAX_LATE_SENDS,
+    Trouble,
+    Variant,
+    check,
+    play_variant,
+)
 
+_SEEDS = range(1, 1 + scale_examples(4))
 _INTERVAL = 0.4  # seconds
 _CRASH_SECONDS = 2.0
 
@@ -82,3 +92,30 @@
         await _play_and_check(
             tmp_path, kind=kind, delay=delay, patience=patience, copies=4
         )
+
+
+class TestRandomMixes:
+    @pytest.mark.parametrize("seed", _SEEDS)
+    async def test_a_request_crashes_few_replicas_in_any_mix(self, tmp_path, seed):
+        """Guards against a combination that no other test plays."""
+        rng = random.Random(seed)
+        is_silent = rng.random() < 0.5
+        identities = ["new", "same"] if is_silent else ["new", "same", "unregistered"]
+        _, records = await play_variant(
+            tmp_path,
+            _make_variant(
+                kind=rng.choice(["safe", "unsafe", "stream"]),
+                replicas=rng.choice([1, 2, 6, 12]),
+                nodes=rng.choice([3, 3, 8]),
+                returns_as=rng.choice(identities),
+                silent=is_silent,
+                stays_silent=is_silent and rng.random() < 0.8,
+                delay=rng.choice([0.0, 0.0, 0.5, 1.0, 4.0, 5.0, 6.0]),
+                patience=rng.choice([0.3, 0.6, 1.0, 5.0, 5.0]),
+                copies=rng.choice([1, 1, 4, 6]),
+                is_spread=rng.random() < 0.5,
+                trouble=rng.choice(list(Trouble)),
+            ),
+        )
+        for record in records:
+            assert record.count_late_sends() <= MAX_LATE_SENDS, record.describe()
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -427,6 +427,69 @@
         assert late.list_suspects() == nodes.quarantines[0].list_suspects()
 
 
+class TestHold:
+    """Requests whose crashes no node sees."""
+
+    def run_without_answer(self, nodes: Nodes, node: int, process: str) -> None:
+        """Send a request that ends without an answer, and tell all nodes."""
+        nodes.send(node, "p", process)
+        nodes.in_flight.clear()
+        nodes.quarantines[node].record_unanswered("p", process)
+        nodes.quarantines[node].finish("p", process, unanswered=True)
+        nodes.clock.advance(1.0)
+        nodes.exchange()
+
+    def test_runs_without_an_answer_after_a_crash_hold_a_request_back(self) -> None:
+        """Guards against callers that leave before each crash can be seen."""
+        nodes = Nodes.with_size(3)
+        nodes.run(0, "p", "r0")
+        self.run_without_answer(nodes, 1, "r1")
+        assert nodes.is_quarantined("p") == [False] * 3
+        self.run_without_answer(nodes, 2, "r2")
+        assert nodes.is_quarantined("p") == [True] * 3
+
+    def test_hold_ends_soon_and_is_longer_the_next_time(self) -> None:
+        """Guards against minutes of refusals without a crash that a node has seen."""
+        nodes = Nodes.with_size(1)
+        nodes.run(0, "p", "r0")
+        for number, seconds in enumerate((20.0, 40.0)):
+            while not nodes.is_quarantined("p")[0]:
+                self.run_without_answer(nodes, 0, f"r{number}")
+            remaining = nodes.quarantines[0].read_remaining("p")
+            assert seconds - 1.0 <= remaining <= seconds
+            nodes.clock.advance(remaining)
+            assert nodes.is_quarantined("p") == [False]
+
+    def test_answer_ends_a_hold_of_the_next_run(self) -> None:
+        """Guards against holding back a request that replicas answer again."""
+        nodes = Nodes.with_size(2)
+        nodes.run(0, "p", "r0")
+        self.run_without_answer(nodes, 1, "r1")
+        nodes.send(0, "p", "r2")
+        nodes.answer(0, "p", "r2")
+        nodes.exchange()
+        self.run_without_answer(nodes, 1, "r3")
+        self.run_without_answer(nodes, 0, "r4")
+        assert nodes.is_quarantined("p") == [False, False]
+
+    def test_run_sent_before_the_first_crash_counts_once(self) -> None:
+        """Guards against requests that share an outage and then time out."""
+        nodes = Nodes.with_size(1)
+        for number in range(4):
+            nodes.send(0, "p", f"r{number}")
+        nodes.crash("r0")
+        for number in range(1, 4):
+            nodes.quarantines[0].record_unanswered("p", f"r{number}")
+        assert nodes.quarantines[0].list_suspects() == ()
+
+    def test_request_without_a_crash_is_never_held_back(self) -> None:
+        """Guards against refusing requests because replicas are slow."""
+        nodes = Nodes.with_size(1)
+        for number in range(9):
+            self.run_without_answer(nodes, 0, f"r{number}")
+        assert nodes.is_quarantined("p") == [False]
+
+
 class TestLoss:
     """Replicas whose registration is gone."""
 
@@ -446,4 +509,4 @@
         nodes.send(0, "p", "r0")
         nodes.clock.advance(0.2)
         nodes.quarantines[0].record_loss("r0")
-        assert not nodes.quarantines[0].get_crashed_replicas("p")
+        assert not nodes.quarantines[0].has_evidence("p")
