Ask no trial of requests whose answers had begun at the crash

Cause: a trial was asked of every request in flight at a crash, and lasted until the end of its answer. A crash comes when a run begins, so a stream that has brought events is no likely cause, and the first event of a stream shows that its replica bears it.

Reports of crashes say which requests had begun; these count in a series as before and need no trial. A trial ends with the first event.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -132,6 +132,7 @@
         self._clock = clock
         self._splitter = EventSplitter()
         self._reservation: Reservation | None = None
+        self._ticket: Ticket | None = None
         self._failed_replicas: set[str] = set()
         self._ran_on: set[str] = set()
         self._broken_on: set[str] = set()
@@ -183,6 +184,7 @@
             work = self._make_work()
             target = self._directory.get_target(self.service)
             ticket = await self._scheduler.acquire(work, target)
+            self._ticket = ticket
             self.replica = ticket.replica.name
             self._replica_version = ticket.replica.version
             result = Result.CANCELLED
@@ -378,9 +380,9 @@
             self._received_bytes += len(chunk)
             complete, events = self._splitter.feed(chunk)
             if complete:
-                has_event = has_event or contains_event(complete)
-                if has_event and self.stream_version is None:
-                    self._record_stream(replica.version)
+                if not has_event and contains_event(complete):
+                    has_event = True
+                    self._record_begin(replica)
                 self._charge_budget(events)
                 if self._recorder is not None:
                     self._recorder.add(complete)
@@ -411,6 +413,12 @@
         if self._recorder is not None:
             self._recorder.save_partial()
 
+    def _record_begin(self, replica: Replica) -> None:
+        if self._ticket is not None:
+            self._scheduler.record_begin(self._ticket)
+        if self.stream_version is None:
+            self._record_stream(replica.version)
+
     def _record_stream(self, version: str) -> None:
         self.stream_version = version
         self._stream_versions.record(
--- a/src/fireflyspread/routing/_crash_evidence.py
+++ b/src/fireflyspread/routing/_crash_evidence.py
@@ -65,6 +65,7 @@
         fingerprint: str,
         alone: bool,
         shared: bool,
+        begun: Iterable[str] = (),
     ) -> Crash | None:
         """Add a crash that cut off a request of this node.
 
@@ -76,6 +77,8 @@
             When the request was sent, in monotonic seconds.
         fingerprint : str
             Of the request; it is kept if there are too many.
+        begun : iterable of str
+            Fingerprints whose requests had all begun to be answered.
 
         Returns
         -------
@@ -88,6 +91,7 @@
             return None
         if known is not None:
             ranks = {fingerprint: ranks[fingerprint], **known.ranks}
+            begun = {*known.begun, *({fingerprint} & set(begun))}
         crash = Crash(
             id=crash_id,
             process=process,
@@ -95,6 +99,7 @@
             ranks=_limit(ranks, fingerprint),
             is_alone=alone and len(ranks) == 1,
             is_shared=shared,
+            begun=tuple(sorted(begun)),
         )
         self._own[crash_id] = crash
         if len(self._own) > _MAX_CRASHES:
@@ -211,6 +216,13 @@
             default=0,
         )
 
+    def may_crash_at_start(self, fingerprint: str) -> bool:
+        """Return whether the fingerprint waited for an answer at one of its crashes."""
+        return any(
+            fingerprint in self.merged[crash_id].waiting
+            for crash_id in self.crashes_of.get(fingerprint, ())
+        )
+
     def expire(self) -> None:
         """Drop crashes after their time."""
         oldest = self._clock.read_wall() - self._ttl
--- a/src/fireflyspread/routing/_crashes.py
+++ b/src/fireflyspread/routing/_crashes.py
@@ -36,6 +36,8 @@
         Whether the replica reported requests of other nodes.
     is_presumed : bool
         Whether the only sign of the crash is that a suspected request got no answer.
+    begun : tuple of str
+        Fingerprints whose requests had all begun to be answered.
     """
 
     id: str
@@ -45,6 +47,7 @@
     is_alone: bool = False
     is_shared: bool = False
     is_presumed: bool = False
+    begun: tuple[str, ...] = ()
 
 
 @frozen(kw_only=True)
@@ -80,12 +83,15 @@
     ----------
     alone : set of str
         Fingerprints of nodes that sent nothing else to the replica.
+    waiting : set of str
+        Fingerprints of requests of which no part of an answer had arrived.
     """
 
     process: str
     at: float
     ranks: dict[str, int] = field(factory=dict)
     alone: set[str] = field(factory=set)
+    waiting: set[str] = field(factory=set)
     is_shared: bool = False
     is_presumed: bool = False
 
@@ -96,6 +102,7 @@
             self.ranks[fingerprint] = max(rank, self.ranks.get(fingerprint, 0))
         if crash.is_alone:
             self.alone.update(crash.ranks)
+        self.waiting.update(crash.ranks.keys() - set(crash.begun))
         self.is_shared |= crash.is_shared
         self.is_presumed |= crash.is_presumed
 
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -171,7 +171,7 @@
             return ticket
 
     def _needs_trial(self, work: Work) -> bool:
-        return self._trials is not None and self.quarantine.has_evidence(
+        return self._trials is not None and self.quarantine.needs_trial(
             work.fingerprint
         )
 
@@ -479,6 +479,12 @@
             run.state.queue.settle(work, 0.0)
         self._dispatch(run.state)
 
+    def record_begin(self, ticket: Ticket) -> None:
+        process = identify_process(ticket.replica)
+        self.quarantine.record_begin(ticket.work.fingerprint, process)
+        self._end_trial(ticket.trial, is_answered=True)
+        ticket.trial = None
+
     def may_retry(self, work: Work) -> bool:
         return self._retries.take()
 
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -41,12 +41,15 @@
         Monotonic seconds.
     ended_at : float
         Monotonic seconds; infinite in flight.
+    has_begun : bool
+        Whether a part of the answer has arrived.
     """
 
     process: str
     rank: int
     started_at: float
     ended_at: float = float("inf")
+    has_begun: bool = False
 
 
 class Quarantine:
@@ -141,6 +144,15 @@
             )
         )
 
+    def record_begin(self, fingerprint: str, process: str) -> None:
+        """Record that a part of an answer has arrived; ``finish`` ends these first."""
+        runs = self._in_flight.get(process, {}).get(fingerprint, [])
+        for number, run in enumerate(runs):
+            if not run.has_begun:
+                del runs[number]
+                runs.insert(0, evolve(run, has_begun=True))
+                return
+
     def finish(
         self, fingerprint: str, process: str, *, unanswered: bool = False
     ) -> None:
@@ -201,8 +213,9 @@
             Ranks of the requests that count; those in flight by default.
         """
         self._refresh()
+        in_flight = self._in_flight.get(process, {})
+        begun = [n for n, runs in in_flight.items() if all(r.has_begun for r in runs)]
         if ranks is None:
-            in_flight = self._in_flight.get(process, {})
             ranks = {n: max(run.rank for run in runs) for n, runs in in_flight.items()}
         ranks.setdefault(fingerprint, 1 + self._evidence.read_rank(fingerprint))
         crash = self._evidence.add(
@@ -212,6 +225,7 @@
             fingerprint=fingerprint,
             alone=alone,
             shared=shared,
+            begun=begun,
         )
         if crash is None:
             return
@@ -235,19 +249,23 @@
         runs = self._in_flight.get(process, {}).get(fingerprint)
         if not self._policy.presumes_crashes or not runs:
             return
-        rank = runs[0].rank
-        if rank == 1 or not self.has_evidence(fingerprint):
+        run = runs[0]
+        if run.rank == 1 or run.has_begun or not self.needs_trial(fingerprint):
             return
-        self._evidence.add_presumed(process, fingerprint, rank)
+        self._evidence.add_presumed(process, fingerprint, run.rank)
         _LOG.info(
             "request suspected of crashing replicas got no answer",
-            extra={"fingerprint": fingerprint, "replica": process, "rank": rank},
+            extra={"fingerprint": fingerprint, "replica": process, "rank": run.rank},
         )
         self._judge(is_urgent=True)
 
-    def has_evidence(self, fingerprint: str) -> bool:
-        """Return whether the fingerprint was in flight at a crash and not answered."""
-        return fingerprint in self._evidence.crashes_of
+    def needs_trial(self, fingerprint: str) -> bool:
+        """Return whether the fingerprint may crash replicas that begin to run it.
+
+        It was in flight at a crash, before an answer to it had begun, and has not been
+        answered since.
+        """
+        return self._evidence.may_crash_at_start(fingerprint)
 
     def record_loss(self, process: str) -> None:
         """Record that a replica is gone without having announced it.
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -162,6 +162,10 @@
     def check_quarantine(self, fingerprint: str) -> None:
         """Raise ``QuarantinedError`` for a request that is known to crash replicas."""
 
+    @abc.abstractmethod
+    def record_begin(self, ticket: Ticket) -> None:
+        """Record that the first part of an answer has arrived."""
+
     @abc.abstractmethod
     def release(self, ticket: Ticket, result: Result, *, tokens: int = 0) -> None:
         """End a request on its replica; ``tokens`` is the number it used."""
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -509,4 +509,37 @@
         nodes.send(0, "p", "r0")
         nodes.clock.advance(0.2)
         nodes.quarantines[0].record_loss("r0")
-        assert not nodes.quarantines[0].has_evidence("p")
+        assert not nodes.quarantines[0].get_crashed_replicas("p")
+
+
+class TestBegunAnswers:
+    """Requests whose answers had begun when their replica crashed."""
+
+    def test_need_no_trial(self) -> None:
+        """Guards against equal streams that go on one by one after a crash."""
+        nodes = Nodes.with_size(2)
+        for _ in range(3):
+            nodes.send(0, "p", "r0")
+            nodes.quarantines[0].record_begin("p", "r0")
+        nodes.crash("r0")
+        nodes.exchange()
+        assert [each.needs_trial("p") for each in nodes.quarantines] == [False, False]
+
+    def test_need_one_if_another_still_waited(self) -> None:
+        """Guards against a crash that is excused by an earlier equal request."""
+        nodes = Nodes.with_size(2)
+        for node in range(2):
+            nodes.send(node, "p", "r0")
+        nodes.quarantines[0].record_begin("p", "r0")
+        nodes.crash("r0")
+        nodes.exchange()
+        assert [each.needs_trial("p") for each in nodes.quarantines] == [True, True]
+
+    def test_crashes_still_make_a_series(self) -> None:
+        """Guards against a request that crashes replicas after its first event."""
+        nodes = Nodes.with_size(1)
+        for number in range(3):
+            nodes.send(0, "p", f"r{number}")
+            nodes.quarantines[0].record_begin("p", f"r{number}")
+            nodes.crash(f"r{number}")
+        assert nodes.is_quarantined("p") == [True]
--- a/tests/routing/test_trials.py
+++ b/tests/routing/test_trials.py
@@ -221,6 +221,17 @@
         assert len(running) == 1
         assert running[0].result().trial is not None
 
+    @in_virtual_time
+    async def test_next_request_runs_once_an_answer_has_begun(self) -> None:
+        """Guards against long streams that equal requests wait for."""
+        scheduler, target = _make_scheduler(), make_target(4, concurrency=4)
+        scheduler.quarantine.merge("n2", make_suspect_report("p"))
+        first = await scheduler.acquire(make_work("p0", fingerprint="p"), target)
+        waiting = await start(scheduler, make_work("p1", fingerprint="p"), target)
+        scheduler.record_begin(first)
+        await asyncio.sleep(0.3)
+        assert waiting.done()
+
     @in_virtual_time
     async def test_runs_without_an_answer_hold_the_request_back(self) -> None:
         """Guards against callers that leave before each crash can be seen."""
