Take no answer of its own for certain at a node out of step

A caller could get a stream of two software versions (ORDER): a node that stood still or was cut off while v2 joined, and does not yet know that the store or the others do not reach it, took its old view of one version for certain and went on at v1 with a stream that had begun at v2. test_node_out_of_step_does_not_guess failed before.

A stream that no asked node knows goes on only if another node has answered, or there is none. The caller gets a 503 otherwise, as at a node that knows that it is cut off. Requests that do not name the stream that they take up ask others too. The view of the store no longer decides, so the parameter and its use in two tests go; the tests check as much.

--- a/src/fireflyspread/forwarding/_stream_versions.py
+++ b/src/fireflyspread/forwarding/_stream_versions.py
@@ -100,8 +100,6 @@
         Returns the names of the targets.
     list_versions : callable
         Returns the versions that a target recently had, as far as this node knows.
-    is_store_unavailable : callable
-        Returns whether this node may not know of new replicas.
     """
 
     def __init__(
@@ -112,7 +110,6 @@
         clock: Clock,
         list_members: Callable[[], list[str]],
         list_versions: Callable[[str], set[str]],
-        is_store_unavailable: Callable[[], bool],
         list_keepers: Callable[[], Iterable[str]] = tuple,
         list_targets: Callable[[], Iterable[str]] = tuple,
     ) -> None:
@@ -127,7 +124,6 @@
         self._node = node
         self._list_members = list_members
         self._list_versions = list_versions
-        self._is_store_unavailable = is_store_unavailable
         self._begun = StreamMemory(clock)
         self._reported = StreamMemory(clock)
         self._mixed_targets: set[str] = set()
@@ -182,9 +178,9 @@
             The version is not known.
         """
         versions = set(self._list_versions(target))
-        found = [] if request is None else [self.look_up(request, target)]
-        if request is not None and found[0].origin is None:
-            found += await self._ask_peers(request, target)
+        found = [self.look_up(request or "", target)]
+        if found[0].origin is None:
+            found += await self._ask_peers(request or "", target)
         for each in found:
             if each.origin is not None:
                 assert request is not None
@@ -211,17 +207,15 @@
         if is_new and any(self._list_keepers()):
             # All nodes may have started again after a version had left.
             return any(answer.is_keeper for answer in answers)
-        return (
-            len(answers) > 1
-            or not self._is_store_unavailable()
-            or set(self._list_members()) <= {self._node}
-        )
+        # A node that stood still or was cut off does not know yet that its view of the
+        # replicas is old, so its own answer is not enough.
+        return len(answers) > 1 or set(self._list_members()) <= {self._node}
 
     async def _ask_peers(self, request: str, target: str) -> list[FoundStream]:
         """Return the first answer that has the stream, or all answers."""
         asked = {
             asyncio.ensure_future(self._peers.find(node, request, target))
-            for node in self._choose_nodes(request)
+            for node in self._choose_nodes(request or target)
         }
         answers: list[FoundStream] = []
         try:
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -290,9 +290,6 @@
             clock=self._clock,
             list_members=self._roster.list_names,
             list_versions=self._directory.list_versions,
-            is_store_unavailable=lambda: any(
-                follower.is_store_unavailable for follower in self._followers
-            ),
             list_keepers=self._roster.list_loan_servers,
             list_targets=self._directory.list_services,
         )
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -311,7 +311,6 @@
                 clock=clock,
                 list_members=lambda: ["a"],
                 list_versions=self.directory.list_versions,
-                is_store_unavailable=lambda: False,
             ),
             turns=make_turn_keeper(self.store, clock),
             backend=self.backend,
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -23,7 +23,6 @@
     def __init__(self, versions: Mapping[str, set[str]]) -> None:
         self.versions = dict(versions)
         self.lost: set[str] = set()
-        self.without_store: set[str] = set()
         self.nodes = {name: self._make(name) for name in versions}
 
     def _make(self, name: str) -> StreamVersions:
@@ -33,7 +32,6 @@
             clock=SystemClock(),
             list_members=lambda: list(self.versions),
             list_versions=lambda target: self.versions[name],
-            is_store_unavailable=lambda: name in self.without_store,
         )
 
     def set_versions(self, *versions: str) -> None:
@@ -118,12 +116,24 @@
     async def test_node_cut_off_from_all_does_not_guess(self):
         """Guards against a second version that a partitioned node cannot know."""
         nodes = make_nodes("v1")
-        nodes.without_store = {"n0"}
         assert await nodes.nodes["n0"].find("r1", "models") == "v1"
         nodes.lost = {"n1", "n2", "n3", "n4"}
         with pytest.raises(StreamVersionError):
             await nodes.nodes["n0"].find("r2", "models")
 
+    async def test_node_out_of_step_does_not_guess(self):
+        """Guards against a node that was cut off or stood still while v2 joined.
+
+        It does not know yet that its view of the store is old.
+        """
+        nodes = make_nodes("v1")
+        for name in ("n1", "n2", "n3", "n4"):
+            nodes.versions[name] = {"v1", "v2"}
+        nodes.nodes["n1"].record("r1", StreamOrigin("models", "v2"))
+        nodes.lost = {"n1", "n2", "n3", "n4"}
+        with pytest.raises(StreamVersionError):
+            await nodes.nodes["n0"].find("r1", "models")
+
     async def test_version_of_another_target_does_not_matter(self):
         """Guards against streams that are refused because their route has moved."""
         nodes = make_nodes("v1", "v2")
