Go on at the next process of a replica that has restarted

Callers beside a request that crashes the only replica of a service got 502 for requests that could run again: the replica that had restarted was excluded by name, as one that had failed them. A connection that is closed because its process is replaced counted as broken only, so that a route for one replica allowed no further one.

A request is placed again at the next process, and the end of the process before counts as a crash. test_request_goes_on_at_the_next_process_of_its_ replica failed before.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -199,7 +199,8 @@
                 # that is down does not answer.
                 if result is Result.CRASHED:
                     result = await self._verify_crash(exc, ticket.replica)
-                self._failed_replicas.add(ticket.replica.name)
+                if not self._directory.has_restarted(ticket.replica):
+                    self._failed_replicas.add(ticket.replica.name)
                 self._log_failure(exc, result)
                 if not self._may_retry(exc, result):
                     raise
@@ -236,6 +237,8 @@
 
     async def _verify_crash(self, exc: TargetError, replica: Replica) -> Result:
         """Return whether a replica crashed, or only the connection or path broke."""
+        if self._directory.is_replaced(replica):
+            return Result.CRASHED
         is_path_broken = self._backend.is_path_broken(replica)
         if not is_path_broken and not isinstance(exc, ReplicaCrashedError):
             return Result.CRASHED
@@ -281,7 +284,9 @@
                 self._splitter.discard_partial_event()
                 if last or not self._may_repeat():
                     raise
-                if not self._directory.has_version(replica):
+                if not self._directory.has_version(replica) or (
+                    self._directory.is_replaced(replica)
+                ):
                     raise
                 self._log_failure(exc, Result.BROKEN)
                 if not await self._may_resend(ticket):
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -96,7 +96,7 @@
         self._on_change = on_change
         self._on_loss = on_loss
         self._on_replaced = on_replaced
-        # Processes that an answer has shown to be gone, oldest first.
+        # Processes at whose address another one runs, oldest first.
         self._replaced: dict[str, None] = {}
         self._records: dict[str, ReplicaRecord] = {}
         self._missing: dict[str, _Missing] = {}
@@ -183,9 +183,6 @@
             return
         if _make_replica(record) != replica:
             return
-        self._replaced[replica.vm] = None
-        if len(self._replaced) > _MAX_REMEMBERED:
-            del self._replaced[next(iter(self._replaced))]
         _LOG.info(
             "another replica answered at the address of a replica",
             extra={"replica": replica.name, "target": record.service},
@@ -194,8 +191,21 @@
         self._report_replaced(record)
 
     def _report_replaced(self, record: ReplicaRecord) -> None:
+        replica = _make_replica(record)
+        self._replaced[replica.vm] = None
+        if len(self._replaced) > _MAX_REMEMBERED:
+            del self._replaced[next(iter(self._replaced))]
         if self._on_replaced is not None:
-            self._on_replaced(_make_replica(record))
+            self._on_replaced(replica)
+
+    def has_restarted(self, replica: Replica) -> bool:
+        """Return whether a later process has registered under the replica's name."""
+        record = self._records.get(replica.name)
+        return record is not None and _make_replica(record).vm != replica.vm
+
+    def is_replaced(self, replica: Replica) -> bool:
+        """Return whether another process is known to run at the replica's address."""
+        return replica.vm in self._replaced
 
     def _report_loss(self, record: ReplicaRecord) -> None:
         replica = _make_replica(record)
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -267,16 +267,8 @@
         self.directory = ReplicaDirectory(clock, lambda changed: None)
         for name in replicas:
             for service in ("models", "orders"):
-                self.directory.put(
-                    ReplicaRecord(
-                        instance=f"{service}-{name}",
-                        service=service,
-                        address="10.0.0.1:80",
-                        zone="z",
-                        slots=4,
-                        version=(versions or {}).get(name, "v1"),
-                    )
-                )
+                version = (versions or {}).get(name, "v1")
+                self.register(service, name, version=version)
         configs = ConfigHolder()
         limiter = StaticSplitLimiter(clock=clock)
         if config is not None:
@@ -318,6 +310,22 @@
             metrics=Metrics(),
         )
 
+    def register(
+        self, service: str, name: str, *, version: str = "v1", born: int = 0
+    ) -> None:
+        """Register a replica of a service."""
+        self.directory.put(
+            ReplicaRecord(
+                instance=f"{service}-{name}",
+                service=service,
+                address="10.0.0.1:80",
+                zone="z",
+                slots=4,
+                version=version,
+                born=born,
+            )
+        )
+
     async def _request_hand_over(
         self, node: str, program: str, amount: int, drawn: dict[str, int]
     ) -> int:
--- a/tests/forwarding/test_forwarder.py
+++ b/tests/forwarding/test_forwarder.py
@@ -133,6 +133,19 @@
         assert sink.status == 200
         assert len({name for name, _ in harness.backend.sent}) == 2
 
+    async def test_request_goes_on_at_the_next_process_of_its_replica(self):
+        """Guards against failures because the only replica has restarted."""
+
+        def restart(name: str, number: int) -> Answer:
+            if number == 0:
+                harness.register("orders", "r1", born=2)
+            return Answer(is_lost=number < 2)
+
+        harness = Harness(restart, replicas=("r1",))
+        sink = await harness.forward("/prices/1")
+        assert sink.body == b"ok"
+        assert len(harness.backend.sent) == 3
+
     async def test_safe_request_is_retried_on_the_same_replica(self):
         """Guards against more replicas than the route allows."""
         harness = Harness(lambda name, n: Answer(is_lost=n == 0))
--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -193,7 +193,10 @@
         """Guards against connections of the previous process that are used again."""
         directory, losses, replaced = self._make_directory()
         directory.put(_make_record("same", born=1))
+        first = directory.get_target("models").replicas[0]
+        assert not directory.has_restarted(first)
         directory.put(_make_record("same", born=2))
+        assert directory.has_restarted(first) and directory.is_replaced(first)
         assert losses == replaced == ["same/1"]
 
     def test_replicas_without_a_start_time_replace_nothing(self):
@@ -211,3 +214,4 @@
         for _ in range(2):
             directory.record_other_instance(replica)
         assert losses == replaced == ["gone/1"]
+        assert directory.is_replaced(replica)
