Keep the registration of a replica whose address another one has

A replica that is replaced stays registered until its entry expires, as before, and is reported as lost once. Replicas are indexed by address. A crash report lists no more begun requests than requests.

--- a/src/fireflyspread/routing/_crash_evidence.py
+++ b/src/fireflyspread/routing/_crash_evidence.py
@@ -92,14 +92,15 @@
         if known is not None:
             ranks = {fingerprint: ranks[fingerprint], **known.ranks}
             begun = {*known.begun, *({fingerprint} & set(begun))}
+        kept = _limit(ranks, fingerprint)
         crash = Crash(
             id=crash_id,
             process=process,
             at=self._clock.read_wall() if known is None else known.at,
-            ranks=_limit(ranks, fingerprint),
+            ranks=kept,
             is_alone=alone and len(ranks) == 1,
             is_shared=shared,
-            begun=tuple(sorted(begun)),
+            begun=tuple(sorted(kept.keys() & set(begun))),
         )
         self._own[crash_id] = crash
         if len(self._own) > _MAX_CRASHES:
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -99,6 +99,7 @@
         # Processes at whose address another one runs, oldest first.
         self._replaced: dict[str, None] = {}
         self._records: dict[str, ReplicaRecord] = {}
+        self._instances_at: dict[str, set[str]] = {}
         self._missing: dict[str, _Missing] = {}
         self._grace_until = 0.0
         self._slots: dict[str, int] = {}
@@ -128,11 +129,13 @@
         """Add or update a registration."""
         self._missing.pop(record.instance, None)
         known = self._records.get(record.instance)
-        if known == record or self._is_outdated(record):
+        if known == record:
             return
         if known is not None:
             self._note_version(known)
+            self._forget_address(known)
         self._records[record.instance] = record
+        self._instances_at.setdefault(record.address, set()).add(record.instance)
         _LOG.info(
             "replica registered",
             extra={
@@ -146,32 +149,24 @@
         if known is not None and known.born != record.born:
             self._report_loss(known)
             self._report_replaced(known)
-        for other in self._list_replaced_by(record):
-            self._drop(other)
-            self._report_replaced(other)
+        for instance in tuple(self._instances_at[record.address]):
+            other = self._records[instance]
+            if 0 < other.born < record.born:
+                # Its entry goes when it expires.
+                self._report_other_process(other)
         self._notify({record.service} | ({known.service} if known else set()))
 
-    def _is_outdated(self, record: ReplicaRecord) -> bool:
-        """Return whether a replica that started later has the address."""
-        return any(
-            0 < record.born < other.born
-            for other in self._list_others_at_address(record)
-        )
-
-    def _list_replaced_by(self, record: ReplicaRecord) -> list[ReplicaRecord]:
-        """Return the registrations of processes that ran at the address before."""
-        return [
-            other
-            for other in self._list_others_at_address(record)
-            if 0 < other.born < record.born
-        ]
+    def _forget_address(self, record: ReplicaRecord) -> None:
+        instances = self._instances_at[record.address]
+        instances.discard(record.instance)
+        if not instances:
+            del self._instances_at[record.address]
 
-    def _list_others_at_address(self, record: ReplicaRecord) -> list[ReplicaRecord]:
-        return [
-            other
-            for other in self._records.values()
-            if other.address == record.address and other.instance != record.instance
-        ]
+    def _report_other_process(self, record: ReplicaRecord) -> None:
+        """Report once that a process is gone, because another has its address."""
+        if not self.is_replaced(_make_replica(record)):
+            self._report_loss(record)
+            self._report_replaced(record)
 
     def record_other_instance(self, replica: Replica) -> None:
         """Record that another replica has answered at the address of ``replica``.
@@ -179,16 +174,14 @@
         While the store is unavailable nothing else tells that it is gone.
         """
         record = self._records.get(replica.name)
-        if record is None or replica.vm in self._replaced:
-            return
-        if _make_replica(record) != replica:
+        is_known = record is not None and _make_replica(record) == replica
+        if record is None or not is_known or self.is_replaced(replica):
             return
         _LOG.info(
             "another replica answered at the address of a replica",
             extra={"replica": replica.name, "target": record.service},
         )
-        self._report_loss(record)
-        self._report_replaced(record)
+        self._report_other_process(record)
 
     def _report_replaced(self, record: ReplicaRecord) -> None:
         replica = _make_replica(record)
@@ -210,6 +203,7 @@
     def _report_loss(self, record: ReplicaRecord) -> None:
         replica = _make_replica(record)
         is_expected = record.is_draining or self.is_leaving(replica)
+        is_expected |= self.is_replaced(replica)
         if self._on_loss is not None and not is_expected:
             self._on_loss(replica)
 
@@ -269,7 +263,8 @@
 
     def _drop(self, record: ReplicaRecord) -> None:
         self._note_version(record)
-        self._records.pop(record.instance, None)
+        if self._records.pop(record.instance, None) is not None:
+            self._forget_address(record)
         self._report_loss(record)
         _LOG.info(
             "replica removed",
