--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -252,7 +252,9 @@
         }
 
     async def _answer(self, request: web.Request) -> web.StreamResponse:
-        if request.transport in self._silent_transports:
+        is_closed = request.transport is None and self.faults.stays_silent
+        if is_closed or request.transport in self._silent_transports:
+            # The previous process got the request.
             await asyncio.Event().wait()
         target = request.headers.get(_PREFIX + "Target-Instance")
         headers = self._make_headers(request)
