End a trial at a node whose grant was lost

A request whose node did not answer in time could leave a trial there, so that equal requests were refused for as long as its deadline allows. Found by reading; test_lost_answer_of_a_node_leaves_no_trial failed before.

--- a/src/fireflyspread/routing/_trials.py
+++ b/src/fireflyspread/routing/_trials.py
@@ -225,6 +225,8 @@
                 raise
             except PeerError as exc:
                 _LOG.info("trial not granted by another node: %s", exc)
+                # Its answer may be lost.
+                self._start_report(node, fingerprint, request, is_answered=False)
                 self._unreachable_until[node] = now + _UNREACHABLE_BACKOFF
                 continue
             return node if is_granted else None
--- a/tests/routing/test_trials.py
+++ b/tests/routing/test_trials.py
@@ -31,10 +31,17 @@
 
 @define
 class Network(TrialPeers):
-    """Trial tables of nodes that reach each other, but for those that are cut off."""
+    """Trial tables of nodes that reach each other.
+
+    Attributes
+    ----------
+    cut, lossy : set of str
+        Nodes that get no messages, and nodes whose grants are lost.
+    """
 
     tables: dict[str, TrialTable] = field(factory=dict)
     cut: set[str] = field(factory=set)
+    lossy: set[str] = field(factory=set)
     messages: int = 0
 
     async def begin(self, node, fingerprint, request, *, seconds):
@@ -42,10 +49,15 @@
         await asyncio.sleep(0)
         if node in self.cut:
             raise PeerError(f"{node} does not answer")
-        return self.tables[node].begin(fingerprint, request, seconds=seconds)
+        is_granted = self.tables[node].begin(fingerprint, request, seconds=seconds)
+        if node in self.lossy:
+            raise PeerError(f"the answer of {node} is lost")
+        return is_granted
 
     async def end(self, node, fingerprint, request, *, is_answered):
         await asyncio.sleep(0)
+        if node in self.cut:
+            raise PeerError(f"{node} does not answer")
         self.tables[node].end(fingerprint, request, is_answered=is_answered)
 
     def make_trials(self, count: int = 3) -> list[Trials]:
@@ -134,6 +146,23 @@
         for number, each in enumerate(nodes):
             assert await _begin(each, f"r{number}") is not None
 
+    @in_virtual_time
+    async def test_lost_answer_of_a_node_leaves_no_trial(self) -> None:
+        """Guards against a trial that its request does not know of."""
+        network = Network(lossy={"n0", "n1", "n2"})
+        nodes = network.make_trials()
+        trials = [await _begin(each, f"r{i}") for i, each in enumerate(nodes)]
+        network.lossy.clear()
+        for each, trial in zip(nodes, trials, strict=True):
+            assert trial is not None
+            each.end(trial, is_answered=False)
+        await asyncio.sleep(1.1)
+        for number, each in enumerate(nodes):
+            trial = await _begin(each, f"s{number}")
+            assert trial is not None
+            each.end(trial, is_answered=False)
+            await asyncio.sleep(0.01)
+
     @in_virtual_time
     async def test_waiting_ends_without_a_trial_when_the_evidence_is_gone(self) -> None:
         """Guards against a wait for a trial that another answer has made needless."""
