--- a/src/fireflyspread/routing/_crash_evidence.py
+++ b/src/fireflyspread/routing/_crash_evidence.py
@@ -109,8 +109,8 @@
         self._merge()
         return crash
 
-    def add_presumed(self, process: str, fingerprint: str, rank: int) -> None:
-        """Add a crash whose only sign is a request without an answer."""
+    def add_presumed(self, process: str, fingerprint: str, rank: int) -> str:
+        """Add a crash that is presumed until its request is answered; return its id."""
         self._presumed_count += 1
         crash_id = f"{process}?{self._incarnation}.{self._presumed_count}"
         self._own[crash_id] = Crash(
@@ -124,16 +124,26 @@
             self._drop_weakest(keep=crash_id)
         self.number += 1
         self._merge()
+        return crash_id
+
+    def withdraw_presumed(self, crash_id: str) -> None:
+        """Drop a presumed crash that did not happen."""
+        if self._own.pop(crash_id, None) is not None:
+            self.number += 1
+            self._merge()
 
     def _drop_weakest(self, *, keep: str) -> None:
-        """Drop the oldest of the crashes that belong to the shortest series."""
+        """Drop the oldest of the crashes that belong to the shortest series.
+
+        Presumed crashes go first; there may be one for each request on trial.
+        """
 
-        def count_series(crash: Crash) -> int:
+        def rate(crash: Crash) -> tuple[bool, int]:
             known = (len(self.crashes_of.get(name, ())) for name in crash.ranks)
-            return max(known, default=0)
+            return not crash.is_presumed, max(known, default=0)
 
         others = (crash for crash in self._own.values() if crash.id != keep)
-        weakest = min(others, key=count_series)
+        weakest = min(others, key=rate)
         del self._own[weakest.id]
         if weakest.ranks:
             _LOG.warning(
--- a/src/fireflyspread/routing/_crashes.py
+++ b/src/fireflyspread/routing/_crashes.py
@@ -35,7 +35,7 @@
     is_shared : bool
         Whether the replica reported requests of other nodes.
     is_presumed : bool
-        Whether the only sign of the crash is that a suspected request got no answer.
+        Whether the only sign of the crash is a request on trial that is not answered.
     begun : tuple of str
         Fingerprints whose requests had all begun to be answered.
     """
@@ -125,7 +125,7 @@
     is_outage : bool
         Whether several replicas crashed at about the same time.
     is_presumed : bool
-        Whether the only sign of the crash is that the request got no answer.
+        Whether the only sign of the crash is that the request is not answered.
     """
 
     process: str
--- a/src/fireflyspread/routing/_isolation.py
+++ b/src/fireflyspread/routing/_isolation.py
@@ -18,8 +18,9 @@
 _LOG = logging.getLogger(__name__)
 
 # Results that leave open whether the replica still runs.
-_WITHOUT_ANSWER = frozenset({Result.BROKEN, Result.CANCELLED, Result.TIMED_OUT})
-_UNANSWERED = _WITHOUT_ANSWER | {Result.ABANDONED}
+_UNANSWERED = frozenset(
+    {Result.ABANDONED, Result.BROKEN, Result.CANCELLED, Result.TIMED_OUT}
+)
 # Seconds from the return of a replica until its new registration is known.
 _MIN_LOSS_DELAY = 0.5
 
@@ -184,8 +185,6 @@
             )
         elif result is Result.ANSWERED:
             self._quarantine.record_answer(fingerprint, isolated=run.is_isolated)
-        elif result in _WITHOUT_ANSWER:
-            self._quarantine.record_unanswered(fingerprint, process)
         self._quarantine.finish(fingerprint, process, unanswered=result in _UNANSWERED)
         if run.is_isolated:
             self.release(ticket.work, run.state)
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -57,6 +57,9 @@
 _TRIAL_WAIT_FRACTION = 1 / 3
 # Seconds after the deadline of a request at which its trial ends by itself.
 _TRIAL_MARGIN = 1.0
+_WITHOUT_ANSWER = frozenset(
+    {Result.BROKEN, Result.CANCELLED, Result.CRASHED, Result.TIMED_OUT}
+)
 _NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE, Result.UNSENT})
 
 
@@ -168,6 +171,10 @@
                 # A replica has crashed with an equal request while this one waited.
                 self.release(ticket, Result.UNSENT)
                 continue
+            if trial is not None:
+                ticket.presumed_crash = self.quarantine.presume_crash(
+                    work.fingerprint, identify_process(ticket.replica)
+                )
             return ticket
 
     def _needs_trial(self, work: Work) -> bool:
@@ -468,6 +475,7 @@
             )
             return
         self._isolation.record_result(ticket, run, result, self._leaving_vms)
+        self._settle_presumed_crash(ticket, result)
         self._end_trial(ticket.trial, is_answered=result is Result.ANSWERED)
         if result is Result.FAILED:
             result = Result.ANSWERED
@@ -479,9 +487,21 @@
             run.state.queue.settle(work, 0.0)
         self._dispatch(run.state)
 
+    def _settle_presumed_crash(self, ticket: Ticket, result: Result) -> None:
+        crash_id, ticket.presumed_crash = ticket.presumed_crash, None
+        if crash_id is None:
+            return
+        if result in _WITHOUT_ANSWER:
+            self.quarantine.confirm_presumed(
+                ticket.work.fingerprint, identify_process(ticket.replica)
+            )
+        else:
+            self.quarantine.withdraw_presumed(crash_id)
+
     def record_begin(self, ticket: Ticket) -> None:
         process = identify_process(ticket.replica)
         self.quarantine.record_begin(ticket.work.fingerprint, process)
+        self._settle_presumed_crash(ticket, Result.ABANDONED)
         self._end_trial(ticket.trial, is_answered=True)
         ticket.trial = None
 
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -240,24 +240,39 @@
         )
         self._judge(is_urgent=max(crash.ranks.values()) > 1)
 
-    def record_unanswered(self, fingerprint: str, process: str) -> None:
-        """Record that a request ended without an answer, for whatever reason.
+    def presume_crash(self, fingerprint: str, process: str) -> str | None:
+        """Count a request on trial as one that crashes its replica until it ends.
 
-        Call this before ``finish``. A request that was in flight at a crash may have
-        crashed this replica too, which nothing may ever tell.
+        Nothing may ever tell that it does: its caller may leave before, its node may be
+        killed, or the replica falls silent.
+
+        Returns
+        -------
+        str or None
+            Id of the presumed crash.
         """
         runs = self._in_flight.get(process, {}).get(fingerprint)
         if not self._policy.presumes_crashes or not runs:
-            return
-        run = runs[0]
-        if run.rank == 1 or run.has_begun or not self.needs_trial(fingerprint):
-            return
-        self._evidence.add_presumed(process, fingerprint, run.rank)
+            return None
+        rank = runs[-1].rank
+        if rank == 1 or not self.needs_trial(fingerprint):
+            return None
+        crash_id = self._evidence.add_presumed(process, fingerprint, rank)
+        self._judge()
+        return crash_id
+
+    def withdraw_presumed(self, crash_id: str) -> None:
+        """Drop a presumed crash, because its request has ended otherwise."""
+        self._evidence.withdraw_presumed(crash_id)
+        self._judge()
+
+    def confirm_presumed(self, fingerprint: str, process: str) -> None:
+        """Tell the other nodes of a request on trial that got no answer."""
         _LOG.info(
             "request suspected of crashing replicas got no answer",
-            extra={"fingerprint": fingerprint, "replica": process, "rank": run.rank},
+            extra={"fingerprint": fingerprint, "replica": process},
         )
-        self._judge(is_urgent=True)
+        self.on_change(True)
 
     def needs_trial(self, fingerprint: str) -> bool:
         """Return whether the fingerprint may crash replicas that begin to run it.
--- a/src/fireflyspread/routing/_scheduler.py
+++ b/src/fireflyspread/routing/_scheduler.py
@@ -75,6 +75,8 @@
         Monotonic seconds.
     trial : Trial or None
         Trial of a request that may crash its replica.
+    presumed_crash : str or None
+        Id of the crash that counts until the trial has ended otherwise.
     """
 
     work: Work
@@ -82,6 +84,7 @@
     replica: Replica
     started_at: float = field()
     trial: Trial | None = None
+    presumed_crash: str | None = None
 
 
 @frozen(kw_only=True)
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -434,7 +434,7 @@
         """Send a request that ends without an answer, and tell all nodes."""
         nodes.send(node, "p", process)
         nodes.in_flight.clear()
-        nodes.quarantines[node].record_unanswered("p", process)
+        nodes.quarantines[node].presume_crash("p", process)
         nodes.quarantines[node].finish("p", process, unanswered=True)
         nodes.clock.advance(1.0)
         nodes.exchange()
@@ -479,9 +479,45 @@
             nodes.send(0, "p", f"r{number}")
         nodes.crash("r0")
         for number in range(1, 4):
-            nodes.quarantines[0].record_unanswered("p", f"r{number}")
+            assert nodes.quarantines[0].presume_crash("p", f"r{number}") is None
         assert nodes.quarantines[0].list_suspects() == ()
 
+    def test_presumed_crashes_displace_no_others(self) -> None:
+        """Guards against a crash that is forgotten because many requests retry."""
+        nodes = Nodes.with_size(1)
+        names = [f"p{number}" for number in range(90)]
+        for name in names:
+            nodes.send(0, name, "r0")
+        nodes.crash("r0")
+        for name in names:
+            nodes.send(0, name, "r1")
+            assert nodes.quarantines[0].presume_crash(name, "r1") is not None
+        assert all(nodes.quarantines[0].needs_trial(name) for name in names)
+
+    def test_request_on_trial_counts_before_it_ends(self) -> None:
+        """Guards against trials of nodes that are killed before their replicas end."""
+        nodes = Nodes.with_size(3)
+        nodes.run(0, "p", "r0")
+        for node in (1, 2):
+            nodes.send(node, "p", f"r{node}")
+            nodes.quarantines[node].presume_crash("p", f"r{node}")
+            nodes.exchange()
+        assert nodes.is_quarantined("p") == [True] * 3
+
+    def test_withdrawn_crash_counts_no_more(self) -> None:
+        """Guards against refusals after a caller left in the middle of a stream."""
+        nodes = Nodes.with_size(2)
+        nodes.run(0, "p", "r0")
+        for _ in range(5):
+            nodes.send(0, "p", "r1")
+            crash_id = nodes.quarantines[0].presume_crash("p", "r1")
+            assert crash_id is not None
+            nodes.exchange()
+            nodes.quarantines[0].withdraw_presumed(crash_id)
+            nodes.quarantines[0].finish("p", "r1")
+            nodes.exchange()
+        assert nodes.is_quarantined("p") == [False, False]
+
     def test_request_without_a_crash_is_never_held_back(self) -> None:
         """Guards against refusing requests because replicas are slow."""
         nodes = Nodes.with_size(1)
