--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -9,7 +9,7 @@
 
 from fireflyspread.bundle import Replica, Target
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import OverloadedError, QuarantinedError
+from fireflyspread.exceptions import OverloadedError
 from fireflyspread.limits import ReplicaLimiter
 from fireflyspread.routing._crashes import identify_process
 from fireflyspread.routing._health import ReplicaHealth
@@ -37,7 +37,8 @@
     Work,
 )
 from fireflyspread.routing._target import TargetState
-from fireflyspread.routing._trials import Trial, Trials
+from fireflyspread.routing._trial_gate import TrialGate
+from fireflyspread.routing._trials import Trials
 from fireflyspread.settings import Settings
 
 __all__ = ["PolicyScheduler"]
@@ -51,15 +52,6 @@
 _TICK_SECONDS = 0.1
 # Intervals of ``Hello`` messages after which the neighbours have reported a crash.
 _HELLO_INTERVALS = 2
-# Maximum wait (seconds, and fraction of the time until the deadline) while an equal
-# request is on trial. Most are answered within a fraction of a second.
-_MAX_TRIAL_WAIT = 1.0
-_TRIAL_WAIT_FRACTION = 1 / 3
-# Seconds after the deadline of a request at which its trial ends by itself.
-_TRIAL_MARGIN = 1.0
-_WITHOUT_ANSWER = frozenset(
-    {Result.BROKEN, Result.CANCELLED, Result.CRASHED, Result.TIMED_OUT}
-)
 _NOT_RUN = frozenset({Result.REFUSED, Result.UNREACHABLE, Result.UNSENT})
 
 
@@ -106,7 +98,6 @@
         trials: Trials | None = None,
     ) -> None:
         self._clock = clock
-        self._trials = trials
         self._queue_factory = queue_factory
         self._placement = placement or PrefixAwarePlacement(rng)
         self._health_factory = health_factory
@@ -125,6 +116,7 @@
         self._target_of_replica: dict[str, TargetState] = {}
         self.quarantine = quarantine or Quarantine(clock)
         self._isolation = isolation_factory(self.quarantine, rng)
+        self._gate = TrialGate(trials, self.quarantine, clock)
         self._permits = Permits(replica_limiter)
 
     @classmethod
@@ -156,60 +148,24 @@
         self._admit(work, state)
         enqueued_at = self._clock.read_monotonic()
         while True:
-            trial = await self._begin_trial(work)
+            trial = await self._gate.begin(work)
             try:
                 ticket = await self._wait_for_slot(work, state, enqueued_at)
             except BaseException:
-                self._end_trial(trial, is_answered=False)
+                self._gate.cancel(trial)
                 raise
             ticket.trial = trial
             if not await self._take_permit(ticket):
                 continue
             # Another request may ask for the next permit of the replica now.
             self._dispatch(state)
-            if trial is None and self._needs_trial(work):
+            if trial is None and self._gate.is_needed(work):
                 # A replica has crashed with an equal request while this one waited.
                 self.release(ticket, Result.UNSENT)
                 continue
-            if trial is not None:
-                ticket.presumed_crash = self.quarantine.presume_crash(
-                    work.fingerprint, identify_process(ticket.replica)
-                )
+            self._gate.record_start(ticket)
             return ticket
 
-    def _needs_trial(self, work: Work) -> bool:
-        return self._trials is not None and self.quarantine.needs_trial(
-            work.fingerprint
-        )
-
-    async def _begin_trial(self, work: Work) -> Trial | None:
-        """Wait until a request that was in flight at a crash may run."""
-        if self._trials is None or not self._needs_trial(work):
-            return None
-        now = self._clock.read_monotonic()
-        try:
-            trial = await self._trials.begin(
-                work.fingerprint,
-                work.request,
-                seconds=max(0.0, work.deadline - now) + _TRIAL_MARGIN,
-                max_wait=min(
-                    _MAX_TRIAL_WAIT, _TRIAL_WAIT_FRACTION * (work.deadline - now)
-                ),
-                is_needed=lambda: self._needs_trial(work),
-            )
-        except TimeoutError as exc:
-            raise make_on_trial(work.fingerprint) from exc
-        try:
-            self.check_quarantine(work.fingerprint)
-        except QuarantinedError:
-            self._end_trial(trial, is_answered=False)
-            raise
-        return trial
-
-    def _end_trial(self, trial: Trial | None, *, is_answered: bool) -> None:
-        if trial is not None and self._trials is not None:
-            self._trials.end(trial, is_answered=is_answered)
-
     async def _take_permit(self, ticket: Ticket) -> bool:
         """Take a permit of the replica; without one, release its slot."""
         is_permitted = False
@@ -221,7 +177,7 @@
         return is_permitted
 
     async def acquire_resend(self, ticket: Ticket, *, max_wait: float) -> None:
-        if self._needs_trial(ticket.work):
+        if self._gate.is_needed(ticket.work):
             raise make_on_trial(ticket.work.fingerprint)
         await self._permits.take_for_resend(ticket, max_wait=max_wait)
 
@@ -475,8 +431,7 @@
             )
             return
         self._isolation.record_result(ticket, run, result, self._leaving_vms)
-        self._settle_presumed_crash(ticket, result)
-        self._end_trial(ticket.trial, is_answered=result is Result.ANSWERED)
+        self._gate.record_end(ticket, result)
         if result is Result.FAILED:
             result = Result.ANSWERED
         seconds = self._clock.read_monotonic() - ticket.started_at
@@ -487,23 +442,8 @@
             run.state.queue.settle(work, 0.0)
         self._dispatch(run.state)
 
-    def _settle_presumed_crash(self, ticket: Ticket, result: Result) -> None:
-        crash_id, ticket.presumed_crash = ticket.presumed_crash, None
-        if crash_id is None:
-            return
-        if result in _WITHOUT_ANSWER:
-            self.quarantine.confirm_presumed(
-                ticket.work.fingerprint, identify_process(ticket.replica)
-            )
-        else:
-            self.quarantine.withdraw_presumed(crash_id)
-
     def record_begin(self, ticket: Ticket) -> None:
-        process = identify_process(ticket.replica)
-        self.quarantine.record_begin(ticket.work.fingerprint, process)
-        self._settle_presumed_crash(ticket, Result.ABANDONED)
-        self._end_trial(ticket.trial, is_answered=True)
-        ticket.trial = None
+        self._gate.record_begin(ticket)
 
     def may_retry(self, work: Work) -> bool:
         return self._retries.take()
