Give each test process ports that no other process is given

Callers of the tests saw clusters that did not start: "cannot listen on 127.0.0.1:22502: address already in use" and "not all nodes know all loan servers" (a loan server that could not listen), in 3 of 108 plays of one test, twelve at a time.

Cause: find_free_port knew only the ports of its own process. Two test processes could choose the same port, each before the other one listened.

Change: each process binds the first port of a block of 1,000 ports for as long as it runs, and takes its ports from this block in turn. 22 test processes fit.

--- a/standins/_base.py
+++ b/standins/_base.py
@@ -30,9 +30,6 @@
 # Bodies carry whole histories; the oldest entries are dropped above this size.
 MAX_LOG_BYTES = 256 << 20
 
-# Clusters of the same test run must not share ports.
-_allocated_ports: set[int] = set()
-
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -395,15 +392,60 @@
 
 
 def find_free_port() -> int:
-    """Return a free TCP port of the loopback address.
+    """Return a TCP port of the loopback address that no other process is given.
 
     Ephemeral ports of outgoing connections start at 32768; a lower port cannot be
     taken by one of them before the process that receives it listens.
+
+    Raises
+    ------
+    RuntimeError
+        All ports, or the blocks of all processes, are in use.
     """
-    while True:
-        port = secrets.randbelow(22_000) + 10_000
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind(("127.0.0.1", port))
-            if port not in _allocated_ports:
-                _allocated_ports.add(port)
-                return port
+    return _ports.take()
+
+
+class _PortBlock:
+    """Ports that no other process uses.
+
+    The first port of the block stays bound until the process ends. Otherwise two test
+    processes could be given the same port before one of them listens. A port returns
+    after all others of the block, if it is free by then.
+    """
+
+    _FIRST = 10_000
+    _SIZE = 1_000
+    _COUNT = 22
+
+    def __init__(self) -> None:
+        self._lock: socket.socket | None = None
+        self._ports: deque[int] = deque()
+
+    def take(self) -> int:
+        """Return a free port."""
+        if self._lock is None:
+            self._lock = self._bind_block()
+        for _ in range(len(self._ports)):
+            self._ports.rotate(-1)
+            with socket.socket() as probe, contextlib.suppress(OSError):
+                probe.bind(("127.0.0.1", self._ports[-1]))
+                return self._ports[-1]
+        raise RuntimeError("all ports are in use; end unused clusters of this process")
+
+    def _bind_block(self) -> socket.socket:
+        blocks = [self._FIRST + self._SIZE * n for n in range(self._COUNT)]
+        secrets.SystemRandom().shuffle(blocks)
+        for first in blocks:
+            lock = socket.socket()
+            try:
+                lock.bind(("127.0.0.1", first))
+                lock.listen()
+            except OSError:
+                lock.close()
+                continue
+            self._ports.extend(range(first + 1, first + self._SIZE))
+            return lock
+        raise RuntimeError("all blocks of ports are in use; end other test processes")
+
+
+_ports = _PortBlock()
