Count a crash in the round of the earliest request that it cut off

Change: the crash has the lowest rank of the equal requests in flight, in one node and when reports of several nodes are merged.

Evidence: both cases of the new unit test fail on the version before.

--- a/src/fireflyspread/routing/_crashes.py
+++ b/src/fireflyspread/routing/_crashes.py
@@ -29,7 +29,8 @@
         Fingerprints of the node's requests that were in flight and that no replica has
         answered since. The rank counts crashes one after the other: a request that was
         sent before its node knew of any crash with the same fingerprint has rank 1, one
-        that was sent after a crash of rank 1 has rank 2.
+        that was sent after a crash of rank 1 has rank 2. The lowest rank of equal
+        requests counts, because the earliest of them may be the cause.
     is_alone : bool
         Whether the node sent nothing else to the replica.
     is_shared : bool
@@ -99,7 +100,7 @@
         """Add the report of one more node."""
         self.at = min(self.at, crash.at)
         for fingerprint, rank in crash.ranks.items():
-            self.ranks[fingerprint] = max(rank, self.ranks.get(fingerprint, 0))
+            self.ranks[fingerprint] = min(rank, self.ranks.get(fingerprint, rank))
         if crash.is_alone:
             self.alone.update(crash.ranks)
         self.waiting.update(crash.ranks.keys() - set(crash.begun))
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -210,13 +210,14 @@
         shared : bool
             Whether the replica reported requests of other nodes.
         ranks : dict of str to int or None
-            Ranks of the requests that count; those in flight by default.
+            Ranks of the requests that count; the lowest of those in flight by default.
         """
         self._refresh()
         in_flight = self._in_flight.get(process, {})
         begun = [n for n, runs in in_flight.items() if all(r.has_begun for r in runs)]
         if ranks is None:
-            ranks = {n: max(run.rank for run in runs) for n, runs in in_flight.items()}
+            # A request sent before any crash may be the cause, whatever came later.
+            ranks = {n: min(run.rank for run in runs) for n, runs in in_flight.items()}
         ranks.setdefault(fingerprint, 1 + self._evidence.read_rank(fingerprint))
         crash = self._evidence.add(
             process,
--- a/tests/routing/test_crash_series.py
+++ b/tests/routing/test_crash_series.py
@@ -1,5 +1,6 @@
 """Quarantine after a series of crashes, judged by several nodes."""
 
+import pytest
 from attrs import define, field
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -133,6 +134,24 @@
             nodes.exchange()
         assert nodes.is_quarantined("popular") == [False] * 4
 
+    @pytest.mark.parametrize("older", [0, 1])
+    def test_retry_cut_off_together_with_an_older_request_adds_no_crash(
+        self, older
+    ) -> None:
+        """Guards against a quarantine for requests that two crashes cut off.
+
+        A request that the first crash cut off is sent to the second replica before its
+        crash is known; node ``older`` has an equal one there since before.
+        """
+        nodes = Nodes.with_size(2)
+        nodes.send(0, "p", "r1")
+        nodes.send(older, "p", "r2")
+        nodes.crash("r1")
+        nodes.send(0, "p", "r2")
+        nodes.crash("r2")
+        nodes.exchange()
+        assert [each.list_suspects() for each in nodes.quarantines] == [()] * 2
+
     def test_answer_at_any_node_ends_the_series(self) -> None:
         """Guards against a quarantine of requests that are answered in between."""
         nodes = Nodes.with_size(3)
