Tell the other nodes which replicas say that they are leaving

Until now each node learned it from an answer that it passed on itself, so that a service with n nodes sent up to n requests to a replica that drains, and a node that had restarted sent one more.

Cause: the statement of a replica was a fact of one node.

Only registered processes are told, so that messages stay short after a release. A node that has just started asks a neighbour.

--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -49,10 +49,7 @@
     register_turn_handlers,
 )
 from fireflyspread.metrics import Metrics
-from fireflyspread.nodes import (
-    PeerClient,
-    PeerServer,
-)
+from fireflyspread.nodes import LeavingExchange, PeerClient, PeerServer
 from fireflyspread.platform import (
     CONFIG_KEY,
     OPERATORS_PREFIX,
@@ -202,6 +199,14 @@
         )
         self._client = PeerClient(fail_fast=True)
         self._server = PeerServer(settings.listen.peers, node=self._name)
+        self._leaving_exchange = LeavingExchange(
+            self._client,
+            self._directory,
+            node=self._name,
+            list_members=self._roster.list_peers,
+            rng=self._rng,
+        )
+        self._leaving_exchange.register(self._server)
 
     def _build_limiters(self) -> None:
         self._limiters = NodeLimiters(
@@ -451,6 +456,7 @@
         self._spawn(self._crash_exchange.run())
         self._spawn(self._loan_log.run())
         self._spawn(self._limiters.run())
+        self._spawn(self._leaving_exchange.run())
         self._spawn(self._streams.run())
         self._spawn(self._turn_writer.run())
         self._spawn(self._expire_directory())
--- a/src/fireflyspread/nodes/__init__.py
+++ b/src/fireflyspread/nodes/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflyspread.nodes._fences import FenceGuard
 from fireflyspread.nodes._gossip import Gossip, find_neighbours
+from fireflyspread.nodes._leaving_replicas import LeavingExchange
 from fireflyspread.nodes._messages import (
     MESSAGE_VERSION,
     AcquireTokens,
@@ -14,6 +15,7 @@
     ConfirmFence,
     EndTrial,
     ExchangeCrashes,
+    ExchangeLeaving,
     ExchangeLimits,
     Failed,
     FenceConfirmed,
@@ -86,6 +88,7 @@
     "ExchangeCrashes",
     "TrialBegun",
     "TrialEnded",
+    "ExchangeLeaving",
     "ExchangeLimits",
     "Failed",
     "FenceConfirmed",
@@ -96,6 +99,7 @@
     "HOPS_HEADER",
     "HoldRecords",
     "Identity",
+    "LeavingExchange",
     "LimitExchange",
     "ListLoans",
     "LoanNoted",
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -19,6 +19,7 @@
     "ConfirmFence",
     "EndTrial",
     "ExchangeCrashes",
+    "ExchangeLeaving",
     "ExchangeLimits",
     "Failed",
     "FenceConfirmed",
@@ -451,6 +452,18 @@
     limits: dict[str, tuple[float | None, float]]
 
 
+class ExchangeLeaving(Message, frozen=True, kw_only=True):
+    """Replicas that are leaving; answered with those that the receiver knows.
+
+    Attributes
+    ----------
+    replicas : dict of str to float
+        Seconds since the replica said so, by replica process.
+    """
+
+    replicas: dict[str, float]
+
+
 class RecordStreams(Message, frozen=True, kw_only=True):
     """Asks to remember streams.
 
@@ -614,6 +627,7 @@
     | RecordsTaken
     | ExchangeCrashes
     | ExchangeLimits
+    | ExchangeLeaving
     | RecordStreams
     | StreamsRecorded
     | FindStream
--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -106,8 +106,10 @@
         # When a service last had a replica of a version, in monotonic seconds.
         self._versions_seen: dict[tuple[str, str], float] = {}
         self._targets: dict[str, Target] = {}
-        # Processes that said in an answer that they are leaving, oldest first.
-        self._leaving: dict[str, None] = {}
+        # When processes said in an answer that they are leaving, in monotonic seconds;
+        # in the order in which this node learned it.
+        self._leaving: dict[str, float] = {}
+        self._leaving_listeners: list[Callable[[], None]] = []
 
     def set_slots(self, slots: Mapping[str, int]) -> None:
         """Set the slots per replica that the configuration gives for services."""
@@ -207,6 +209,10 @@
         if self._on_loss is not None and not is_expected:
             self._on_loss(replica)
 
+    def add_leaving_listener(self, listener: Callable[[], None]) -> None:
+        """Call ``listener`` when one more registered replica is known to be leaving."""
+        self._leaving_listeners.append(listener)
+
     def mark_leaving(self, replica: Replica) -> None:
         """Record that a replica has said that it is leaving.
 
@@ -215,9 +221,7 @@
         """
         if self.is_leaving(replica):
             return
-        self._leaving[replica.vm] = None
-        if len(self._leaving) > _MAX_REMEMBERED:
-            del self._leaving[next(iter(self._leaving))]
+        self._remember_leaving(replica.vm, self._clock.read_monotonic())
         record = self._records.get(replica.name)
         service = None if record is None else record.service
         _LOG.info(
@@ -225,10 +229,59 @@
             extra={"replica": replica.name, "target": service},
         )
         if service is not None:
-            self._notify({service})
+            self._notify_leaving({service})
+
+    def merge_leaving(self, node: str, ages: Mapping[str, float]) -> None:
+        """Take over which replicas another node knows to be leaving.
+
+        Parameters
+        ----------
+        ages : mapping of str to float
+            Seconds since the replica said so, by process.
+        """
+        now = self._clock.read_monotonic()
+        added = ages.keys() - self._leaving.keys()
+        if not added:
+            return
+        for process in sorted(added)[:_MAX_REMEMBERED]:
+            self._remember_leaving(process, now - max(0.0, ages[process]))
+        services = set()
+        for record in self._records.values():
+            if _make_replica(record).vm in added:
+                services.add(record.service)
+                _LOG.info(
+                    "replica is leaving, as another node says",
+                    extra={
+                        "replica": record.instance,
+                        "target": record.service,
+                        "node": node,
+                    },
+                )
+        self._notify_leaving(services)
+
+    def _remember_leaving(self, process: str, at: float) -> None:
+        self._leaving[process] = at
+        if len(self._leaving) > _MAX_REMEMBERED:
+            del self._leaving[next(iter(self._leaving))]
+
+    def _notify_leaving(self, services: set[str]) -> None:
+        if services:
+            self._notify(services)
+            for listener in self._leaving_listeners:
+                listener()
+
+    def read_leaving_ages(self) -> dict[str, float]:
+        """Return the registered processes that are leaving, and for how long."""
+        now = self._clock.read_monotonic()
+        processes = (_make_replica(record).vm for record in self._records.values())
+        return {
+            process: max(0.0, now - self._leaving[process])
+            for process in processes
+            if process in self._leaving
+        }
 
     def is_leaving(self, replica: Replica) -> bool:
-        """Return whether a replica has said that it is leaving."""
+        """Return whether a replica has said that it is leaving, here or elsewhere."""
         return replica.vm in self._leaving
 
     def list_leaving(self) -> list[str]:
--- a/tests/gateway/test_leaving_replicas.py
+++ b/tests/gateway/test_leaving_replicas.py
@@ -1,6 +1,7 @@
 """Gateways and replicas that say in their answers that they leave."""
 
 import asyncio
+import signal
 import time
 from collections.abc import AsyncIterator
 
@@ -12,6 +13,8 @@
 
 # Seconds after its first such answer for which a node may still use the replica.
 _DRAIN_SECONDS = 2.0
+# Seconds within which the other nodes know it, also one that has just started.
+_EXCHANGE_SECONDS = 1.5
 _PATHS = {"safe": "/prices/", "unsafe": "/orders/", "stream": "/turns/stream/"}
 
 
@@ -89,6 +92,33 @@
             assert leaving[1].arrived
             assert _count_late(leaving, len(cluster.nodes)) == 0
 
+    @pytest.mark.parametrize("trouble", ["none", "store hangs", "node restarts"])
+    async def test_get_nothing_from_nodes_that_passed_on_no_answer(
+        self, tmp_path, session, trouble
+    ):
+        """Guards against nodes each of which learns it from a request of its own."""
+        async with Cluster(tmp_path, nodes=3, replicas=2) as cluster:
+            leaving = cluster.orders[0]
+            leaving.faults.leaving = True
+            if trouble == "store hangs":
+                cluster.store.faults.down = "hang"
+            first, *others = cluster.nodes
+            for number in range(50):
+                await _send(session, first, "safe", f"first-{number}")
+                if leaving.arrived:
+                    break
+            assert leaving.arrived
+            if trouble == "node restarts":
+                await others[0].stop(signal.SIGKILL)
+                await others[0].start(is_first=False)
+            await asyncio.sleep(_EXCHANGE_SECONDS)
+            count = len(leaving.arrived)
+            for number in range(20):
+                for node in others:
+                    status, _ = await _send(session, node, "safe", f"{number}")
+                    assert status == 200
+            assert len(leaving.arrived) == count
+
     async def test_get_nothing_through_other_nodes(self, tmp_path, session):
         """Guards against a relay that does not know what it has passed on."""
         async with Cluster(tmp_path, nodes=2, replicas=2, viewed=True) as cluster:
--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -165,6 +165,46 @@
         directory.remove("o-1")
         assert lost == []
 
+    def test_other_nodes_are_told_with_the_age(self) -> None:
+        """Guards against a replica that other nodes go on using."""
+        clock = ManualClock()
+        first, second = (ReplicaDirectory(clock, lambda services: None) for _ in "ab")
+        for directory in (first, second):
+            directory.put(_make_record("o-1", service="orders", born=1))
+        told: list[dict[str, float]] = []
+        first.add_leaving_listener(lambda: told.append(first.read_leaving_ages()))
+        first.mark_leaving(first.get_target("orders").replicas[0])
+        clock.advance(2.0)
+        second.merge_leaving("a", first.read_leaving_ages())
+        assert second.get_target("orders").replicas == ()
+        assert told == [{"o-1/1": 0.0}]
+        assert second.read_leaving_ages() == {"o-1/1": 2.0}
+
+    def test_merge_ends_when_all_is_known(self) -> None:
+        """Guards against nodes that tell each other the same again and again."""
+        directory, _ = self.make_directory()
+        calls: list[None] = []
+        directory.add_leaving_listener(lambda: calls.append(None))
+        for _ in range(3):
+            directory.merge_leaving("a", {"o-1/1": 1.0})
+        assert len(calls) == 1
+
+    def test_process_that_registers_after_it_was_told_stays_out(self) -> None:
+        """Guards against a statement that is lost because it came before the entry."""
+        directory, _ = self.make_directory()
+        directory.merge_leaving("a", {"o-1/2": 1.0})
+        assert len(directory.get_target("orders").replicas) == 1
+        assert directory.read_leaving_ages() == {}
+        directory.put(_make_record("o-1", service="orders", born=2))
+        assert directory.get_target("orders").replicas == ()
+
+    def test_gone_process_is_told_no_more(self) -> None:
+        """Guards against messages that grow with each release."""
+        directory, _ = self.make_directory()
+        directory.mark_leaving(directory.get_target("orders").replicas[0])
+        directory.remove("o-1")
+        assert directory.read_leaving_ages() == {}
+
 
 class TestReplaced:
     """Processes at whose address another one runs."""
