Send nothing more to a replica whose address another one answers at

Change: it gets no requests for 2 s after such an answer, and then one again, because the answer may come from its predecessor on a connection that was still open.

--- a/src/fireflyspread/routing/_directory.py
+++ b/src/fireflyspread/routing/_directory.py
@@ -21,6 +21,9 @@
 # Processes that are remembered as leaving, and as replaced; one that is forgotten is
 # told again by the next answer.
 _MAX_REMEMBERED = 4096
+# Seconds for which a replica gets no requests after another one has answered at its
+# address. Its entry expires within 3 s unless the store is unavailable.
+_ABSENCE_SECONDS = 2.0
 # Concurrency of a service without configured slots while it has no replicas.
 _DEFAULT_SLOTS = 8
 
@@ -96,6 +99,9 @@
         self._on_change = on_change
         self._on_loss = on_loss
         self._on_replaced = on_replaced
+        # Until when a process gets no requests because another one answered at its
+        # address, in monotonic seconds.
+        self._absent_until: dict[str, float] = {}
         # Processes at whose address another one runs, oldest first.
         self._replaced: dict[str, None] = {}
         self._records: dict[str, ReplicaRecord] = {}
@@ -173,17 +179,22 @@
     def record_other_instance(self, replica: Replica) -> None:
         """Record that another replica has answered at the address of ``replica``.
 
-        While the store is unavailable nothing else tells that it is gone.
+        While the store is unavailable nothing else tells that it is gone. It gets no
+        requests for a while, and then one again: the answer may have come from its
+        predecessor, on a connection that was open still.
         """
         record = self._records.get(replica.name)
-        is_known = record is not None and _make_replica(record) == replica
-        if record is None or not is_known or self.is_replaced(replica):
+        if record is None or _make_replica(record) != replica:
             return
-        _LOG.info(
-            "another replica answered at the address of a replica",
-            extra={"replica": replica.name, "target": record.service},
-        )
-        self._report_other_process(record)
+        if not self.is_replaced(replica):
+            _LOG.info(
+                "another replica answered at the address of a replica",
+                extra={"replica": replica.name, "target": record.service},
+            )
+            self._report_other_process(record)
+        until = self._clock.read_monotonic() + _ABSENCE_SECONDS
+        self._absent_until[replica.vm] = until
+        self._notify({record.service})
 
     def _report_replaced(self, record: ReplicaRecord) -> None:
         replica = _make_replica(record)
@@ -303,8 +314,18 @@
         self._drop(record)
 
     def expire(self) -> None:
-        """Drop the replicas that did not register again after an outage."""
+        """Drop the replicas that did not register again after an outage.
+
+        Those that got no requests for a while may get some again.
+        """
         now = self._clock.read_monotonic()
+        if any(until <= now for until in self._absent_until.values()):
+            self._absent_until = {
+                process: until
+                for process, until in self._absent_until.items()
+                if until > now
+            }
+            self._notify(self.list_services())
         for instance, missing in tuple(self._missing.items()):
             if now >= missing.drop_at:
                 del self._missing[instance]
@@ -344,6 +365,7 @@
             if record.service == service
             and not record.is_draining
             and not self.is_leaving(_make_replica(record))
+            and _make_replica(record).vm not in self._absent_until
         ]
         slots = self._slots.get(service, 0) or max(
             (record.slots for record in records), default=_DEFAULT_SLOTS
--- a/tests/routing/test_directory.py
+++ b/tests/routing/test_directory.py
@@ -265,3 +265,26 @@
             directory.record_other_instance(replica)
         assert losses == replaced == ["gone/1"]
         assert directory.is_replaced(replica)
+
+    def test_replica_gets_nothing_after_another_one_has_answered(self):
+        """Guards against sends that the next process at the address refuses again."""
+        clock = ManualClock()
+        directory = ReplicaDirectory(clock, lambda changed: None)
+        directory.put(_make_record("gone", born=1))
+        directory.put(_make_record("other", born=1, address="10.0.0.2:80"))
+        replica = directory.find_replica("gone")
+        assert replica is not None
+        directory.record_other_instance(replica)
+        names = [each.name for each in directory.get_target("models").replicas]
+        assert names == ["other"]
+
+    def test_replica_is_tried_again_after_a_while(self):
+        """Guards against the answer of a predecessor that ends its successor's work."""
+        clock = ManualClock()
+        directory = ReplicaDirectory(clock, lambda changed: None)
+        directory.put(_make_record("new", born=2))
+        replica = directory.get_target("models").replicas[0]
+        directory.record_other_instance(replica)
+        clock.advance(2.1)
+        directory.expire()
+        assert directory.get_target("models").replicas == (replica,)
