Find the address of another node in one place

Cause: four classes that send messages between nodes looked up the address of a member and raised the same error; TrialGate repeated the check of the quarantine that PolicyScheduler has.

Change: Roster.get_peer_address and Quarantine.check.

--- a/src/fireflyspread/gateway/_peers.py
+++ b/src/fireflyspread/gateway/_peers.py
@@ -56,10 +56,8 @@
         self._node = node
 
     async def _ask(self, node: str, message: Message, *, timeout: float) -> Message:
-        member = self._roster.find(node)
-        if member is None:
-            raise PeerError(f"{node} is not a member; ask another node")
-        return await self._client.ask(member.peers, message, timeout=timeout)
+        address = self._roster.get_peer_address(node)
+        return await self._client.ask(address, message, timeout=timeout)
 
     async def grant(
         self, node: str, program: str, budget: int, max_tokens: int, *, may_lend: bool
--- a/src/fireflyspread/gateway/_streams.py
+++ b/src/fireflyspread/gateway/_streams.py
@@ -35,12 +35,7 @@
         self._node = node
 
     async def _ask(self, node: str, message: Message) -> Message:
-        member = self._roster.find(node)
-        address = self._roster.list_loan_servers().get(node)
-        if member is not None:
-            address = member.peers
-        if address is None:
-            raise PeerError(f"{node} is not a member; ask another node")
+        address = self._roster.get_peer_address(node, allow_loan_servers=True)
         return await self._client.ask(address, message, timeout=_MESSAGE_TIMEOUT)
 
     async def report(
--- a/src/fireflyspread/gateway/_trials.py
+++ b/src/fireflyspread/gateway/_trials.py
@@ -28,10 +28,8 @@
         self._node = node
 
     async def _ask(self, node: str, message: Message) -> Message:
-        member = self._roster.find(node)
-        if member is None:
-            raise PeerError(f"{node} is not a member; ask another node")
-        return await self._client.ask(member.peers, message, timeout=_MESSAGE_TIMEOUT)
+        address = self._roster.get_peer_address(node)
+        return await self._client.ask(address, message, timeout=_MESSAGE_TIMEOUT)
 
     async def begin(
         self, node: str, fingerprint: str, request: str, *, seconds: float
--- a/src/fireflyspread/gateway/_turns.py
+++ b/src/fireflyspread/gateway/_turns.py
@@ -124,10 +124,8 @@
     async def _ask(
         self, name: str, message: Message, *, timeout: float = _MESSAGE_TIMEOUT
     ) -> Message:
-        member = self._roster.find(name)
-        if member is None:
-            raise PeerError(f"{name} is not a member; ask another node")
-        return await self._client.ask(member.peers, message, timeout=timeout)
+        address = self._roster.get_peer_address(name)
+        return await self._client.ask(address, message, timeout=timeout)
 
     def _choose_helpers(self, turn_id: str, attempt: int) -> list[str]:
         names = [
--- a/src/fireflyspread/recovery/_roster.py
+++ b/src/fireflyspread/recovery/_roster.py
@@ -9,7 +9,7 @@
 
 from fireflyspread._decoding import decode_json
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import NoAuthorityError, StoreError
+from fireflyspread.exceptions import NoAuthorityError, PeerError, StoreError
 from fireflyspread.recovery._follower import PrefixListener
 from fireflyspread.recovery._store import Change, Entry, SnapshotStore, Write
 from fireflyspread.settings import Address
@@ -130,6 +130,21 @@
         found = self._members.get(name)
         return None if found is None else found[0]
 
+    def get_peer_address(self, name: str, *, allow_loan_servers: bool = False) -> str:
+        """Return the address of a member for messages.
+
+        Raises
+        ------
+        PeerError
+            The name is unknown.
+        """
+        member = self.find(name)
+        if member is not None:
+            return member.peers
+        if allow_loan_servers and name in self._loan_servers:
+            return self._loan_servers[name]
+        raise PeerError(f"{name} is not a member; ask another node")
+
     def check_authority(self) -> None:
         """Check that no other node may have removed this one yet.
 
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -207,9 +207,7 @@
             timer.cancel()
 
     def check_quarantine(self, fingerprint: str) -> None:
-        remaining = self.quarantine.read_remaining(fingerprint)
-        if remaining:
-            raise make_quarantined(fingerprint, remaining)
+        self.quarantine.check(fingerprint)
 
     def _get_target(self, target: Target) -> TargetState:
         state = self._targets.get(target.name)
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -12,6 +12,7 @@
 from fireflyspread.routing._crash_evidence import CrashEvidence
 from fireflyspread.routing._crashes import CrashReport
 from fireflyspread.routing._quarantine_policy import IsolationPolicy, QuarantinePolicy
+from fireflyspread.routing._refusals import make_quarantined
 from fireflyspread.routing._verdicts import Judge, Verdicts
 
 __all__ = ["Quarantine"]
@@ -380,6 +381,18 @@
         until = self._verdicts.quarantined.get(fingerprint)
         return 0.0 if until is None else max(0.0, until - self._clock.read_wall())
 
+    def check(self, fingerprint: str) -> None:
+        """Check that requests with a fingerprint may run.
+
+        Raises
+        ------
+        QuarantinedError
+            They are known to crash replicas.
+        """
+        remaining = self.read_remaining(fingerprint)
+        if remaining:
+            raise make_quarantined(fingerprint, remaining)
+
     def has_entries(self) -> bool:
         """Return whether any request may be suspected or quarantined."""
         return bool(self._verdicts.suspects or self._verdicts.quarantined)
--- a/src/fireflyspread/routing/_trial_gate.py
+++ b/src/fireflyspread/routing/_trial_gate.py
@@ -4,7 +4,7 @@
 from fireflyspread.exceptions import QuarantinedError
 from fireflyspread.routing._crashes import identify_process
 from fireflyspread.routing._quarantine import Quarantine
-from fireflyspread.routing._refusals import make_on_trial, make_quarantined
+from fireflyspread.routing._refusals import make_on_trial
 from fireflyspread.routing._scheduler import Result, Ticket, Work
 from fireflyspread.routing._trials import Trial, Trials
 
@@ -67,17 +67,12 @@
         except TimeoutError as exc:
             raise make_on_trial(work.fingerprint) from exc
         try:
-            self._check_quarantine(work.fingerprint)
+            self._quarantine.check(work.fingerprint)
         except QuarantinedError:
             self.cancel(trial)
             raise
         return trial
 
-    def _check_quarantine(self, fingerprint: str) -> None:
-        remaining = self._quarantine.read_remaining(fingerprint)
-        if remaining:
-            raise make_quarantined(fingerprint, remaining)
-
     def cancel(self, trial: Trial | None) -> None:
         """End a trial whose request was not sent."""
         if trial is not None and self._trials is not None:
--- a/tests/recovery/test_roster.py
+++ b/tests/recovery/test_roster.py
@@ -6,7 +6,7 @@
 import pytest
 
 from fireflyspread.clock import ManualClock
-from fireflyspread.exceptions import NoAuthorityError, StoreError
+from fireflyspread.exceptions import NoAuthorityError, PeerError, StoreError
 from fireflyspread.recovery import (
     ROSTER_PREFIX,
     Change,
@@ -243,6 +243,9 @@
         members = [_Member(store, clock, name) for name in "abc"]
         await _wait_for(lambda: all(m.names == {"a", "b", "c"} for m in members))
         assert members[0].roster.find("b").peers == "10.0.0.1:1"
+        assert members[0].roster.get_peer_address("b") == "10.0.0.1:1"
+        with pytest.raises(PeerError, match="ask another node"):
+            members[0].roster.get_peer_address("gone", allow_loan_servers=True)
         for member in members:
             await member.stop()
 
