Let requests wait for an equal one that may clear them

Callers of an innocent request that was in flight at two crashes in a row got 503 with Retry-After 20 for as long as the next run of it lasted, although its answer lets all of them run.

Cause: a run on trial counts as a crash from its start, so that two crashes and the running one made a series of three, which holds back all requests with the fingerprint at once.

Change: reports tell whether the run of a presumed crash still goes on. If a hold rests on such a run only, an equal request waits for its end as before the second crash (at most 1 s), and is refused then unless there was an answer. The hold itself is unchanged, also for nodes that are killed during a run. It is logged once the run has ended, not at its start.

--- a/src/fireflyspread/routing/_crash_evidence.py
+++ b/src/fireflyspread/routing/_crash_evidence.py
@@ -119,6 +119,7 @@
             at=self._clock.read_wall(),
             ranks={fingerprint: rank},
             is_presumed=True,
+            is_running=True,
         )
         if len(self._own) > _MAX_CRASHES:
             self._drop_weakest(keep=crash_id)
@@ -126,6 +127,14 @@
         self._merge()
         return crash_id
 
+    def confirm_presumed(self, crash_id: str) -> None:
+        """Record that the request of a presumed crash has ended without an answer."""
+        crash = self._own.get(crash_id)
+        if crash is not None:
+            self._own[crash_id] = evolve(crash, is_running=False)
+            self.number += 1
+            self._merge()
+
     def withdraw_presumed(self, crash_id: str) -> None:
         """Drop a presumed crash that did not happen."""
         if self._own.pop(crash_id, None) is not None:
@@ -194,7 +203,7 @@
     def restore(self, report: CrashReport) -> None:
         """Take over the report that the previous process of this node has left."""
         for crash in report.crashes:
-            self._own.setdefault(crash.id, crash)
+            self._own.setdefault(crash.id, evolve(crash, is_running=False))
         self._own_answered.update(report.answered)
         self.number += 1
         self._merge()
--- a/src/fireflyspread/routing/_crashes.py
+++ b/src/fireflyspread/routing/_crashes.py
@@ -37,6 +37,8 @@
         Whether the replica reported requests of other nodes.
     is_presumed : bool
         Whether the only sign of the crash is a request on trial that is not answered.
+    is_running : bool
+        Whether this request still runs.
     begun : tuple of str
         Fingerprints whose requests had all begun to be answered.
     """
@@ -48,6 +50,7 @@
     is_alone: bool = False
     is_shared: bool = False
     is_presumed: bool = False
+    is_running: bool = False
     begun: tuple[str, ...] = ()
 
 
@@ -95,6 +98,7 @@
     waiting: set[str] = field(factory=set)
     is_shared: bool = False
     is_presumed: bool = False
+    is_running: bool = False
 
     def add(self, crash: Crash) -> None:
         """Add the report of one more node."""
@@ -106,6 +110,7 @@
         self.waiting.update(crash.ranks.keys() - set(crash.begun))
         self.is_shared |= crash.is_shared
         self.is_presumed |= crash.is_presumed
+        self.is_running |= crash.is_running
 
 
 @frozen(kw_only=True)
@@ -127,6 +132,8 @@
         Whether several replicas crashed at about the same time.
     is_presumed : bool
         Whether the only sign of the crash is that the request is not answered.
+    is_running : bool
+        Whether this request still runs.
     """
 
     process: str
@@ -137,3 +144,4 @@
     max_other_crashes: int
     is_outage: bool
     is_presumed: bool = False
+    is_running: bool = False
--- a/src/fireflyspread/routing/_policy.py
+++ b/src/fireflyspread/routing/_policy.py
@@ -207,7 +207,7 @@
             timer.cancel()
 
     def check_quarantine(self, fingerprint: str) -> None:
-        self.quarantine.check(fingerprint)
+        self.quarantine.check(fingerprint, may_wait=True)
 
     def _get_target(self, target: Target) -> TargetState:
         state = self._targets.get(target.name)
--- a/src/fireflyspread/routing/_quarantine.py
+++ b/src/fireflyspread/routing/_quarantine.py
@@ -268,13 +268,14 @@
         self._evidence.withdraw_presumed(crash_id)
         self._judge()
 
-    def confirm_presumed(self, fingerprint: str, process: str) -> None:
-        """Tell the other nodes of a request on trial that got no answer."""
+    def confirm_presumed(self, crash_id: str, fingerprint: str, process: str) -> None:
+        """Keep a presumed crash, because its request has ended without an answer."""
+        self._evidence.confirm_presumed(crash_id)
         _LOG.info(
             "request suspected of crashing replicas got no answer",
             extra={"fingerprint": fingerprint, "replica": process},
         )
-        self.on_change(True)
+        self._judge(is_urgent=True)
 
     def needs_trial(self, fingerprint: str) -> bool:
         """Return whether the fingerprint may crash replicas that begin to run it.
@@ -381,16 +382,22 @@
         until = self._verdicts.quarantined.get(fingerprint)
         return 0.0 if until is None else max(0.0, until - self._clock.read_wall())
 
-    def check(self, fingerprint: str) -> None:
+    def check(self, fingerprint: str, *, may_wait: bool = False) -> None:
         """Check that requests with a fingerprint may run.
 
+        Parameters
+        ----------
+        may_wait : bool
+            Whether one that runs on trial need not be refused, because the request will
+            wait for the end of the trial.
+
         Raises
         ------
         QuarantinedError
             They are known to crash replicas.
         """
         remaining = self.read_remaining(fingerprint)
-        if remaining:
+        if remaining and not (may_wait and fingerprint in self._verdicts.on_trial):
             raise make_quarantined(fingerprint, remaining)
 
     def has_entries(self) -> bool:
@@ -442,12 +449,14 @@
             self.on_change(is_urgent)
 
     def _log_changes(self, before: Verdicts) -> None:
-        for fingerprint in self._verdicts.quarantined.keys() - before.quarantined:
+        quarantined = self._verdicts.quarantined.keys() - self._verdicts.on_trial
+        quarantined_before = before.quarantined.keys() - before.on_trial
+        for fingerprint in quarantined - quarantined_before:
             _LOG.warning(
                 "request quarantined because replicas crashed with it",
                 extra=self._describe(fingerprint),
             )
-        for fingerprint in before.quarantined.keys() - self._verdicts.quarantined:
+        for fingerprint in quarantined_before - quarantined:
             _LOG.info("quarantine ended", extra=self._describe(fingerprint))
         for fingerprint in self._verdicts.suspects - before.suspects:
             _LOG.info(
--- a/src/fireflyspread/routing/_trial_gate.py
+++ b/src/fireflyspread/routing/_trial_gate.py
@@ -108,7 +108,7 @@
             return
         if result in _WITHOUT_ANSWER:
             self._quarantine.confirm_presumed(
-                ticket.work.fingerprint, identify_process(ticket.replica)
+                crash_id, ticket.work.fingerprint, identify_process(ticket.replica)
             )
         else:
             self._quarantine.withdraw_presumed(crash_id)
--- a/src/fireflyspread/routing/_verdicts.py
+++ b/src/fireflyspread/routing/_verdicts.py
@@ -30,11 +30,14 @@
     quarantined : dict of str to float
         Fingerprints whose requests must not run, and the Unix seconds at which the
         quarantine ends.
+    on_trial : frozenset of str
+        Quarantined fingerprints that run on trial: an answer ends the quarantine.
     """
 
     suspects: frozenset[str] = frozenset()
     pending: dict[str, float] = Factory(dict)
     quarantined: dict[str, float] = Factory(dict)
+    on_trial: frozenset[str] = frozenset()
 
 
 @frozen(kw_only=True)
@@ -67,11 +70,15 @@
         proven, pending = self._find_proven(candidates, outages, monotonic)
         quarantined = {f: until for f, until in proven.items() if until > wall}
         suspects = (proven.keys() | pending.keys()) - quarantined.keys()
+        on_trial = set()
         for fingerprint in candidates:
             sightings = self._list_sightings(fingerprint, proven, outages)
             held_until = self._find_end_of_hold(sightings)
             if fingerprint not in proven and held_until > wall:
                 quarantined[fingerprint] = held_until
+                ended = [s for s in sightings if not s.is_running]
+                if not self.policy.is_held(ended):
+                    on_trial.add(fingerprint)
             recent = [s for s in sightings if s.at > wall - self.ttl]
             if fingerprint not in quarantined and self.policy.is_suspect(recent):
                 suspects.add(fingerprint)
@@ -80,7 +87,10 @@
             if until > monotonic:
                 pending[fingerprint] = until
         return Verdicts(
-            suspects=frozenset(suspects), pending=pending, quarantined=quarantined
+            suspects=frozenset(suspects),
+            pending=pending,
+            quarantined=quarantined,
+            on_trial=frozenset(on_trial),
         )
 
     def _find_end_of_hold(self, sightings: Sequence[Sighting]) -> float:
@@ -174,6 +184,7 @@
                     ),
                     is_outage=crash_id in outages,
                     is_presumed=crash.is_presumed,
+                    is_running=crash.is_running,
                 )
             )
         return sightings
--- a/tests/routing/test_trials.py
+++ b/tests/routing/test_trials.py
@@ -7,7 +7,7 @@
 from attrs import define, field
 
 from fireflyspread.clock import ManualClock
-from fireflyspread.exceptions import OverloadedError, PeerError
+from fireflyspread.exceptions import OverloadedError, PeerError, QuarantinedError
 from fireflyspread.routing import (
     CrashSeriesPolicy,
     PolicyScheduler,
@@ -272,6 +272,45 @@
             scheduler.release(ticket, Result.CANCELLED)
         assert scheduler.quarantine.is_quarantined("p")
 
+    @in_virtual_time
+    async def test_equal_request_waits_for_the_third_run_instead_of_being_refused(
+        self,
+    ) -> None:
+        """Guards against refusals for 20 s while an answer may come at once."""
+        scheduler, target = _make_scheduler(), make_target(4, concurrency=4)
+        scheduler.quarantine.merge("n2", make_suspect_report("p"))
+        work = make_work("p0", fingerprint="p")
+        scheduler.release(await scheduler.acquire(work, target), Result.CANCELLED)
+        work = make_work("p1", fingerprint="p")
+        third = await scheduler.acquire(work, target)
+        scheduler.check_quarantine("p")
+        waiting = await start(scheduler, make_work("p2", fingerprint="p"), target)
+        await asyncio.sleep(0.3)
+        assert not waiting.done()
+        scheduler.release(third, Result.ANSWERED)
+        await asyncio.sleep(0.3)
+        assert waiting.done() and waiting.result().trial is None
+
+    @in_virtual_time
+    async def test_equal_request_is_refused_if_the_third_run_has_no_answer(
+        self,
+    ) -> None:
+        """Guards against a fourth run of requests that wait for the third one."""
+        scheduler, target = _make_scheduler(), make_target(4, concurrency=4)
+        scheduler.quarantine.merge("n2", make_suspect_report("p"))
+        work = make_work("p0", fingerprint="p")
+        scheduler.release(await scheduler.acquire(work, target), Result.CANCELLED)
+        work = make_work("p1", fingerprint="p")
+        third = await scheduler.acquire(work, target)
+        waiting = await start(scheduler, make_work("p2", fingerprint="p"), target)
+        await asyncio.sleep(0.3)
+        scheduler.release(third, Result.CANCELLED)
+        await asyncio.sleep(0.3)
+        with pytest.raises(QuarantinedError):
+            waiting.result()
+        with pytest.raises(QuarantinedError):
+            scheduler.check_quarantine("p")
+
     @pytest.mark.parametrize("result", [Result.ABANDONED, Result.UNSENT, Result.FAILED])
     def test_other_ends_do_not_hold_the_request_back(self, result) -> None:
         """Guards against holding back requests for callers that leave in a stream."""
