End the wait for a trial as soon as none is needed

A request that waits for an equal one on trial goes on up to 0.15 s after the evidence against both is gone, because it looked only before each attempt.

Change: it looks every 10 ms; attempts, which take messages, stay 0.15 s apart.

--- a/src/fireflyspread/routing/_trials.py
+++ b/src/fireflyspread/routing/_trials.py
@@ -21,8 +21,10 @@
 _MAX_ASKED_NODES = 2
 # Seconds during which a node that did not answer is skipped.
 _UNREACHABLE_BACKOFF = 1.0
-# Seconds between attempts while another request is on trial.
-_RETRY_INTERVAL = 0.15
+# Seconds between checks whether a trial is still needed while another request has one,
+# and checks between attempts to get it, which take messages.
+_CHECK_INTERVAL = 0.01
+_MAX_CHECKS = 15
 # Seconds for which an answered fingerprint needs no trial, until the other nodes know.
 _CLEARED_SECONDS = 2.0
 # Fingerprints after which those that are over are dropped.
@@ -191,7 +193,7 @@
                 while node is None and is_needed():
                     node = await self._ask_nodes(fingerprint, request, seconds)
                     if node is None:
-                        await asyncio.sleep(_RETRY_INTERVAL)
+                        await self._wait_for_retry(is_needed)
             finally:
                 if node is None:
                     lock.release()
@@ -204,6 +206,16 @@
         )
         return Trial(fingerprint=fingerprint, request=request, node=node, lock=lock)
 
+    async def _wait_for_retry(self, is_needed: Callable[[], bool]) -> None:
+        """Wait for the next attempt, or until no trial is needed any more.
+
+        The answer to the request on trial is known here before its trial ends.
+        """
+        for _ in range(_MAX_CHECKS):
+            if not is_needed():
+                break
+            await asyncio.sleep(_CHECK_INTERVAL)
+
     async def _ask_nodes(
         self, fingerprint: str, request: str, seconds: float
     ) -> str | None:
--- a/tests/routing/test_trials.py
+++ b/tests/routing/test_trials.py
@@ -176,6 +176,21 @@
         needed[0] = False
         assert await waiting is None
 
+    @in_virtual_time
+    async def test_waiting_ends_soon_after_the_evidence_is_gone(self) -> None:
+        """Guards against requests that wait for the next attempt without a reason."""
+        nodes = Network().make_trials()
+        trial = await _begin(nodes[0], "r0")
+        needed = [True]
+        waiting = asyncio.create_task(
+            _begin(nodes[1], "r1", is_needed=lambda: needed[0])
+        )
+        await asyncio.sleep(0.01)
+        needed[0] = False
+        await asyncio.sleep(0.03)
+        assert waiting.done() and waiting.result() is None
+        nodes[0].end(trial, is_answered=True)
+
     @in_virtual_time
     async def test_cancelled_request_leaves_no_trial(self) -> None:
         """Guards against a trial whose caller left while its node was asked."""
