Crash an order's replica once it runs in the test of identical orders

Cause: the test took a replica to run the order 50 ms after it was sent.

Change: it waits until a replica runs the order, at most 2 s.

--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -288,14 +288,19 @@
             running = asyncio.create_task(
                 _send(session, cluster.nodes[attempt % 4], path, f"cut-{attempt}")
             )
-            await asyncio.sleep(0.05)
-            _find_running(cluster, f"cut-{attempt}").crash(_CRASH_SECONDS)
+            replica = await _wait_until_running(cluster, f"cut-{attempt}")
+            replica.crash(_CRASH_SECONDS)
             assert (await running)[0] == 502
             await asyncio.sleep(_CRASH_SECONDS + 0.5)
             status, _ = await _send(session, cluster.nodes[0], path, f"again-{attempt}")
             assert status == 200
 
 
-def _find_running(cluster: Cluster, request: str) -> PlatformReplica:
-    """Return the replica that runs an order."""
-    return next(each for each in cluster.orders if each.count_runs()[request])
+async def _wait_until_running(cluster: Cluster, request: str) -> PlatformReplica:
+    """Return the replica that runs an order, as soon as one does."""
+    async with asyncio.timeout(2.0):
+        while True:
+            for replica in cluster.orders:
+                if replica.count_runs()[request]:
+                    return replica
+            await asyncio.sleep(0.005)
