End the processes of a cluster that does not start

The logs of its nodes list a member front-3, which its cluster of three nodes had not started; the test waits until each node knows three.

Cause: a cluster whose start fails left its processes running. One of an earlier play (a port in use) went on to ask for the address of its store, port 33315, which the store of this test got an hour later: both settings files name it.

Change: Cluster ends what it has started if its start fails, once all its processes have answered or failed.

Test code only.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -252,6 +252,15 @@
         self.loan_servers: list[LoanServer] = []
 
     async def __aenter__(self) -> "Cluster":
+        try:
+            await self._start()
+        except BaseException:
+            # A later store may get the port of this one, and with it these nodes.
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         await self.store.start()
         for service, replicas in (("models", self.models), ("orders", self.orders)):
             for replica in replicas:
@@ -271,7 +280,13 @@
             LoanServer(self._folder, f"store-{n}", url.removeprefix("http://"))
             for n in range(2)
         ]
-        await asyncio.gather(*(p.start() for p in (*self.loan_servers, *self.nodes)))
+        results = await asyncio.gather(
+            *(p.start() for p in (*self.loan_servers, *self.nodes)),
+            return_exceptions=True,
+        )
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
         for _ in range(400):
             if all(
                 [
@@ -279,7 +294,7 @@
                     for node in self.nodes
                 ]
             ):
-                return self
+                return
             await asyncio.sleep(0.025)
         raise AssertionError("not all nodes know all loan servers")
 
