Share the start of a third run between two tests of trials

Cause: two tests of requests that wait for a third run repeated how it is started.

Change: one function for both; what they ask is as before.

--- a/tests/routing/test_trials.py
+++ b/tests/routing/test_trials.py
@@ -6,6 +6,7 @@
 import pytest
 from attrs import define, field
 
+from fireflyspread.bundle import Target
 from fireflyspread.clock import ManualClock
 from fireflyspread.exceptions import OverloadedError, PeerError, QuarantinedError
 from fireflyspread.routing import (
@@ -13,6 +14,7 @@
     PolicyScheduler,
     Quarantine,
     Result,
+    Ticket,
     Trial,
     TrialPeers,
     Trials,
@@ -230,6 +232,14 @@
     )
 
 
+async def _start_third_run(scheduler: PolicyScheduler, target: Target) -> Ticket:
+    """Start a run of ``p`` after a crash and a run without an answer."""
+    scheduler.quarantine.merge("n2", make_suspect_report("p"))
+    work = make_work("p0", fingerprint="p")
+    scheduler.release(await scheduler.acquire(work, target), Result.CANCELLED)
+    return await scheduler.acquire(make_work("p1", fingerprint="p"), target)
+
+
 class TestScheduler:
     """Requests with evidence against them in the scheduler."""
 
@@ -293,11 +303,7 @@
     ) -> None:
         """Guards against refusals for 20 s while an answer may come at once."""
         scheduler, target = _make_scheduler(), make_target(4, concurrency=4)
-        scheduler.quarantine.merge("n2", make_suspect_report("p"))
-        work = make_work("p0", fingerprint="p")
-        scheduler.release(await scheduler.acquire(work, target), Result.CANCELLED)
-        work = make_work("p1", fingerprint="p")
-        third = await scheduler.acquire(work, target)
+        third = await _start_third_run(scheduler, target)
         scheduler.check_quarantine("p")
         waiting = await start(scheduler, make_work("p2", fingerprint="p"), target)
         await asyncio.sleep(0.3)
@@ -312,11 +318,7 @@
     ) -> None:
         """Guards against a fourth run of requests that wait for the third one."""
         scheduler, target = _make_scheduler(), make_target(4, concurrency=4)
-        scheduler.quarantine.merge("n2", make_suspect_report("p"))
-        work = make_work("p0", fingerprint="p")
-        scheduler.release(await scheduler.acquire(work, target), Result.CANCELLED)
-        work = make_work("p1", fingerprint="p")
-        third = await scheduler.acquire(work, target)
+        third = await _start_third_run(scheduler, target)
         waiting = await start(scheduler, make_work("p2", fingerprint="p"), target)
         await asyncio.sleep(0.3)
         scheduler.release(third, Result.CANCELLED)
