--- /dev/null
+++ b/review/support/__init__.py
@@ -0,0 +1,1 @@
+"""Helpers shared by the scripts of the review."""
