--- a/review/1/case.py
+++ b/review/1/case.py
@@ -75,7 +75,7 @@
 
         async def call(number: int) -> None:
             async with aiohttp.ClientSession() as session:
-                # aiohttp would send these methods once more by itself.
+                # Otherwise this client would send these methods once more by itself.
                 session._retry_connection = False
                 for count in range(REQUESTS_PER_METHOD // CALLERS):
                     for method in METHODS:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,150 +1,102 @@
-"""A program gets more than its budget around the planned restart of a node."""
+"""A request by GET that crashes replicas is sent to them without end."""
 
 import asyncio
-import re
-import signal
+import os
+import time
 from collections import Counter
 from pathlib import Path
 
 import aiohttp
 
-from fireflyspread._ranking import rank_nodes
 from review.support.processes import Record, has_trouble, run_case
 from soak.cluster import Cluster, make_config, make_headers
-from standins.platform_replica import TOKENS_PER_EVENT
 
-EVENTS = 8
-TURN_TOKENS = EVENTS * TOKENS_PER_EVENT
-BUDGET_TURNS = 100
-BUDGET = BUDGET_TURNS * TURN_TOKENS
-PROGRAMS = 8
-# Lines of turns of a program: itself and its sub-agents.
-LINES = 4
-EVENT_SECONDS = 0.03
-PAUSE_SECONDS = 0.1
-# Turns of each program before the node is stopped.
-TURNS_BEFORE_STOP = 56
-# Seconds for an answer of the store: 4 ms, and 60 times that while it is slow.
-STORE_SECONDS = 0.004
-SLOW_STORE_SECONDS = 0.24
-SLOW_FROM, SLOW_FOR = 1.5, 4.5
-_EVENT = re.compile(rb"id: \d+\n")
-
-
-class Program:
-    """A program that loops and starts sub-agents until it is stopped."""
-
-    def __init__(self, name: str, urls: list[str], record: Record) -> None:
-        self.name = name
-        self.tokens = 0
-        self.turns = 0
-        self.statuses: Counter[str] = Counter()
-        self.is_stopped = False
-        self._urls = urls
-        self._record = record
-        self._number = 0
-
-    async def run_line(self, line: int) -> None:
-        """Send turns until the program is told twice more that its budget is spent."""
-        refused = 0
-        async with aiohttp.ClientSession() as session:
-            while refused < 3 and not self.is_stopped:
-                status = await self._send(session, line)
-                refused = refused + 1 if status == "402" else 0
-                await asyncio.sleep(PAUSE_SECONDS)
-
-    async def _send(self, session: aiohttp.ClientSession, line: int) -> str:
-        self._number += 1
-        request = f"{self.name}-{line}-{self._number}"
-        url = self._urls[self._number % len(self._urls)]
-        headers = make_headers(
-            request,
-            **{
-                "Fireflyspread-Program-Id": self.name,
-                "Fireflyspread-Session-Id": f"{self.name}-{line}",
-                "Fireflyspread-Program-Deadline": "30000",
-                "Fireflyspread-Token-Budget": str(BUDGET),
-                "Fireflyspread-Token-Count": f"600,{TURN_TOKENS}",
-                "Fireflyspread-Prompt-Prefix": f"aa:512,{self.name}:88",
-                "Fireflyspread-Model": "m",
-            },
-        )
-        body = b""
-        status = "none"
-        try:
-            async with session.post(
-                f"{url}/turns/stream", headers=headers, data=b"{}"
-            ) as response:
-                status = str(response.status)
-                async for data in response.content.iter_any():
-                    body += data
-        except aiohttp.ClientError as exc:
-            status = type(exc).__name__
-        tokens = 0
-        if status == "200":
-            tokens = TOKENS_PER_EVENT * len(_EVENT.findall(body))
-        self.tokens += tokens
-        self.turns += tokens > 0
-        self.statuses[status] += 1
-        self._record.write(f"turn {request} at {url} -> {status}, {tokens} tokens")
-        return status
+# POST shows, on demand, that the same request is held back with another method.
+METHOD = os.environ.get("METHOD", "GET")
+MARKER = "poison"
+REPLICAS = 4
+# "The replica is back after some seconds."
+CRASH_SECONDS = 2.0
+POISON_INTERVAL = 0.7
+OTHERS_INTERVAL = 0.05
+PLAY_SECONDS = 40.0
+CONTACT_SECONDS = 3.0
+MAX_CRASHED = 3
+MAX_LATE_SENDS = 3
+
+
+async def send(session: aiohttp.ClientSession, url: str, request: str) -> str:
+    """Send one client attempt; return its status."""
+    try:
+        async with session.request(
+            METHOD, url, headers=make_headers(request)
+        ) as answer:
+            await answer.read()
+            return str(answer.status)
+    except aiohttp.ClientError as exc:
+        return type(exc).__name__
 
 
 async def play(folder: Path, record: Record) -> bool:
-    """Return whether no program got more than its budget and one turn."""
-    async with Cluster(folder, nodes=3, replicas=3) as system:
-        system.store.faults.delay = STORE_SECONDS
-        for replica in system.models:
-            replica.faults.work = EVENT_SECONDS
-        config = make_config(4)
-        config["services"][0]["engine"]["slots"] = 64
-        system.put_config(config)
+    """Return whether the request reached few replicas after it had crashed three."""
+    statuses: Counter[str] = Counter()
+    others: Counter[str] = Counter()
+    async with Cluster(folder, nodes=3, replicas=REPLICAS) as system:
+        system.put_config(make_config(4))
         await asyncio.sleep(1.0)
-        leaving = system.nodes[0]
-        names = [node.name for node in system.nodes]
-        urls = [f"http://{node.callers}" for node in system.nodes[1:]]
-        ids = (f"loop{number}" for number in range(1000))
-        owned = [each for each in ids if rank_nodes(names, each)[0] == leaving.name]
-        programs = [Program(name, urls, record) for name in owned[:PROGRAMS]]
-
-        async def run_lines() -> None:
-            await asyncio.gather(*(p.run_line(n) for p in programs for n in range(LINES)))
-
-        lines = asyncio.create_task(run_lines())
-        while any(each.turns < TURNS_BEFORE_STOP for each in programs):
-            await asyncio.sleep(0.02)
-
-        async def slow_store() -> None:
-            await asyncio.sleep(SLOW_FROM)
-            record.write("store: each answer takes 0.24 s")
-            system.store.faults.delay = SLOW_STORE_SECONDS
-            await asyncio.sleep(SLOW_FOR)
-            system.store.faults.delay = STORE_SECONDS
-            record.write("store: answers as usual again")
-
-        if has_trouble():
-            record.write(f"SIGTERM to {leaving.name}")
-            slowness = asyncio.create_task(slow_store())
-            await leaving.stop(signal.SIGTERM)
-            record.write(f"{leaving.name} has ended")
-            await asyncio.sleep(1.0)
-            await leaving.start(is_first=False)
-            record.write(f"{leaving.name} is ready again")
-            await slowness
-        await lines
-        # Programs that were stopped return.
-        await run_lines()
-        logs = "".join(node.log_path.read_text() for node in system.nodes)
-    handed_over = logs.count("unspent tokens handed over")
-    record.write(f"messages about tokens handed over: {handed_over}", is_printed=True)
-    limit = BUDGET + TURN_TOKENS
-    for each in programs:
-        record.write(
-            f"program {each.name}: {each.tokens} tokens in {each.turns} turns, budget "
-            f"{BUDGET}, at most {limit}; {dict(each.statuses)}",
-            is_printed=True,
+        for replica in system.orders:
+            replica.faults.crash_on = MARKER if has_trouble() else ""
+            replica.faults.crash_seconds = CRASH_SECONDS
+        urls = [f"http://{node.callers}" for node in system.nodes]
+        ends_at = time.monotonic() + PLAY_SECONDS
+
+        async def send_others() -> None:
+            number = 0
+            async with aiohttp.ClientSession() as session:
+                session._retry_connection = False
+                while time.monotonic() < ends_at:
+                    number += 1
+                    url = f"{urls[number % 3]}/prices/jar{number}"
+                    others[await send(session, url, f"other-{number}")] += 1
+                    await asyncio.sleep(OTHERS_INTERVAL)
+
+        beside = asyncio.create_task(send_others())
+        number = 0
+        async with aiohttp.ClientSession() as session:
+            session._retry_connection = False
+            while time.monotonic() < ends_at:
+                number += 1
+                url = f"{urls[number % 3]}/prices/{MARKER}"
+                status = await send(session, url, f"poison-{number}")
+                statuses[status] += 1
+                record.write(f"client {METHOD} poison-{number} -> {status}")
+                await asyncio.sleep(POISON_INTERVAL)
+        await beside
+        crashes = sorted(
+            (at, replica.instance)
+            for replica in system.orders
+            for at, path in zip(replica.crash_times, replica.crashed_by, strict=True)
+            if MARKER in path
+        )
+        arrivals = sorted(
+            at for r in system.orders for at, path in r.arrived if MARKER in path
         )
-    return all(each.tokens <= limit for each in programs)
+    record.write(f"poison answered {dict(statuses)}", is_printed=True)
+    record.write(f"others answered {dict(others)}", is_printed=True)
+    began = arrivals[0] if arrivals else 0.0
+    for at, name in crashes:
+        record.write(f"crash at {at - began:.2f} s, now {name}")
+    record.write(f"{len(arrivals)} arrivals, {len(crashes)} crashes", is_printed=True)
+    if len(crashes) < MAX_CRASHED:
+        return True
+    third = crashes[MAX_CRASHED - 1][0]
+    late = sum(at > third + CONTACT_SECONDS for at in arrivals)
+    record.write(
+        f"{late} arrivals later than {CONTACT_SECONDS:g} s after the third crash, "
+        f"{MAX_LATE_SENDS} allowed",
+        is_printed=True,
+    )
+    return late <= MAX_LATE_SENDS
 
 
 if __name__ == "__main__":
--- a/review/support/processes.py
+++ b/review/support/processes.py
@@ -1,7 +1,6 @@
 """Starts the project's programs from the build of the deploy file, and records."""
 
 import asyncio
-import json
 import os
 import signal
 import sys
@@ -77,25 +76,19 @@
     record.write(f"disruption: {'on' if has_trouble() else 'off'}", is_printed=True)
 
     async def main() -> bool:
+        # On SIGTERM the processes are ended too.
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory(prefix="review-") as temporary:
             async with asyncio.timeout(_MAX_SECONDS):
                 return await play(Path(temporary), record)
 
     try:
         is_held = asyncio.run(main())
-    except (Exception, KeyboardInterrupt) as exc:
+    except (Exception, KeyboardInterrupt, asyncio.CancelledError) as exc:
         record.write(f"the case could not run: {exc!r}", is_printed=True)
         sys.exit(2)
     verdict = "held" if is_held else "BROKEN"
     record.write(f"the rule {verdict}", is_printed=True)
     sys.exit(0 if is_held else 1)
-
-
-def describe(value: Any) -> str:
-    """Return a value as JSON for the record."""
-    return json.dumps(value, sort_keys=True, default=str)
-
-
-async def terminate(gateway: cluster.Gateway) -> int:
-    """Stop a process by SIGTERM and return its exit code."""
-    return await gateway.stop(signal.SIGTERM)
