Send each HTTP request once, whatever its method

Cause: aiohttp repeats methods that RFC 9110 calls idempotent on a new connection; all sessions were opened with that default. Ruled out: the retries of Attempt (one attempt in the log) and the caller.

Change: open_session turns the repeats off for all sessions. The store's client repeats reads itself.

--- a/src/fireflyspread/_http_client.py
+++ b/src/fireflyspread/_http_client.py
@@ -31,6 +31,7 @@
     "check_status",
     "join_url",
     "open_client_session",
+    "open_session",
     "read_limit",
     "read_retry_after",
     "translate_errors",
@@ -100,6 +101,25 @@
         self._factory = make_protocol
 
 
+def open_session(**options: Any) -> aiohttp.ClientSession:
+    """Return an HTTP session that sends each request once.
+
+    By default aiohttp sends a request again, on a new connection, if the connection is
+    lost and the method is idempotent by RFC 9110. The route and not the method says
+    whether a request may run twice, and the failure of the second send would hide that
+    the first one may have run.
+
+    Parameters
+    ----------
+    **options
+        Arguments of ``aiohttp.ClientSession``.
+    """
+    options.setdefault("cookie_jar", aiohttp.DummyCookieJar())
+    session = aiohttp.ClientSession(**options)
+    session._retry_connection = False
+    return session
+
+
 def open_client_session(*, connect_timeout: float = 1.0) -> aiohttp.ClientSession:
     """Return the session that all clients of one process share.
 
@@ -111,11 +131,10 @@
     connect_timeout : float
         Seconds to establish a TCP connection.
     """
-    return aiohttp.ClientSession(
+    return open_session(
         connector=ClientConnector(
             limit=0, limit_per_host=0, keepalive_timeout=_KEEPALIVE_SECONDS
         ),
-        cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=connect_timeout),
         headers={"User-Agent": "fireflyspread"},
     )
--- a/src/fireflyspread/daemon/_build.py
+++ b/src/fireflyspread/daemon/_build.py
@@ -9,6 +9,7 @@
     LIMIT_HEADER,
     AnswerCallback,
     ClientConnector,
+    open_session,
     read_limit,
 )
 from fireflyspread._pools import ReplicaPool
@@ -118,10 +119,9 @@
             sent_at=clock.read_monotonic() - seconds,
         )
 
-    session = aiohttp.ClientSession(
+    session = open_session(
         connector=ClientConnector(limit=0),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
-        cookie_jar=aiohttp.DummyCookieJar(),
     )
     engines: ReplicaPool[Engine] = ReplicaPool(
         lambda replica: HttpEngine.from_config(
--- a/src/fireflyspread/gateway/_relay_client.py
+++ b/src/fireflyspread/gateway/_relay_client.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from fireflyspread._http_client import open_session
 from fireflyspread._http_reply import HttpReply
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
@@ -168,9 +169,8 @@
     ) -> None:
         self._roster = roster
         self._clock = clock
-        self._session = aiohttp.ClientSession(
+        self._session = open_session(
             connector=connector,
-            cookie_jar=aiohttp.DummyCookieJar(),
             auto_decompress=False,
             max_field_size=MAX_HEAD_BYTES,
         )
--- a/src/fireflyspread/nodes/_relay.py
+++ b/src/fireflyspread/nodes/_relay.py
@@ -13,7 +13,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from fireflyspread._http_client import ClientConnector
+from fireflyspread._http_client import ClientConnector, open_session
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import Outcome, PeerError
 from fireflyspread.nodes._signature import HOPS_HEADER, Identity, RequestSigner
@@ -99,7 +99,7 @@
         self._scheme = "http" if tls is None else "https"
         self._write_timeout = write_timeout
         self._in_flight: dict[str, set[asyncio.Timeout]] = {}
-        self._session = aiohttp.ClientSession(
+        self._session = open_session(
             connector=ClientConnector(
                 limit=0,
                 ssl=True if tls is None else make_ssl_context(tls, server=False),
@@ -107,7 +107,6 @@
             ),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
             auto_decompress=False,
-            cookie_jar=aiohttp.DummyCookieJar(),
             skip_auto_headers=("Accept", "Accept-Encoding", "Content-Type"),
         )
 
@@ -132,8 +131,8 @@
         Raises
         ------
         PeerError
-            No answer began. The outcome is ``may_have_run`` if the request was sent
-            and its method is not safe.
+            No answer began. The outcome is ``may_have_run`` if the request was sent,
+            whatever its method.
         """
         hops = _count_hops(request) + 1
         if hops > _MAX_HOPS:
@@ -358,13 +357,11 @@
 
 
 def _make_broken_error(request: web.Request, member: Member) -> PeerError:
-    if request.method in _SAFE_METHODS:
-        outcome, remedy = Outcome.NOT_RUN, "repeat the request"
-    else:
-        outcome, remedy = Outcome.MAY_HAVE_RUN, "look up its outcome before repeating"
+    is_safe = request.method in _SAFE_METHODS
+    remedy = "repeat the request" if is_safe else "look up its outcome before repeating"
     return PeerError(
         f"the connection to node {member.name} broke before the answer; {remedy}",
-        outcome=outcome,
+        outcome=Outcome.MAY_HAVE_RUN,
     )
 
 
--- a/src/fireflyspread/operators/_client.py
+++ b/src/fireflyspread/operators/_client.py
@@ -11,7 +11,7 @@
 import msgspec
 from attrs import field, frozen, validators
 
-from fireflyspread._http_client import ClientConnector
+from fireflyspread._http_client import ClientConnector, open_session
 from fireflyspread._structuring import (
     decode_json,
     make_converter,
@@ -271,5 +271,5 @@
                 f"cannot use the authority {settings.authority}: {exc}; give a PEM file"
             ) from exc
     connector = ClientConnector(ssl=tls)
-    async with aiohttp.ClientSession(connector=connector) as session:
+    async with open_session(connector=connector) as session:
         yield HttpClient(session, key, timeout=settings.timeout)
--- a/src/fireflyspread/platform/_etcd.py
+++ b/src/fireflyspread/platform/_etcd.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from fireflyspread._http_client import ClientConnector, open_session
 from fireflyspread.exceptions import StoreError, StoreUncertainError
 from fireflyspread.recovery import Change, Entry, Store
 
@@ -51,7 +52,7 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None or self._session.closed:
-            self._session = aiohttp.ClientSession()
+            self._session = open_session(connector=ClientConnector())
         return self._session
 
     async def _call(
--- a/src/fireflyspread/platform/_kv_store.py
+++ b/src/fireflyspread/platform/_kv_store.py
@@ -11,6 +11,7 @@
 from yarl import URL
 
 from fireflyspread._decoding import decode_json
+from fireflyspread._http_client import open_session
 from fireflyspread.exceptions import (
     HistoryLostError,
     StoreError,
@@ -26,6 +27,9 @@
 # Seconds that the store holds each long poll of an endless watch.
 _LONG_POLL_SECONDS = 5.0
 
+# ``KvStore._call`` limits the time of both sends together.
+_NO_TIMEOUT = aiohttp.ClientTimeout(total=None)
+
 
 class _Item(msgspec.Struct, rename="camel"):
     key: str
@@ -77,9 +81,7 @@
     ) -> None:
         self._base = f"http://{address}"
         self._timeout = timeout
-        self._session = aiohttp.ClientSession(
-            connector=connector, cookie_jar=aiohttp.DummyCookieJar()
-        )
+        self._session = open_session(connector=connector)
 
     async def _call(
         self,
@@ -92,6 +94,9 @@
     ) -> tuple[int, bytes]:
         """Return the status and body of a response below 500 other than 429.
 
+        A read whose connection breaks is sent once more, because the store closes idle
+        connections.
+
         Raises
         ------
         StoreError
@@ -101,27 +106,39 @@
             A write failed otherwise and may have been executed.
         """
         error_type = StoreUncertainError if is_write else StoreError
-        client_timeout = aiohttp.ClientTimeout(total=timeout or self._timeout)
         data = None if body is None else msgspec.json.encode(body)
-        headers = {} if body is None else {"Content-Type": "application/json"}
         try:
-            async with self._session.request(
-                method,
-                URL(self._base + path, encoded=True),
-                data=data,
-                headers=headers,
-                timeout=client_timeout,
-            ) as response:
-                content = await response.read()
+            async with asyncio.timeout(timeout or self._timeout):
+                try:
+                    status, content = await self._send(method, path, data)
+                except aiohttp.ClientConnectorError:
+                    raise
+                except (aiohttp.ServerDisconnectedError, aiohttp.ClientOSError):
+                    if method != "GET":
+                        raise
+                    status, content = await self._send(method, path, data)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as exc:
             raise StoreError(f"no connection to the store for {path}; retry") from exc
         except (aiohttp.ClientError, TimeoutError, OSError) as exc:
             raise error_type(f"no answer from the store to {path}; retry") from exc
-        if response.status in (429, 503):
-            raise StoreError(f"the store refused {path} with {response.status}; retry")
-        if response.status >= 500:
-            raise error_type(f"the store failed {path} with {response.status}; retry")
-        return response.status, content
+        if status in (429, 503):
+            raise StoreError(f"the store refused {path} with {status}; retry")
+        if status >= 500:
+            raise error_type(f"the store failed {path} with {status}; retry")
+        return status, content
+
+    async def _send(
+        self, method: str, path: str, data: bytes | None
+    ) -> tuple[int, bytes]:
+        headers = {} if data is None else {"Content-Type": "application/json"}
+        async with self._session.request(
+            method,
+            URL(self._base + path, encoded=True),
+            data=data,
+            headers=headers,
+            timeout=_NO_TIMEOUT,
+        ) as response:
+            return response.status, await response.read()
 
     async def read(self, key: str) -> Entry | None:
         path = f"/v1/kv-key?key={quote(key, safe='')}"
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -17,6 +17,7 @@
     ClientConnector,
     ResetAwareProtocol,
     accepts_connection,
+    open_session,
     read_limit,
 )
 from fireflyspread._http_reply import HttpReply
@@ -43,7 +44,7 @@
 _LOG = logging.getLogger(__name__)
 
 # Seconds that an idle connection is kept. If the replica closes one first, a
-# repeatable request that was sent on it is sent again on a new connection.
+# repeatable request that was sent on it fails and is retried as its route allows.
 _KEEPALIVE_SECONDS = 15.0
 # Idle seconds up to which a connection is reused for a request that may run only once.
 # Replicas close idle connections after some seconds, faulty ones after 0.3 s.
@@ -451,13 +452,12 @@
 
 
 def _open_session() -> aiohttp.ClientSession:
-    return aiohttp.ClientSession(
+    return open_session(
         connector=make_connector(
             keepalive=_KEEPALIVE_SECONDS,
             kind=_LifoConnector,
             user_timeout=_REPLICA_USER_TIMEOUT_MS,
         ),
-        cookie_jar=aiohttp.DummyCookieJar(),
         response_class=_MatchingResponse,
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
--- a/src/fireflyspread/platform/_vms.py
+++ b/src/fireflyspread/platform/_vms.py
@@ -6,6 +6,7 @@
 import msgspec
 from attrs import frozen
 
+from fireflyspread._http_client import ClientConnector, open_session
 from fireflyspread.exceptions import FireflyError
 
 __all__ = ["Vm", "VmList", "VmListError", "VmState"]
@@ -59,7 +60,9 @@
         """
         try:
             async with (
-                aiohttp.ClientSession(timeout=self._timeout) as session,
+                open_session(
+                    connector=ClientConnector(), timeout=self._timeout
+                ) as session,
                 session.get(self._url + "/v1/vms") as response,
             ):
                 response.raise_for_status()
--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -55,6 +55,9 @@
         Whether answers say that the replica is leaving; its registration does not.
     limit : float or None
         Requests a second that answers name as the limit of all nodes together.
+    lost_answers : int
+        Number of next plain requests that run and whose connection is reset before
+        the first byte of the answer.
     partial_heads : int
         Number of next requests that run and are answered by a part of a head only.
     refuse : int
@@ -86,6 +89,7 @@
     fails_with: int = 0
     leaving: bool = False
     limit: float | None = None
+    lost_answers: int = 0
     partial_heads: int = 0
     refuse: int = 0
     repeat_refusals: str | None = None
@@ -345,6 +349,10 @@
     async def _respond(
         self, request: web.Request, run: Run, headers: dict[str, str]
     ) -> web.StreamResponse:
+        if self.faults.lost_answers > 0:
+            self.faults.lost_answers -= 1
+            _reset(request)
+            return web.Response(status=499)
         body = b"done " + await request.read()
         is_reset = self._is_reset_next()
         run.is_complete = not is_reset
