Test that crashes count for requests of each method

Cause: the repeat of the HTTP library met a refused connection, so that the failure of the second send (nothing was sent) hid the crash.

--- a/tests/gateway/crash_play.py
+++ b/tests/gateway/crash_play.py
@@ -68,6 +68,8 @@
         Who a replica is after a crash, as for the stand-in.
     kind : str
         Kind of route.
+    method : str
+        Method of the requests that crash replicas.
     patience : float
         Seconds after which the caller leaves.
     patiences : tuple of float
@@ -101,6 +103,7 @@
     replicas: int = 2
     returns_as: str = "new"
     kind: str = "unsafe"
+    method: str = "POST"
     patience: float = 4.0
     patiences: tuple[float, ...] = ()
     delay: float = 0.0
@@ -229,6 +232,8 @@
         """Send until each request could have made too many late sends."""
         started_at = time.time()
         async with aiohttp.ClientSession() as session, asyncio.TaskGroup() as group:
+            # Each request is one client attempt, whatever its method.
+            session._retry_connection = False
             others = group.create_task(self._send_others(session))
             while time.time() < started_at + _MAX_SECONDS:
                 for path in self._variant.list_paths() * self._variant.copies:
@@ -263,7 +268,14 @@
         number: int,
         turn: int,
     ) -> None:
-        status = await self._send(session, path, patience, number=number, turn=turn)
+        status = await self._send(
+            session,
+            path,
+            patience,
+            number=number,
+            turn=turn,
+            method=self._variant.method,
+        )
         self.statuses[path].append(status)
 
     def count_refused(self, path: str) -> int:
@@ -296,6 +308,7 @@
         *,
         number: int,
         turn: int,
+        method: str = "POST",
     ) -> int:
         """Send one request and return its status, or 0 without an answer."""
         request = f"r{number}-{path.rpartition('/')[2]}"
@@ -308,8 +321,8 @@
         with contextlib.suppress(aiohttp.ClientError, TimeoutError):
             async with (
                 asyncio.timeout(patience),
-                session.post(
-                    f"http://{node.callers}{path}", headers=headers, data=b"x"
+                session.request(
+                    method, f"http://{node.callers}{path}", headers=headers, data=b"x"
                 ) as response,
             ):
                 await response.read()
--- a/tests/gateway/test_crash_variants.py
+++ b/tests/gateway/test_crash_variants.py
@@ -48,6 +48,21 @@
         play, records = await play_variant(tmp_path, variant)
         check(play, records)
 
+    @pytest.mark.parametrize(
+        ("kind", "method"),
+        [
+            ("safe", "GET"),
+            ("safe", "PUT"),
+            ("unsafe", "DELETE"),
+            ("stream", "GET"),
+        ],
+    )
+    async def test_crashes_count_for_each_method(self, tmp_path, kind, method):
+        """Guards against crashes that a second send of the HTTP library hides."""
+        variant = Variant(replicas=6, kind=kind, method=method)
+        play, records = await play_variant(tmp_path, variant)
+        check(play, records)
+
 
 class TestCallersThatLeave:
     @pytest.mark.parametrize("delay", [0.5, 1.5])
