Credit a draw with the amount that was written

Callers would see: the end of a gateway process (KeyError from settle_loans).

Cause: _apply_draw read account.record after a wait in which report_drawn may have replaced it by one without this process.

Evidence: test_report_beside_a_draw_does_not_end_the_node raised the KeyError before and passes now.

--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -279,7 +279,7 @@
         # Logged before any token is granted, so that of a concurrent draw and loan at
         # least one node sees the other's entry.
         totals = await self._loan_log.append_draw(account.program, account.drawn)
-        self._apply_draw(account, totals)
+        self._apply_draw(account, drawn[self._process], totals)
         return True
 
     def _load_record(self, account: Account, entry: Entry | None) -> None:
@@ -289,11 +289,14 @@
         if account.record is not None:
             account.credit(account.record.drawn.get(self._process, 0))
 
-    def _apply_draw(self, account: Account, totals: LoanTotals) -> None:
-        """Credit a draw, settle this node's loans and withhold those of others."""
-        assert account.record is not None
+    def _apply_draw(self, account: Account, drawn: int, totals: LoanTotals) -> None:
+        """Credit a draw, settle this node's loans and withhold those of others.
+
+        ``account.record`` may be another than the one written, because another node may
+        have reported a draw since.
+        """
         lent_before = account.lent
-        account.credit(account.record.drawn[self._process])
+        account.credit(drawn)
         if account.lent < lent_before:
             self._start_append(
                 self._loan_log.append_loan(account.program, account.lent - lent_before)
--- a/tests/budgets/test_accounts.py
+++ b/tests/budgets/test_accounts.py
@@ -1,6 +1,7 @@
 """Tests of a node's accounts of programs' budgets."""
 
 import asyncio
+from collections.abc import Callable, Sequence
 
 import pytest
 from hypothesis import given
@@ -14,6 +15,7 @@
     PeerError,
     StoreError,
 )
+from fireflyspread.recovery import Entry, Write
 from tests.recovery.snapshot_store import MemoryStore
 
 BUDGET = 864
@@ -395,3 +397,41 @@
             return spent
 
         assert asyncio.run(run_steps()) <= BUDGET + MAX_TOKENS
+
+
+class _StepStore(MemoryStore):
+    """Calls ``between`` after each write has taken effect and before its answer."""
+
+    between: Callable[[], None] | None = None
+
+    async def write_all(self, writes: Sequence[Write]) -> int | tuple[Entry, ...]:
+        result = await super().write_all(writes)
+        if self.between is not None:
+            self.between()
+        return result
+
+
+class TestWritesInProgress:
+    """What happens to an account between a write and its answer."""
+
+    def _make_nodes(self) -> tuple[Nodes, _StepStore]:
+        nodes = Nodes()
+        nodes.store = store = _StepStore()
+        for name in ("a", "b"):
+            nodes.restart(name)
+        return nodes, store
+
+    async def test_report_beside_a_draw_does_not_end_the_node(self):
+        """Guards against a node that ends because the record was replaced."""
+        nodes, _ = self._make_nodes()
+        accounts = nodes.accounts["a"]
+        log = nodes.drawn
+
+        class ReportingLog(MemoryLoanLog):
+            async def append_draw(self, program: str, drawn: int) -> LoanTotals:
+                accounts.report_drawn(program, BUDGET, BUDGET - 1)
+                return await super().append_draw(program, drawn)
+
+        accounts._loan_log = ReportingLog(nodes, "a-1")
+        await nodes.spend("a")
+        assert log["p"] <= BUDGET
