Draw under a name of its own in each account of a program

Callers would see: programs that get more than their budget after a pause of 150 s.

Cause: an account that was opened again credited all that its process had drawn before, spent or not; and a turn that waited while its account was dropped went on with one that was no longer listed, or was paid from tokens whose record was being removed.

Change: each account has a name of its own in the record; a turn opens the account again if it was dropped; an account with loans or used meanwhile is kept.

--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -37,10 +37,12 @@
 
     Attributes
     ----------
+    process : str
+        Name under which the account draws from the store.
     available : int
         Tokens drawn and neither spent nor reserved for a running turn.
     own_drawn : int
-        Tokens that this process is known to have drawn from the store.
+        Tokens that the account is known to have drawn under this name.
     lent : int
         Tokens lent by this node, available or granted, that the store's record does
         not include yet.
@@ -54,6 +56,7 @@
 
     program: str
     budget: int
+    process: str
     available: int = 0
     own_drawn: int = 0
     lent: int = 0
@@ -70,8 +73,13 @@
         self.available -= amount
         return True
 
+    def take_available(self) -> int:
+        """Take out all available tokens, so that nobody else gets them."""
+        taken, self.available = self.available, 0
+        return taken
+
     def credit(self, drawn: int) -> None:
-        """Credit the tokens that the store records as ``drawn`` by this process.
+        """Credit the tokens that the store records as ``drawn`` under this name.
 
         They may include draws whose answer was lost. They settle loans first.
         """
--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -1,6 +1,7 @@
 """Draws programs' budgets from the store and grants them turn by turn."""
 
 import asyncio
+import itertools
 import logging
 import math
 import secrets
@@ -92,6 +93,9 @@
     partition, restart or loss of nodes lets a program exceed its budget: tokens drawn
     by a lost node count as spent.
 
+    Each account draws under a name of its own. If an account is opened again, what the
+    one before has drawn counts as spent.
+
     While the store is unavailable, a node lends. A loan is written to the loan log
     first, and to the store when that is available again. Loans of lost nodes count as
     drawn.
@@ -124,7 +128,8 @@
         self._is_outage = is_outage
         self._store_unavailable_until = -math.inf
         self._accounts: dict[str, Account] = {}
-        self._process = make_process_id(node, secrets.token_hex(4))
+        self._incarnation = secrets.token_hex(4)
+        self._account_numbers = itertools.count()
         self._unsettled: set[str] = set()
 
     async def grant(
@@ -152,27 +157,38 @@
         OverloadedError
             The store is unavailable and no node may lend more; retry the turn later.
         """
-        account = self._accounts.get(program)
-        if account is None:
-            account = self._accounts[program] = Account(program=program, budget=budget)
-        account.used_at = self._clock.read_monotonic()
-        if not account.reserve(max_tokens):
+        account = self._open(program, budget)
+        while not account.reserve(max_tokens):
             async with account.lock:
-                if not account.reserve(max_tokens):
-                    await self._refill(account, max_tokens, may_lend=may_lend)
+                if self._accounts.get(program) is account:
+                    if not account.reserve(max_tokens):
+                        await self._refill(account, max_tokens, may_lend=may_lend)
+                    break
+            # The account was dropped while this turn waited for it.
+            account = self._open(program, budget)
         is_new = account.drawn + account.lent == account.available + max_tokens
         return Grant(max_tokens, is_new, account.drawn)
 
+    def _open(self, program: str, budget: int) -> Account:
+        account = self._accounts.get(program)
+        if account is None:
+            account = self._accounts[program] = Account(
+                program=program, budget=budget, process=self._make_process()
+            )
+        account.used_at = self._clock.read_monotonic()
+        return account
+
+    def _make_process(self) -> str:
+        incarnation = f"{self._incarnation}.{next(self._account_numbers)}"
+        return make_process_id(self._node, incarnation)
+
     def report_drawn(self, program: str, budget: int, drawn: int) -> None:
         """Record how many tokens all nodes have drawn, as known to another node.
 
         Without this, a node that did not draw them itself could lend the same tokens in
         a later outage.
         """
-        account = self._accounts.get(program)
-        if account is None:
-            account = self._accounts[program] = Account(program=program, budget=budget)
-        account.used_at = self._clock.read_monotonic()
+        account = self._open(program, budget)
         if drawn > account.drawn:
             account.record = _make_lost_record(account, drawn)
             account.revision = 0
@@ -197,7 +213,8 @@
         account = self._accounts.get(program)
         if account is None:
             return 0
-        account.credit((drawn or {}).get(self._process, 0))
+        account.used_at = self._clock.read_monotonic()
+        account.credit((drawn or {}).get(account.process, 0))
         if account.lent:
             return 0
         handed_over = max(0, min(account.available, amount))
@@ -264,9 +281,9 @@
             )
 
     async def _write_draw(self, account: Account, amount: int) -> bool:
-        """Add ``amount`` to this process's draws; False if the record has changed."""
+        """Add ``amount`` to the account's draws; False if the record has changed."""
         drawn = {} if account.record is None else dict(account.record.drawn)
-        drawn[self._process] = drawn.get(self._process, 0) + amount
+        drawn[account.process] = drawn.get(account.process, 0) + amount
         record = ProgramRecord(budget=account.budget, drawn=drawn)
         write = Write(_make_key(account.program), _encode(record), account.revision)
         try:
@@ -279,7 +296,7 @@
         # Logged before any token is granted, so that of a concurrent draw and loan at
         # least one node sees the other's entry.
         totals = await self._loan_log.append_draw(account.program, account.drawn)
-        self._apply_draw(account, drawn[self._process], totals)
+        self._apply_draw(account, drawn[account.process], totals)
         return True
 
     def _load_record(self, account: Account, entry: Entry | None) -> None:
@@ -287,7 +304,7 @@
         account.record = None if entry is None else _decode(entry.value, account)
         account.revision = 0 if entry is None else entry.revision
         if account.record is not None:
-            account.credit(account.record.drawn.get(self._process, 0))
+            account.credit(account.record.drawn.get(account.process, 0))
 
     def _apply_draw(self, account: Account, drawn: int, totals: LoanTotals) -> None:
         """Credit a draw, settle this node's loans and withhold those of others.
@@ -414,6 +431,11 @@
 
     async def _drop(self, account: Account) -> None:
         async with account.lock:
+            is_used = self._clock.read_monotonic() - account.used_at <= _IDLE_TIMEOUT
+            if is_used or account.lent:
+                return
+            # A turn that arrives meanwhile waits, because nothing is available.
+            account.take_available()
             if account.revision:
                 write = Write(_make_key(account.program), None, account.revision)
                 try:
@@ -451,7 +473,7 @@
             spent = account.own_drawn + account.lent - account.available
             drawn = {} if account.record is None else dict(account.record.drawn)
             record = ProgramRecord(
-                budget=account.budget, drawn={**drawn, self._process: spent}
+                budget=account.budget, drawn={**drawn, account.process: spent}
             )
             write = Write(_make_key(account.program), _encode(record), account.revision)
             try:
--- a/tests/budgets/test_accounts.py
+++ b/tests/budgets/test_accounts.py
@@ -421,6 +421,39 @@
             nodes.restart(name)
         return nodes, store
 
+    async def test_turn_beside_the_end_of_an_idle_account_draws_anew(self):
+        """Guards against turns paid from a record that has been removed."""
+        nodes, store = self._make_nodes()
+        await nodes.spend("a", 10)
+        nodes.clock.advance(200.0)
+        turns: list[asyncio.Task[int]] = []
+
+        def begin_turn() -> None:
+            if not turns:
+                turns.append(asyncio.ensure_future(nodes.spend("a")))
+
+        store.between = begin_turn
+        await nodes.accounts["a"]._expire()
+        await turns[0]
+        spent = MAX_TOKENS
+        with pytest.raises(BudgetExceededError):
+            for _ in range(10):
+                spent += await nodes.spend("a")
+        assert spent <= BUDGET
+
+    async def test_account_that_is_opened_again_has_no_tokens(self):
+        """Guards against drawn tokens that are granted again after a pause."""
+        nodes, _ = self._make_nodes()
+        spent = await nodes.spend("a")
+        nodes.clock.advance(200.0)
+        spent += await nodes.spend("b")
+        # Another node has changed the record, so it stays.
+        await nodes.accounts["a"]._expire()
+        with pytest.raises(BudgetExceededError):
+            for _ in range(10):
+                spent += await nodes.spend("a")
+        assert spent <= BUDGET
+
     async def test_report_beside_a_draw_does_not_end_the_node(self):
         """Guards against a node that ends because the record was replaced."""
         nodes, _ = self._make_nodes()
