Take tokens out of an account before they return to the store

Cause: a stopping node computed its unspent tokens, waited for the store and only then set them to 0. Meanwhile they were handed over to another node and granted there, and were unspent in the store besides. A lost answer left them available for good. Ruled out: messages sent twice (sockets do not resend) and loans (the store answers).

Change: the tokens leave the account before the write is sent and come back only if it has certainly failed; the account draws under a new name then.

--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -78,6 +78,15 @@
         taken, self.available = self.available, 0
         return taken
 
+    def rename(self, process: str) -> None:
+        """Draw under a new name from now on.
+
+        What the store records under the old name is never credited again, because it
+        is no longer known which of these tokens have been spent.
+        """
+        self.process = process
+        self.own_drawn = 0
+
     def credit(self, drawn: int) -> None:
         """Credit the tokens that the store records as ``drawn`` under this name.
 
--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -27,6 +27,7 @@
     OverloadedError,
     PeerError,
     StoreError,
+    StoreUncertainError,
 )
 from fireflyspread.recovery import (
     Entry,
@@ -468,20 +469,37 @@
             await self._write_returned(account)
 
     async def _write_returned(self, account: Account) -> None:
-        """Write an account's available tokens, less its loans, back to the store."""
+        """Write an account's available tokens, less its loans, back to the store.
+
+        The store may count these tokens as unspent from the moment at which the write
+        is sent, so turns and other nodes get them only once the write has failed.
+        """
         for _ in range(_MAX_DRAW_ATTEMPTS):
-            spent = account.own_drawn + account.lent - account.available
+            returned = account.take_available()
+            spent = account.own_drawn + account.lent - returned
             drawn = {} if account.record is None else dict(account.record.drawn)
             record = ProgramRecord(
                 budget=account.budget, drawn={**drawn, account.process: spent}
             )
             write = Write(_make_key(account.program), _encode(record), account.revision)
             try:
-                await self._combiner.write(write)
+                revision = await self._combiner.write(write)
             except WriteConflictError as exc:
+                account.available += returned
                 self._load_record(account, exc.entry)
                 continue
-            account.available = account.lent = 0
+            except (StoreUncertainError, asyncio.CancelledError):
+                account.rename(self._make_process())
+                raise
+            except StoreError:
+                account.available += returned
+                raise
+            account.rename(self._make_process())
+            account.record, account.revision, account.lent = record, revision, 0
+            _LOG.info(
+                "unspent tokens returned to the store",
+                extra={"program": account.program, "tokens": returned},
+            )
             return
         _LOG.warning(
             "unspent tokens not returned to the store, its record keeps changing",
--- a/src/fireflyspread/recovery/_combiner.py
+++ b/src/fireflyspread/recovery/_combiner.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from fireflyspread.exceptions import StoreError
+from fireflyspread.exceptions import StoreError, StoreUncertainError
 from fireflyspread.recovery._store import (
     WRITES_PER_TRANSACTION,
     Entry,
@@ -102,7 +102,10 @@
                 return
             except Exception as exc:
                 _LOG.exception("unexpected error in a transaction; its writes fail")
-                _fail(batch, StoreError(f"the write to the store failed: {exc}; retry"))
+                _fail(
+                    batch,
+                    StoreUncertainError(f"the write to the store failed: {exc}; retry"),
+                )
                 return
             if isinstance(result, int):
                 for each in batch:
--- a/tests/budgets/test_accounts.py
+++ b/tests/budgets/test_accounts.py
@@ -421,6 +421,33 @@
             nodes.restart(name)
         return nodes, store
 
+    async def test_tokens_being_returned_are_not_handed_over(self):
+        """Guards against a budget spent twice around a planned restart."""
+        nodes, store = self._make_nodes()
+        await nodes.spend("a", 10)
+        handed_over: list[int] = []
+        store.between = lambda: handed_over.append(
+            nodes.accounts["a"].hand_over("p", BUDGET)
+        )
+        await nodes.accounts["a"].close()
+        assert handed_over == [0]
+
+    async def test_lost_answer_to_a_return_makes_no_tokens_available(self):
+        """Guards against tokens that are unspent in the store and held by a node."""
+        nodes, store = self._make_nodes()
+        await nodes.spend("a", 10)
+        store.lose_answers = 1
+        await nodes.accounts["a"].close()
+        assert nodes.accounts["a"].hand_over("p", BUDGET) == 0
+
+    async def test_refused_return_leaves_the_tokens_to_other_nodes(self):
+        """Guards against budgets that shrink because the store is unavailable."""
+        nodes, store = self._make_nodes()
+        await nodes.spend("a", 10)
+        store.is_down = True
+        await nodes.accounts["a"].close()
+        assert nodes.accounts["a"].hand_over("p", BUDGET) > 0
+
     async def test_turn_beside_the_end_of_an_idle_account_draws_anew(self):
         """Guards against turns paid from a record that has been removed."""
         nodes, store = self._make_nodes()
