Let the event loop open the sockets of HTTP clients

Callers saw: both gateways ended with signal 6 beside replicas that answer in chunks of one byte, and with them all requests on these nodes.

Cause: aiohttp hands a connected socket over to a transport. If that is cancelled, by a timed-out connect or a caller that leaves, the transport and the socket object both close the descriptor, the second time after another connection has got its number. uvloop then raises "File descriptor N is used by transport" or libuv aborts. The watch of replicas did the same. Endless bytes only keep the loop busy, so that timeouts fall into that step.

Change: the connector of all sessions and the watch connect by address, and set the socket's options afterwards.

--- a/src/fireflyspread/_http_client.py
+++ b/src/fireflyspread/_http_client.py
@@ -4,6 +4,7 @@
 import functools
 import math
 import socket
+import ssl
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -27,6 +28,7 @@
     "AnswerCallback",
     "ClientConnector",
     "ResetAwareProtocol",
+    "SocketConfigurator",
     "accepts_connection",
     "check_status",
     "join_url",
@@ -48,6 +50,7 @@
 _PROBE_TIMEOUT = 0.3
 
 
+SocketConfigurator = Callable[[Any], None]
 # Called with an answer and the seconds since its request was sent.
 AnswerCallback = Callable[[aiohttp.ClientResponse, float], None]
 
@@ -85,7 +88,16 @@
 
 
 class ClientConnector(aiohttp.TCPConnector):
-    """Connector of all sessions whose answers may come without a length or chunks.
+    """Connector of all sessions.
+
+    The event loop opens the sockets. aiohttp opens them itself and hands them over to a
+    transport; if that is cancelled, both close the same descriptor, the second time
+    after another connection has got its number. uvloop then aborts the process.
+
+    Parameters
+    ----------
+    configure : callable or None
+        Sets the options of the socket of a new connection.
 
     Attributes
     ----------
@@ -95,11 +107,47 @@
 
     protocol_class: type[ResetAwareProtocol] = ResetAwareProtocol
 
-    def __init__(self, **options: Any) -> None:
+    def __init__(
+        self, *, configure: SocketConfigurator | None = None, **options: Any
+    ) -> None:
         super().__init__(**options)
+        self._configure = configure
         make_protocol: Any = functools.partial(self.protocol_class, loop=self._loop)
         self._factory = make_protocol
 
+    async def _wrap_create_connection(
+        self,
+        *args: Any,
+        addr_infos: list[aiohttp.AddrInfoType],
+        req: aiohttp.ClientRequest,
+        timeout: aiohttp.ClientTimeout,
+        client_error: type[Exception] = aiohttp.ClientConnectorError,
+        **options: Any,
+    ) -> tuple[asyncio.Transport, ResponseHandler]:
+        # The caller removes the first address and tries again with the others.
+        family, _, protocol, _, (host, port, *_) = addr_infos[0]
+        (make_protocol,) = args
+        if options.get("ssl"):
+            options["ssl_shutdown_timeout"] = self._ssl_shutdown_timeout or None
+        try:
+            async with asyncio.timeout(timeout.sock_connect or None):
+                transport, handler = await self._loop.create_connection(
+                    make_protocol, host, port, family=family, proto=protocol, **options
+                )
+            if self._configure is not None:
+                self._configure(transport.get_extra_info("socket"))
+        except ssl.CertificateError as exc:
+            raise aiohttp.ClientConnectorCertificateError(
+                req.connection_key, exc
+            ) from exc
+        except ssl.SSLError as exc:
+            raise aiohttp.ClientConnectorSSLError(req.connection_key, exc) from exc
+        except TimeoutError:
+            raise
+        except OSError as exc:
+            raise client_error(req.connection_key, exc) from exc
+        return transport, handler
+
 
 def open_session(**options: Any) -> aiohttp.ClientSession:
     """Return an HTTP session that sends each request once.
--- a/src/fireflyspread/nodes/_relay.py
+++ b/src/fireflyspread/nodes/_relay.py
@@ -6,6 +6,7 @@
 import socket
 import ssl
 from collections.abc import AsyncIterator, Mapping
+from typing import Any
 
 import aiohttp
 from aiohttp import hdrs, web
@@ -103,7 +104,7 @@
             connector=ClientConnector(
                 limit=0,
                 ssl=True if tls is None else make_ssl_context(tls, server=False),
-                socket_factory=_make_socket,
+                configure=_configure_socket,
             ),
             timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT),
             auto_decompress=False,
@@ -319,16 +320,13 @@
     return context
 
 
-def _make_socket(info: aiohttp.AddrInfoType) -> socket.socket:
-    family, kind, protocol, _, _ = info
-    sock = socket.socket(family, kind, protocol)
+def _configure_socket(sock: Any) -> None:
     # One keep-alive probe per second, so their number equals the timeout in seconds.
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _ACK_TIMEOUT)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _ACK_TIMEOUT * 1000)
-    return sock
 
 
 def _count_hops(request: web.Request) -> int:
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -98,21 +98,17 @@
         limit_per_host=0,
         keepalive_timeout=keepalive,
         use_dns_cache=False,
-        socket_factory=functools.partial(_open_socket, user_timeout=user_timeout),
+        configure=functools.partial(_configure_socket, user_timeout=user_timeout),
     )
 
 
-def _open_socket(address: Any, *, user_timeout: int) -> socket.socket:
-    family, kind, protocol = address[0], address[1], address[2]
-    sock = socket.socket(family, kind, protocol)
-    sock.setblocking(False)
+def _configure_socket(sock: Any, *, user_timeout: int) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _TCP_KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _TCP_KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout)
-    return sock
 
 
 _max_idle_seconds: ContextVar[float] = ContextVar("rest", default=_KEEPALIVE_SECONDS)
@@ -429,20 +425,15 @@
 
 async def _wait_end_of_connection(url: URL) -> None:
     """Open a connection and return when the other side has ended it."""
-    address = (socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    sock = _open_socket(address, user_timeout=_REPLICA_USER_TIMEOUT_MS)
     try:
         async with asyncio.timeout(_CONNECT_TIMEOUT):
-            loop = asyncio.get_running_loop()
-            await loop.sock_connect(sock, (url.host, url.port))
-            reader, writer = await asyncio.open_connection(sock=sock)
+            reader, writer = await asyncio.open_connection(url.host, url.port)
     except (OSError, TimeoutError):
-        sock.close()
         return
-    except BaseException:
-        sock.close()
-        raise
     try:
+        _configure_socket(
+            writer.get_extra_info("socket"), user_timeout=_REPLICA_USER_TIMEOUT_MS
+        )
         while await reader.read(_MAX_PARSED_BYTES):
             pass
     except OSError:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,9 @@
 """Tests of HTTP sessions against servers that end connections."""
 
 import asyncio
+import multiprocessing
+import os
+import socket
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -11,12 +14,13 @@
 
 import fireflyspread
 from fireflyspread._http_client import open_client_session
+from fireflyspread.bundle import Replica
 from fireflyspread.clock import ManualClock
 from fireflyspread.daemon._build import build_pools
 from fireflyspread.gateway._relay_client import HttpRelayNodes
 from fireflyspread.limits import ReplicaLimits
 from fireflyspread.nodes import Relay, RequestSigner
-from fireflyspread.platform import EtcdStore, KvStore, make_connector
+from fireflyspread.platform import EtcdStore, KvStore, ReplicaClient, make_connector
 from fireflyspread.platform._replicas import _open_session as open_replica_session
 from fireflyspread.recovery import Roster
 from standins.raw_server import RawServer
@@ -123,3 +127,56 @@
         sources = Path(fireflyspread.__file__).parent.rglob("*.py")
         found = [s.name for s in sources if "ClientSession(" in s.read_text()]
         assert found == ["_http_client.py"]
+
+
+_CANCELLED_CONNECTS = 400
+
+
+async def _cancel_connects(name: str) -> None:
+    """Cancel connects after 0 to 39 steps of the event loop, beside other sockets."""
+
+    async def accept(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    client = ReplicaClient(_CLOCK)
+    target = Replica(name="o-1", url=url, zone="z1", vm="o-1")
+    async with _SENDING_SESSIONS[name]() as session:
+        for number in range(_CANCELLED_CONNECTS):
+            if number % 2:
+                work = session.post(url)
+            else:
+                work = client.wait_disconnected(target, timeout=5.0)
+            task = asyncio.ensure_future(work)
+            for _ in range(number % 40):
+                await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            pair = socket.socketpair()
+            for _ in range(3):
+                await asyncio.sleep(0)
+            for each in pair:
+                # Raises an error if the descriptor was closed elsewhere.
+                os.fstat(each.fileno())
+                each.close()
+    await client.close()
+
+
+def _run_cancelled_connects(name: str) -> None:
+    uvloop.run(_cancel_connects(name))
+
+
+class TestCancelledConnect:
+    @pytest.mark.parametrize("name", _SENDING_SESSIONS)
+    def test_closes_no_descriptor_of_another_connection(self, name):
+        """Guards against a process that uvloop aborts after timed-out connects."""
+        process = multiprocessing.get_context("spawn").Process(
+            target=_run_cancelled_connects, args=(name,)
+        )
+        process.start()
+        process.join(60.0)
+        assert process.exitcode == 0
