Close connections whose bytes are mostly chunk framing

Callers saw: beside 6 replicas that answer in chunks of one byte, 42 of 64 requests got 504 and none was answered in time, although 3 sound replicas were up.

Cause: parsing a chunk costs as much as several hundred bytes of a body, and only bytes without any progress of a body were limited.

Change: the bytes of framing may exceed those of bodies by 64 KiB, and 16 KiB more each second. What arrives behind a pause is kept unparsed. A replica that sends such bytes is not tried a second time for the request.

--- a/src/fireflyspread/_http_reply.py
+++ b/src/fireflyspread/_http_reply.py
@@ -4,10 +4,14 @@
 
 import aiohttp
 
-from fireflyspread.exceptions import ReplicaCrashedError
+from fireflyspread.exceptions import ReplicaCrashedError, TargetError
 from fireflyspread.forwarding import Reply
 
-__all__ = ["HttpReply"]
+__all__ = ["HttpReply", "UnexpectedBytesError"]
+
+
+class UnexpectedBytesError(aiohttp.ClientPayloadError):
+    """The other side sends bytes that are no answer, or hardly any body in them."""
 
 
 class HttpReply(Reply):
@@ -27,6 +31,10 @@
         try:
             async for chunk in self._response.content.iter_any():
                 yield chunk
+        except UnexpectedBytesError as exc:
+            raise TargetError(
+                f"{self._source} sent bytes that are no answer; check it"
+            ) from exc
         except (aiohttp.ClientError, OSError) as exc:
             raise ReplicaCrashedError(
                 f"connection to {self._source} broke during the response: {exc}; "
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -20,7 +20,7 @@
     open_session,
     read_limit,
 )
-from fireflyspread._http_reply import HttpReply
+from fireflyspread._http_reply import HttpReply, UnexpectedBytesError
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
@@ -72,8 +72,16 @@
 _MAX_SKIPPED_BYTES = 1 << 20
 # Bytes that may arrive without any of them belonging to a body.
 _MAX_IDLE_BYTES = 1 << 18
+# Bytes of heads and chunk framing by which those of bodies may be exceeded on one
+# connection, and how many of them a second makes good. Parsing one-byte chunks costs as
+# much as bodies of several hundred times their size.
+_MAX_FRAMING_BYTES = 1 << 16
+_FRAMING_BYTES_PER_SECOND = 1 << 14
 # Bytes that are parsed before the limits are checked.
 _MAX_PARSED_BYTES = 1 << 14
+# Bytes of a body that a connection buffers before it stops reading; up to twice as many
+# are kept.
+_READ_BUFFER_BYTES = 1 << 16
 
 
 def make_connector(
@@ -133,6 +141,11 @@
     # Bytes since the last progress of a body.
     _idle_bytes = 0
     _body_bytes = 0
+    # Excess of framing over bodies, in bytes, at a time in monotonic seconds.
+    _framing_bytes = 0.0
+    _framing_counted_at = 0.0
+    # Bytes that arrived behind those at which reading was paused.
+    _unparsed = b""
 
     async def read(self) -> Any:
         while True:
@@ -152,30 +165,47 @@
         super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
+        """Parse ``data``, or go on with earlier data if it is empty."""
         self.active_at = time.monotonic()
-        # In slices, because the parser does not return before the end of the data.
+        if not data:
+            # The parser keeps the rest of the part in which it was paused.
+            self._parse(b"")
+        data, self._unparsed = self._unparsed + data, b""
+        # In parts, because the parser does not return before the end of the data.
         for start in range(0, len(data), _MAX_PARSED_BYTES):
-            part = data[start : start + _MAX_PARSED_BYTES]
-            super().data_received(part)
-            self._count_idle_bytes(len(part))
-            if (
-                self._unexpected_count > _MAX_UNEXPECTED_RESPONSES
-                or self._idle_bytes > _MAX_IDLE_BYTES
-            ):
-                self._reject()
+            if self._reading_paused:
+                self._unparsed = data[start:]
+                return
             if not self.is_connected():
                 return
-
-    def _count_idle_bytes(self, size: int) -> None:
-        body_bytes = 0 if self._payload is None else self._payload.total_bytes
-        self._idle_bytes = (
-            0 if body_bytes != self._body_bytes else (self._idle_bytes + size)
+            self._parse(data[start : start + _MAX_PARSED_BYTES])
+
+    def _parse(self, part: bytes) -> None:
+        super().data_received(part)
+        self._count_bytes(len(part))
+        if (
+            self._unexpected_count > _MAX_UNEXPECTED_RESPONSES
+            or self._idle_bytes > _MAX_IDLE_BYTES
+            or self._framing_bytes > _MAX_FRAMING_BYTES
+        ):
+            self._reject()
+
+    def _count_bytes(self, size: int) -> None:
+        total = 0 if self._payload is None else self._payload.total_bytes
+        progress = total - self._body_bytes if total >= self._body_bytes else total
+        self._body_bytes = total
+        self._idle_bytes = 0 if progress else self._idle_bytes + size
+        made_good = _FRAMING_BYTES_PER_SECOND * (
+            self.active_at - self._framing_counted_at
+        )
+        self._framing_counted_at = self.active_at
+        self._framing_bytes = max(
+            0.0, self._framing_bytes + size - 2 * progress - made_good
         )
-        self._body_bytes = body_bytes
 
     def _reject(self) -> None:
         _LOG.warning("connection to a replica closed: bytes that are no answer")
-        error = aiohttp.ClientPayloadError("bytes that are no answer")
+        error = UnexpectedBytesError("bytes that are no answer")
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
         self.set_exception(error)
@@ -444,6 +474,7 @@
 
 def _open_session() -> aiohttp.ClientSession:
     return open_session(
+        read_bufsize=_READ_BUFFER_BYTES,
         connector=make_connector(
             keepalive=_KEEPALIVE_SECONDS,
             kind=_LifoConnector,
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -1,13 +1,20 @@
 """Tests of a gateway process with replicas whose bytes do not end."""
 
 import asyncio
+import contextlib
 from collections.abc import AsyncIterator
 from pathlib import Path
 
 import aiohttp
 import pytest
 
-from soak.cluster import Cluster, Gateway, make_headers, make_turn_headers
+from soak.cluster import (
+    Cluster,
+    Gateway,
+    make_config,
+    make_headers,
+    make_turn_headers,
+)
 from standins.endless_replica import KINDS, EndlessReplica
 
 # Memory of the smallest entry VM.
@@ -97,3 +104,71 @@
                     break
                 await asyncio.sleep(0.05)
             assert replica.open_connections == 0
+
+
+_MANY_CALLERS = 64
+_FAULTY_REPLICAS = 6
+# The route's time, with a margin for callers that begin to read late.
+_ROUTE_SECONDS = 4.0
+
+
+async def _send_and_read_late(
+    session: aiohttp.ClientSession, node: Gateway, number: int, pause: float
+) -> tuple[int, float]:
+    """Return the status, 0 if the answer was cut off, and the seconds to its head."""
+    started_at = asyncio.get_running_loop().time()
+    timeout = aiohttp.ClientTimeout(total=_ROUTE_SECONDS + pause + 4.0)
+    try:
+        async with session.post(
+            f"http://{node.callers}/prices/{number}",
+            headers=make_headers(f"many{number}"),
+            data=b"x",
+            timeout=timeout,
+        ) as response:
+            waited = asyncio.get_running_loop().time() - started_at
+            await asyncio.sleep(pause)
+            async for _ in response.content.iter_any():
+                pass
+            return response.status, waited
+    except aiohttp.ClientError:
+        return 0, asyncio.get_running_loop().time() - started_at
+
+
+class TestManyCallers:
+    @pytest.mark.parametrize("kind", ["tiny chunks", "chunked body", "length body"])
+    async def test_nodes_stay_alive_beside_many_faulty_replicas(
+        self, tmp_path, session, kind
+    ):
+        """Guards against nodes that end or stand still because of endless bytes."""
+        async with contextlib.AsyncExitStack() as stack:
+            cluster = await stack.enter_async_context(
+                Cluster(tmp_path, nodes=2, replicas=3)
+            )
+            cluster.put_config(make_config(4, timeout=_ROUTE_SECONDS))
+            for number in range(_FAULTY_REPLICAS):
+                replica = await stack.enter_async_context(
+                    EndlessReplica(kind, instance=f"e-{number}")
+                )
+                cluster.store.put(
+                    f"servers/{replica.instance}", replica.make_registration("orders")
+                )
+            await asyncio.sleep(0.5)
+            sending = asyncio.gather(
+                *(
+                    _send_and_read_late(session, cluster.nodes[number % 2], number, 3.0)
+                    for number in range(_MANY_CALLERS)
+                )
+            )
+            highest = 0
+            while not sending.done():
+                await asyncio.sleep(0.1)
+                highest = max(highest, *map(_read_resident_bytes, cluster.nodes))
+            answers = await sending
+            assert highest < _MAX_RESIDENT_BYTES
+            for node in cluster.nodes:
+                assert node.process is not None
+                assert node.process.returncode is None
+            assert max(waited for _, waited in answers) < _ROUTE_SECONDS + 0.5
+            if kind == "tiny chunks":
+                # A sound replica answers instead, before any byte is passed on.
+                assert {status for status, _ in answers} == {200}
