Share the memory for answers among all requests of a process

Callers would see: a gateway that ends for lack of memory, and with it their requests, when many of them ask faulty replicas whose answers do not end.

Cause: each request held back up to 1 MiB of an answer, and twice more while it was passed on, whatever their number.

Change: AnswerBuffers. All answers together hold back 32 MiB and a part of 64 KiB each; once an answer has begun it is passed on in parts. New gauge answers.held_bytes.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -17,6 +17,7 @@
     TargetError,
     TargetUnreachableError,
 )
+from fireflyspread.forwarding._answer_buffers import AnswerBuffers
 from fireflyspread.forwarding._backend import Backend, Dispatch, Framing, Reply
 from fireflyspread.forwarding._config import (
     ForwardingRoute,
@@ -51,8 +52,6 @@
 _START_FRACTION = 0.75
 # Replicas that may fail a request before the caller gets the failure.
 _MAX_FAILED_REPLICAS = 6
-# Bytes of an answer that are buffered before it is passed on in chunks.
-_MAX_BUFFERED_BYTES = 1 << 20
 # Bytes of an answer that is no stream; a faulty replica may send them without end.
 _MAX_ANSWER_BYTES = 64 << 20
 
@@ -109,6 +108,7 @@
         backend: Backend,
         clock: Clock,
         watch: ReplicaWatch,
+        buffers: AnswerBuffers,
         recorder: TurnRecorder | None = None,
     ) -> None:
         self.request = request
@@ -128,6 +128,7 @@
         self._stream_versions = stream_versions
         self._backend = backend
         self._watch = watch
+        self._buffers = buffers
         self._recorder = recorder
         self._clock = clock
         self._splitter = EventSplitter()
@@ -437,22 +438,21 @@
 
     async def _relay_body(self, reply: Reply, replica: Replica) -> None:
         """Relay an answer once it is complete, or in chunks if it is large."""
-        body = bytearray()
-        async for chunk in reply.iterate():
-            body += chunk
-            self._received_bytes += len(chunk)
-            if self._received_bytes > _MAX_ANSWER_BYTES:
-                raise ReplicaCrashedError(
-                    f"the answer of replica {replica.name} has more than "
-                    f"{_MAX_ANSWER_BYTES} bytes; check the replica"
-                )
-            if len(body) >= _MAX_BUFFERED_BYTES:
-                await self._start_body(reply, None)
-                await self._sink.write(bytes(body))
-                body.clear()
-        await self._start_body(reply, len(body))
-        if body:
-            await self._sink.write(bytes(body))
+        with self._buffers.open() as buffer:
+            async for chunk in reply.iterate():
+                buffer.add(chunk)
+                self._received_bytes += len(chunk)
+                if self._received_bytes > _MAX_ANSWER_BYTES:
+                    raise ReplicaCrashedError(
+                        f"the answer of replica {replica.name} has more than "
+                        f"{_MAX_ANSWER_BYTES} bytes; check the replica"
+                    )
+                while buffer.is_due:
+                    await self._start_body(reply, None)
+                    await self._sink.write(buffer.take_part())
+            await self._start_body(reply, len(buffer))
+            while part := buffer.take_part():
+                await self._sink.write(part)
         await self._sink.finish()
 
     async def _start_body(self, reply: Reply, length: int | None) -> None:
--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -17,6 +17,7 @@
     NotFoundError,
     OverloadedError,
 )
+from fireflyspread.forwarding._answer_buffers import AnswerBuffers
 from fireflyspread.forwarding._attempt import Attempt
 from fireflyspread.forwarding._backend import Backend
 from fireflyspread.forwarding._config import (
@@ -83,11 +84,17 @@
         self._clock = clock
         self._metrics = metrics
         self._watch = ReplicaWatch(backend, scheduler.record_loss, clock)
+        self._buffers = AnswerBuffers()
         self.running = 0
         # Callers get an answer that tells whether their request may have run instead of
         # a connection that breaks off.
         self.stop_deadline = StopDeadline(clock)
 
+    @property
+    def held_bytes(self) -> int:
+        """Bytes of answers that are held back."""
+        return self._buffers.held_bytes
+
     async def forward(self, request: ForwardRequest, sink: ResponseSink) -> None:
         """Forward ``request`` and write the answer to ``sink``.
 
@@ -188,6 +195,7 @@
             backend=self._backend,
             clock=self._clock,
             watch=self._watch,
+            buffers=self._buffers,
             recorder=recorder,
         )
 
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -488,6 +488,7 @@
         quarantine = self._scheduler.quarantine
         return [
             ("requests.running", self._forwarder.running),
+            ("answers.held_bytes", self._forwarder.held_bytes),
             ("config.version", self._configs.version),
             ("store.away", float(self._followers[0].is_store_unavailable)),
             ("members.known", len(self._roster.list_peers()) + 1),
--- a/tests/gateway/test_endless_bytes.py
+++ b/tests/gateway/test_endless_bytes.py
@@ -106,8 +106,6 @@
             assert replica.open_connections == 0
 
 
-_MANY_CALLERS = 64
-_FAULTY_REPLICAS = 6
 # The route's time, with a margin for callers that begin to read late.
 _ROUTE_SECONDS = 4.0
 
@@ -134,41 +132,58 @@
         return 0, asyncio.get_running_loop().time() - started_at
 
 
+async def _play(
+    folder: Path,
+    session: aiohttp.ClientSession,
+    kind: str,
+    *,
+    callers: int,
+    faulty: int,
+) -> list[tuple[int, float]]:
+    """Check that nodes stay alive within their memory; return status and wait of each.
+
+    Three replicas are sound.
+    """
+    async with contextlib.AsyncExitStack() as stack:
+        cluster = await stack.enter_async_context(Cluster(folder, nodes=2, replicas=3))
+        cluster.put_config(make_config(4, timeout=_ROUTE_SECONDS))
+        for number in range(faulty):
+            replica = await stack.enter_async_context(
+                EndlessReplica(kind, instance=f"e-{number}")
+            )
+            cluster.store.put(
+                f"servers/{replica.instance}", replica.make_registration("orders")
+            )
+        await asyncio.sleep(0.5)
+        sending = asyncio.gather(
+            *(
+                _send_and_read_late(session, cluster.nodes[number % 2], number, 3.0)
+                for number in range(callers)
+            )
+        )
+        highest = 0
+        while not sending.done():
+            await asyncio.sleep(0.1)
+            highest = max(highest, *map(_read_resident_bytes, cluster.nodes))
+        assert highest < _MAX_RESIDENT_BYTES
+        for node in cluster.nodes:
+            assert node.process is not None
+            assert node.process.returncode is None
+        return await sending
+
+
 class TestManyCallers:
     @pytest.mark.parametrize("kind", ["tiny chunks", "chunked body", "length body"])
-    async def test_nodes_stay_alive_beside_many_faulty_replicas(
+    async def test_are_answered_beside_many_faulty_replicas(
         self, tmp_path, session, kind
     ):
         """Guards against nodes that end or stand still because of endless bytes."""
-        async with contextlib.AsyncExitStack() as stack:
-            cluster = await stack.enter_async_context(
-                Cluster(tmp_path, nodes=2, replicas=3)
-            )
-            cluster.put_config(make_config(4, timeout=_ROUTE_SECONDS))
-            for number in range(_FAULTY_REPLICAS):
-                replica = await stack.enter_async_context(
-                    EndlessReplica(kind, instance=f"e-{number}")
-                )
-                cluster.store.put(
-                    f"servers/{replica.instance}", replica.make_registration("orders")
-                )
-            await asyncio.sleep(0.5)
-            sending = asyncio.gather(
-                *(
-                    _send_and_read_late(session, cluster.nodes[number % 2], number, 3.0)
-                    for number in range(_MANY_CALLERS)
-                )
-            )
-            highest = 0
-            while not sending.done():
-                await asyncio.sleep(0.1)
-                highest = max(highest, *map(_read_resident_bytes, cluster.nodes))
-            answers = await sending
-            assert highest < _MAX_RESIDENT_BYTES
-            for node in cluster.nodes:
-                assert node.process is not None
-                assert node.process.returncode is None
-            assert max(waited for _, waited in answers) < _ROUTE_SECONDS + 0.5
-            if kind == "tiny chunks":
-                # A sound replica answers instead, before any byte is passed on.
-                assert {status for status, _ in answers} == {200}
+        answers = await _play(tmp_path, session, kind, callers=64, faulty=6)
+        assert max(waited for _, waited in answers) < _ROUTE_SECONDS + 0.5
+        if kind == "tiny chunks":
+            # A sound replica answers instead, before any byte is passed on.
+            assert {status for status, _ in answers} == {200}
+
+    async def test_memory_does_not_grow_with_their_number(self, tmp_path, session):
+        """Guards against a node whose memory is full of answers held back."""
+        await _play(tmp_path, session, "length body", callers=320, faulty=12)
