Limit bytes outside bodies on all HTTP client connections

Callers would see: nodes that end or stand still because an engine, a service, the store or another node sends bytes that are no answer, without end.

Cause: only connections to replicas had limits; all other sessions read heads and framing without end.

Change: the limits move to _http_protocol.LimitedProtocol, which all sessions use, and count for each answer. All sessions buffer 128 KiB of a body.

--- a/src/fireflyspread/_http_client.py
+++ b/src/fireflyspread/_http_client.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import math
-import socket
 import ssl
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -15,6 +14,7 @@
 from aiohttp.client_proto import ResponseHandler
 from yarl import URL
 
+from fireflyspread._http_protocol import LimitedProtocol, ResetAwareProtocol
 from fireflyspread.exceptions import (
     Outcome,
     ReplicaCrashedError,
@@ -27,7 +27,6 @@
     "LIMIT_HEADER",
     "AnswerCallback",
     "ClientConnector",
-    "ResetAwareProtocol",
     "SocketConfigurator",
     "accepts_connection",
     "check_status",
@@ -42,6 +41,9 @@
 # Common servers close idle connections after 5 s. A request sent on a connection
 # that the server is closing looks like a crash, so the client closes it first.
 _KEEPALIVE_SECONDS = 4.0
+# Bytes of a body that a connection buffers before it stops reading; up to twice as many
+# are kept.
+_READ_BUFFER_BYTES = 1 << 16
 # Requests a second that a target takes from all nodes together.
 LIMIT_HEADER = "X-Rate-Limit"
 _MAX_ERROR_BODY_BYTES = 64 * 1024
@@ -55,38 +57,6 @@
 AnswerCallback = Callable[[aiohttp.ClientResponse, float], None]
 
 
-class ResetAwareProtocol(ResponseHandler):
-    """Fails an answer whose connection is reset.
-
-    aiohttp takes an answer without a length or chunks as complete however its
-    connection ends.
-    """
-
-    def eof_received(self) -> None:
-        # If data and a reset arrive in one step of the loop, libuv reports an end of
-        # the stream, and the reset remains as the pending error of the socket.
-        error = self._read_socket_error()
-        if error:
-            self._fail_payload(OSError(error, "connection reset"))
-        super().eof_received()
-
-    def connection_lost(self, exc: BaseException | None) -> None:
-        if exc is not None:
-            self._fail_payload(exc)
-        super().connection_lost(exc)
-
-    def _read_socket_error(self) -> int:
-        if self.transport is None:
-            return 0
-        sock = self.transport.get_extra_info("socket")
-        return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-
-    def _fail_payload(self, cause: BaseException) -> None:
-        payload = self._payload
-        if payload is not None and not payload.is_eof():
-            payload.set_exception(aiohttp.ClientPayloadError("connection reset"), cause)
-
-
 class ClientConnector(aiohttp.TCPConnector):
     """Connector of all sessions.
 
@@ -105,7 +75,7 @@
         Class of the protocol of each connection.
     """
 
-    protocol_class: type[ResetAwareProtocol] = ResetAwareProtocol
+    protocol_class: type[ResetAwareProtocol] = LimitedProtocol
 
     def __init__(
         self, *, configure: SocketConfigurator | None = None, **options: Any
@@ -150,7 +120,7 @@
 
 
 def open_session(**options: Any) -> aiohttp.ClientSession:
-    """Return an HTTP session that sends each request once.
+    """Return an HTTP session that sends each request once, and stores no cookies.
 
     By default aiohttp sends a request again, on a new connection, if the connection is
     lost and the method is idempotent by RFC 9110. The route and not the method says
@@ -163,6 +133,7 @@
         Arguments of ``aiohttp.ClientSession``.
     """
     options.setdefault("cookie_jar", aiohttp.DummyCookieJar())
+    options.setdefault("read_bufsize", _READ_BUFFER_BYTES)
     session = aiohttp.ClientSession(**options)
     session._retry_connection = False
     return session
--- a/src/fireflyspread/_http_reply.py
+++ b/src/fireflyspread/_http_reply.py
@@ -4,14 +4,11 @@
 
 import aiohttp
 
+from fireflyspread._http_protocol import UnexpectedBytesError
 from fireflyspread.exceptions import ReplicaCrashedError, TargetError
 from fireflyspread.forwarding import Reply
 
-__all__ = ["HttpReply", "UnexpectedBytesError"]
-
-
-class UnexpectedBytesError(aiohttp.ClientPayloadError):
-    """The other side sends bytes that are no answer, or hardly any body in them."""
+__all__ = ["HttpReply"]
 
 
 class HttpReply(Reply):
--- a/src/fireflyspread/platform/_replicas.py
+++ b/src/fireflyspread/platform/_replicas.py
@@ -15,12 +15,12 @@
 
 from fireflyspread._http_client import (
     ClientConnector,
-    ResetAwareProtocol,
     accepts_connection,
     open_session,
     read_limit,
 )
-from fireflyspread._http_reply import HttpReply, UnexpectedBytesError
+from fireflyspread._http_protocol import LimitedProtocol
+from fireflyspread._http_reply import HttpReply
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
@@ -66,22 +66,10 @@
 # Seconds from the start of a replica until its registration is known, with a margin. A
 # connection that has been silent for longer belongs to the process before it.
 _SILENT_SECONDS = 1.0
-# Responses on one connection before the expected one, interim ones included, and bytes
-# of the body of one of them. Replicas repeat single answers.
-_MAX_UNEXPECTED_RESPONSES = 16
+# Bytes of the body of a response to an earlier request.
 _MAX_SKIPPED_BYTES = 1 << 20
-# Bytes that may arrive without any of them belonging to a body.
-_MAX_IDLE_BYTES = 1 << 18
-# Bytes of heads and chunk framing by which those of bodies may be exceeded on one
-# connection, and how many of them a second makes good. Parsing one-byte chunks costs as
-# much as bodies of several hundred times their size.
-_MAX_FRAMING_BYTES = 1 << 16
-_FRAMING_BYTES_PER_SECOND = 1 << 14
-# Bytes that are parsed before the limits are checked.
-_MAX_PARSED_BYTES = 1 << 14
-# Bytes of a body that a connection buffers before it stops reading; up to twice as many
-# are kept.
-_READ_BUFFER_BYTES = 1 << 16
+# Bytes that are read at once from a connection that is only watched.
+_READ_BYTES = 1 << 14
 
 
 def make_connector(
@@ -123,95 +111,33 @@
 _request_id: ContextVar[str] = ContextVar("request_id", default="")
 
 
-class _MatchingProtocol(ResetAwareProtocol):
-    """Skips responses to earlier requests on the same connection.
-
-    The bytes outside the expected response are limited, because a faulty replica may
-    send them without end.
-    """
+class _MatchingProtocol(LimitedProtocol):
+    """Skips responses to earlier requests on the same connection."""
 
     expected_id: str | None = None
     # Requests sent on this connection.
     sent_count = 0
     # Request that was refused last on this connection.
     refused_id: str | None = None
-    # When a request was sent, or bytes arrived, on this connection; monotonic seconds.
-    active_at = 0.0
-    _unexpected_count = 0
-    # Bytes since the last progress of a body.
-    _idle_bytes = 0
-    _body_bytes = 0
-    # Excess of framing over bodies, in bytes, at a time in monotonic seconds.
-    _framing_bytes = 0.0
-    _framing_counted_at = 0.0
-    # Bytes that arrived behind those at which reading was paused.
-    _unparsed = b""
+
+    def is_expected(self, message: Any) -> bool:
+        return super().is_expected(message) and self._has_expected_id(message)
+
+    def _has_expected_id(self, message: Any) -> bool:
+        found = message.headers.get(names.REQUEST_ID)
+        return found is None or self.expected_id is None or found == self.expected_id
 
     async def read(self) -> Any:
         while True:
             message, payload = await super().read()
-            found = message.headers.get(names.REQUEST_ID)
-            if found is None or self.expected_id is None or found == self.expected_id:
-                if message.code >= 200:
-                    self._unexpected_count = self._idle_bytes = 0
+            if self._has_expected_id(message):
                 return message, payload
             _LOG.info(
-                "response to an earlier request skipped", extra={"request": found}
+                "response to an earlier request skipped",
+                extra={"request": message.headers.get(names.REQUEST_ID)},
             )
             await _skip_body(payload)
 
-    def feed_data(self, data: Any, size: int = 0) -> None:
-        self._unexpected_count += 1
-        super().feed_data(data, size)
-
-    def data_received(self, data: bytes) -> None:
-        """Parse ``data``, or go on with earlier data if it is empty."""
-        self.active_at = time.monotonic()
-        if not data:
-            # The parser keeps the rest of the part in which it was paused.
-            self._parse(b"")
-        data, self._unparsed = self._unparsed + data, b""
-        # In parts, because the parser does not return before the end of the data.
-        for start in range(0, len(data), _MAX_PARSED_BYTES):
-            if self._reading_paused:
-                self._unparsed = data[start:]
-                return
-            if not self.is_connected():
-                return
-            self._parse(data[start : start + _MAX_PARSED_BYTES])
-
-    def _parse(self, part: bytes) -> None:
-        super().data_received(part)
-        self._count_bytes(len(part))
-        if (
-            self._unexpected_count > _MAX_UNEXPECTED_RESPONSES
-            or self._idle_bytes > _MAX_IDLE_BYTES
-            or self._framing_bytes > _MAX_FRAMING_BYTES
-        ):
-            self._reject()
-
-    def _count_bytes(self, size: int) -> None:
-        total = 0 if self._payload is None else self._payload.total_bytes
-        progress = total - self._body_bytes if total >= self._body_bytes else total
-        self._body_bytes = total
-        self._idle_bytes = 0 if progress else self._idle_bytes + size
-        made_good = _FRAMING_BYTES_PER_SECOND * (
-            self.active_at - self._framing_counted_at
-        )
-        self._framing_counted_at = self.active_at
-        self._framing_bytes = max(
-            0.0, self._framing_bytes + size - 2 * progress - made_good
-        )
-
-    def _reject(self) -> None:
-        _LOG.warning("connection to a replica closed: bytes that are no answer")
-        error = UnexpectedBytesError("bytes that are no answer")
-        if self._payload is not None and not self._payload.is_eof():
-            self._payload.set_exception(error)
-        self.set_exception(error)
-        if self.transport is not None:
-            self.transport.abort()
-
 
 async def _skip_body(payload: aiohttp.StreamReader) -> None:
     size = 0
@@ -464,7 +390,7 @@
         _configure_socket(
             writer.get_extra_info("socket"), user_timeout=_REPLICA_USER_TIMEOUT_MS
         )
-        while await reader.read(_MAX_PARSED_BYTES):
+        while await reader.read(_READ_BYTES):
             pass
     except OSError:
         return
@@ -474,7 +400,6 @@
 
 def _open_session() -> aiohttp.ClientSession:
     return open_session(
-        read_bufsize=_READ_BUFFER_BYTES,
         connector=make_connector(
             keepalive=_KEEPALIVE_SECONDS,
             kind=_LifoConnector,
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -1,6 +1,7 @@
 """Tests of HTTP sessions against servers that end connections."""
 
 import asyncio
+import contextlib
 import multiprocessing
 import os
 import socket
@@ -23,6 +24,7 @@
 from fireflyspread.platform import EtcdStore, KvStore, ReplicaClient, make_connector
 from fireflyspread.platform._replicas import _open_session as open_replica_session
 from fireflyspread.recovery import Roster
+from standins.endless_replica import EndlessReplica
 from standins.raw_server import RawServer
 
 _HEAD = b"HTTP/1.1 200 OK\r\nFireflyspread-Request-Id: r1\r\n\r\n"
@@ -180,3 +182,77 @@
         process.start()
         process.join(60.0)
         assert process.exitcode == 0
+
+
+_SMALL_ANSWERS = 3000
+# Other endless bytes are bodies, which their readers limit.
+_BYTES_OF_NO_BODY = (
+    "status line",
+    "header",
+    "headers",
+    "interim heads",
+    "tiny chunks",
+    "chunk extension",
+    "trailers",
+)
+
+
+class _RepeatingServer:
+    """Gives each request the same answer."""
+
+    def __init__(self, answer: bytes) -> None:
+        self._answer = answer
+        self.connections = 0
+
+    async def handle(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.connections += 1
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(self._answer)
+                await writer.drain()
+        writer.close()
+
+    async def start(self) -> tuple[asyncio.Server, str]:
+        """Return the server and its URL."""
+        server = await asyncio.start_server(self.handle, "127.0.0.1", 0)
+        return server, f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
+
+
+@pytest.mark.parametrize(
+    "open_session", _SENDING_SESSIONS.values(), ids=_SENDING_SESSIONS
+)
+class TestLimits:
+    async def test_small_answers_in_a_row_are_read(self, open_session):
+        """Guards against heads that are summed up over all answers of a connection."""
+        head = b"HTTP/1.1 200 OK\r\nX-Padding: %s\r\n" % (b"x" * 90)
+        found = _RepeatingServer(head + b"Content-Length: 2\r\n\r\nok")
+        server, url = await found.start()
+        async with server, open_session() as session:
+            for _ in range(_SMALL_ANSWERS):
+                async with session.get(url) as response:
+                    assert await response.read() == b"ok"
+        assert found.connections == 1
+
+    async def test_short_answer_in_tiny_chunks_is_read(self, open_session):
+        """Guards against sound answers that are cut because of small chunks."""
+        body = b"1\r\nx\r\n" * 10_000 + b"0\r\n\r\n"
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        server, url = await _RepeatingServer(head + body).start()
+        async with server, open_session() as session, session.get(url) as response:
+            assert await response.read() == b"x" * 10_000
+
+    @pytest.mark.parametrize("kind", _BYTES_OF_NO_BODY)
+    async def test_bytes_of_no_body_end_with_an_error(self, open_session, kind):
+        """Guards against a client that keeps all that a faulty peer sends."""
+        async with EndlessReplica(kind) as replica, open_session() as session:
+            with pytest.raises(aiohttp.ClientError):
+                async with session.get(
+                    f"http://{replica.address}/",
+                    headers={"Fireflyspread-Request-Id": "r1"},
+                    timeout=aiohttp.ClientTimeout(total=5.0),
+                ) as response:
+                    async for _ in response.content.iter_any():
+                        pass
