Log where each run of a stream goes on

The lines of a request told the last event only, so a run that goes on at a wrong event could not be told from one that a caller or a version mixed up (hypotheses 1 to 3 of docs/incidents/2026-12-06-events-out-of-order.md). A line for each run that goes on has position, first events and version; the lines at the end count events and runs.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -133,6 +133,10 @@
         self._recorder = recorder
         self._clock = clock
         self._splitter = EventSplitter()
+        self._runs = 0
+        self._events = 0
+        # Id of the event after which the current run is to go on.
+        self._position: str | None = None
         self._reservation: Reservation | None = None
         self._ticket: Ticket | None = None
         self._failed_replicas: set[str] = set()
@@ -387,6 +391,8 @@
                 f"by {_get_media_type(reply)}; resume it elsewhere"
             )
         has_event = False
+        self._runs += 1
+        self._position = self._splitter.last_id or self.request.last_event_id
         async for chunk in reply.iterate():
             self._received_bytes += len(chunk)
             complete, events = self._splitter.feed(chunk)
@@ -394,6 +400,7 @@
                 if not has_event and contains_event(complete):
                     has_event = True
                     self._record_begin(replica)
+                self._events += events
                 self._charge_budget(events)
                 if self._recorder is not None:
                     self._recorder.add(complete)
@@ -425,6 +432,19 @@
             self._recorder.save_partial()
 
     def _record_begin(self, replica: Replica) -> None:
+        if self._runs > 1 or self.request.last_event_id:
+            _LOG.info(
+                "stream goes on at a replica",
+                extra={
+                    "request": self.request.id,
+                    "resumes": self.request.resumes,
+                    "replica": replica.name,
+                    "replica_version": replica.version,
+                    "after": self._position,
+                    "event": self._splitter.last_id,
+                    "runs": self._runs,
+                },
+            )
         if self._ticket is not None:
             self._scheduler.record_begin(self._ticket)
         if self.stream_version is None:
@@ -513,7 +533,10 @@
                 "resumes": self.request.resumes,
                 "result": result,
                 "may_have_run": self.may_have_run,
+                "after": self.request.last_event_id,
                 "event": self._splitter.last_id,
+                "events": self._events,
+                "runs": self._runs,
                 "limit": self._rate_limit,
                 "framing": self._framing,
                 "received": self._received_bytes,
@@ -539,7 +562,10 @@
             "status": self._status,
             "seconds": seconds,
             "first": round(max(0.0, self._first_byte_at - self.request.received_at), 4),
+            "after": self.request.last_event_id,
             "event": self._splitter.last_id,
+            "events": self._events,
+            "runs": self._runs,
             "limit": self._rate_limit,
             "framing": self._framing,
             "received": self._received_bytes,
