--- a/standins/platform_replica.py
+++ b/standins/platform_replica.py
@@ -7,7 +7,7 @@
 import struct
 import time
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
@@ -51,6 +51,8 @@
         "partial_head" with a part of a head; by default they go on.
     fails_with : int
         Status with which requests are answered at once without running; 0 runs them.
+    line_end : bytes
+        Ends the lines of events.
     leaving : bool
         Whether answers say that the replica is leaving; its registration does not.
     limit : float or None
@@ -69,6 +71,9 @@
         Number of next answers whose connection is reset right behind the last bytes.
     reset_events : int
         Complete events of a stream before such a reset.
+    resume_ids : tuple of int
+        Ids of the events with which a stream goes on, whatever the last event that the
+        request names; by default the next ones.
     returns_as : str
         Who the replica is after a crash: "new" has another identity, "same" has the
         same one and another start time, "unregistered" is the same one and does not
@@ -87,6 +92,7 @@
     empty_streams: int = 0
     fail_resumes: str = ""
     fails_with: int = 0
+    line_end: bytes = b"\n"
     leaving: bool = False
     limit: float | None = None
     lost_answers: int = 0
@@ -95,6 +101,7 @@
     repeat_refusals: str | None = None
     reset_answers: int = 0
     reset_events: int = 0
+    resume_ids: tuple[int, ...] = ()
     returns_as: str = "new"
     stays_silent: bool = False
     unframed: bool = False
@@ -389,6 +396,9 @@
         is_reset = self._is_reset_next()
         await response.prepare(request)
         first = int(request.headers.get("Last-Event-Id", "0")) + 1
+        numbers: Sequence[int] = range(first, self._event_count + 1)
+        if "Last-Event-Id" in request.headers and self.faults.resume_ids:
+            numbers = self.faults.resume_ids
         is_cut = self.faults.break_streams > 0
         if is_cut:
             self.faults.break_streams -= 1
@@ -396,12 +406,13 @@
             self.faults.empty_streams -= 1
             await response.write_eof()
             return response
-        for number in range(first, self._event_count + 1):
+        for number in numbers:
             if is_reset and number == first + self.faults.reset_events:
                 _reset(request)
                 return response
             await asyncio.sleep(self.faults.work)
             event = b"id: %d\ndata: piece %d\n\n" % (number, number)
+            event = event.replace(b"\n", self.faults.line_end)
             if is_cut and number == first + 2:
                 await response.write(event[:7])
                 assert request.transport is not None
