Cut runs that do not go on where the stream was

Cause: a node sent the position and passed on whatever came back. No code compared two ids. Class of fault: what a peer was asked for is taken for what it did.

EventOrder now decides for each event whether it may follow those before it, over all runs of a stream: no id goes back or comes twice, and none is left out. Ids need not step by one: the step follows from the events before, and a first event behind an unknown step is held until the second one shows it. A run that breaks this counts as one that failed; the stream goes on at another replica as far as its route allows, else it is cut and never ended as whole. Ids of the first run that go back are found by the same rule. Events that were withheld are neither charged nor recorded in kept turns.

EventSplitter.discard_partial_event is begin_run now; its test checks the same.

--- a/src/fireflyspread/forwarding/__init__.py
+++ b/src/fireflyspread/forwarding/__init__.py
@@ -11,6 +11,7 @@
     TeamPolicy,
 )
 from fireflyspread.forwarding._config_holder import ConfigHolder
+from fireflyspread.forwarding._event_order import EventOrder, EventSteps
 from fireflyspread.forwarding._events import EventSplitter
 from fireflyspread.forwarding._forwarder import Forwarder
 from fireflyspread.forwarding._relays import RelayingBackend, RelayNode, RelayNodes
@@ -38,7 +39,9 @@
     "ConfigHolder",
     "Dispatch",
     "EngineTraits",
+    "EventOrder",
     "EventSplitter",
+    "EventSteps",
     "ForwardRequest",
     "Forwarder",
     "ForwardingConfig",
--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -26,6 +26,7 @@
     ServiceTraits,
     TeamPolicy,
 )
+from fireflyspread.forwarding._event_order import EventOrder, EventSteps
 from fireflyspread.forwarding._events import EventSplitter, contains_event
 from fireflyspread.forwarding._fingerprint import compute_fingerprint
 from fireflyspread.forwarding._priority import compute_priority
@@ -110,6 +111,7 @@
         clock: Clock,
         watch: ReplicaWatch,
         buffers: AnswerBuffers,
+        event_steps: EventSteps,
         recorder: TurnRecorder | None = None,
     ) -> None:
         self.request = request
@@ -132,7 +134,14 @@
         self._buffers = buffers
         self._recorder = recorder
         self._clock = clock
-        self._splitter = EventSplitter()
+        self._event_steps = event_steps
+        self._splitter = EventSplitter(
+            EventOrder(
+                # Without resumption the header means nothing.
+                after=request.last_event_id if route.is_repeatable else None,
+                step=event_steps.get(service),
+            )
+        )
         self._runs = 0
         self._events = 0
         # Id of the event after which the current run is to go on.
@@ -289,7 +298,6 @@
             except ReplicaCrashedError as exc:
                 self._ran_on.add(replica.name)
                 self._broken_on.add(replica.name)
-                self._splitter.discard_partial_event()
                 if last or not self._may_repeat():
                     raise
                 if isinstance(exc, UnexpectedAnswerError):
@@ -393,6 +401,7 @@
         has_event = False
         self._runs += 1
         self._position = self._splitter.last_id or self.request.last_event_id
+        self._splitter.begin_run()
         async for chunk in reply.iterate():
             self._received_bytes += len(chunk)
             complete, events = self._splitter.feed(chunk)
@@ -406,10 +415,13 @@
                     self._recorder.add(complete)
                 await self._sink.write(complete)
                 self._last_data_at = self._clock.read_monotonic()
+            self._check_order(replica)
         if self._splitter.has_partial_event:
             raise ReplicaCrashedError(
                 f"replica {replica.name} ended the stream inside an event; resume it"
             )
+        self._splitter.end_run()
+        self._check_order(replica)
         if reply.framing is Framing.CONNECTION and not has_event:
             raise ReplicaCrashedError(
                 f"replica {replica.name} closed the connection before the first event "
@@ -418,8 +430,24 @@
         if self._recorder is not None:
             # Before the caller sees the end, after which it may continue from the turn.
             await self._recorder.finish()
+        self._record_step()
         await self._sink.finish()
 
+    def _check_order(self, replica: Replica) -> None:
+        """Raise ``TargetError`` if the run does not go on where the stream was."""
+        if self._splitter.fault is not None:
+            self._ran_on.add(replica.name)
+            self._record_step()
+            raise TargetError(
+                f"replica {replica.name} sent events out of order: "
+                f"{self._splitter.fault}; resume the stream elsewhere"
+            )
+
+    def _record_step(self) -> None:
+        step = self._splitter.order.observed_step
+        if step is not None:
+            self._event_steps.record(self.service, step)
+
     def _select_stream_headers(self, reply: Reply) -> Sequence[tuple[str, str]]:
         if self._recorder is None:
             return reply.headers
--- a/src/fireflyspread/forwarding/_events.py
+++ b/src/fireflyspread/forwarding/_events.py
@@ -1,22 +1,21 @@
 """Splits a stream of server-sent events at event boundaries."""
 
-import re
+from collections.abc import Iterator
 
 from fireflyspread.exceptions import ReplicaCrashedError
+from fireflyspread.forwarding._event_order import EventOrder
 
 __all__ = ["EventSplitter", "contains_event"]
 
-_END = b"\n\n"
 # Bytes of one event. Events carry a few tokens each.
 _MAX_EVENT_BYTES = 1 << 20
-# A line that is no comment.
-_FIELD = re.compile(rb"^[^:\r\n]", re.MULTILINE)
-_ID = re.compile(rb"^id: ?([^\r\n]*)$", re.MULTILINE)
+_EVENT_END = b"\n\n"
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 def contains_event(data: bytes) -> bool:
     """Return whether ``data``, which ends at an event boundary, has any event."""
-    return _FIELD.search(data) is not None
+    return any(name for name, _ in _iterate_fields(data))
 
 
 class EventSplitter:
@@ -24,15 +23,33 @@
 
     Only the ids are parsed; the bytes are left unchanged.
 
+    Parameters
+    ----------
+    order : EventOrder or None
+        Checks the ids; None for a stream that the caller begins.
+
     Attributes
     ----------
-    last_id : str or None
-        Id of the last complete event.
+    order : EventOrder
+        Position of the stream.
+    fault : str or None
+        Why the event behind the last released one cannot follow it. Nothing more is
+        released of such a run.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, order: EventOrder | None = None) -> None:
+        self.order = EventOrder() if order is None else order
+        self.fault: str | None = None
         self._partial = b""
-        self.last_id: str | None = None
+        # Bytes of the partial event that contain no end of an event.
+        self._searched = 0
+        # Complete events that the order holds.
+        self._held = b""
+
+    @property
+    def last_id(self) -> str | None:
+        """Id of the last released event."""
+        return self.order.last_id
 
     @property
     def has_partial_event(self) -> bool:
@@ -40,30 +57,90 @@
         return bool(self._partial)
 
     def feed(self, data: bytes) -> tuple[bytes, int]:
-        """Return the events completed by ``data``, and how many of them have an id.
+        """Return the events released by ``data``, and how many of them have an id.
 
         Raises
         ------
         ReplicaCrashedError
             The event is too large to be one.
         """
+        if self.fault is not None:
+            return b"", 0
         if self._partial:
             data = self._partial + data
-        end = data.rfind(_END)
-        if end < 0 and len(data) > _MAX_EVENT_BYTES:
+        end = self._find_last_end(data)
+        if end == 0 and len(data) > _MAX_EVENT_BYTES:
             raise ReplicaCrashedError(
                 f"an event has more than {_MAX_EVENT_BYTES} bytes; resume elsewhere"
             )
-        if end < 0:
-            self._partial = data
+        self._partial = data[end:]
+        self._searched = max(0, len(self._partial) - len(_EVENT_END))
+        if end == 0:
             return b"", 0
-        end += len(_END)
-        complete, self._partial = data[:end], data[end:]
-        ids = _ID.findall(complete)
-        if ids:
-            self.last_id = ids[-1].decode("ascii", "replace")
-        return complete, len(ids)
-
-    def discard_partial_event(self) -> None:
-        """Discard the buffered part of an event after its stream has broken."""
-        self._partial = b""
+        return self._release(data[:end])
+
+    def _find_last_end(self, data: bytes) -> int:
+        """Return the position behind the last complete event; 0 if there is none."""
+        start = data.rfind(_EVENT_END, self._searched)
+        return 0 if start < 0 else start + len(_EVENT_END)
+
+    def _release(self, complete: bytes) -> tuple[bytes, int]:
+        """Return the events up to the first one that cannot follow or is held."""
+        data, count, end = self._held + complete, 0, 0
+        for event, event_end in _iterate_events(data, len(self._held)):
+            is_event, event_id = _parse_event(event)
+            if is_event:
+                was_held = self.order.holds_event
+                self.fault = self.order.add(event_id)
+                if self.fault is not None:
+                    self._held = b""
+                    return data[:end], count
+                if not self.order.holds_event:
+                    count += was_held + bool(event_id)
+            if not self.order.holds_event:
+                end = event_end
+        self._held = data[end:]
+        if len(self._held) > _MAX_EVENT_BYTES:
+            self.fault = f"no event in {_MAX_EVENT_BYTES} bytes"
+        return data[:end], count
+
+    def end_run(self) -> None:
+        """Set ``fault`` if the end of the run cannot be the end of the stream."""
+        if self.fault is None:
+            self.fault = self.order.end_run()
+
+    def begin_run(self) -> None:
+        """Discard what has not been released, and expect another run of the stream."""
+        self._partial = self._held = b""
+        self._searched = 0
+        self.fault = None
+        self.order.begin_run()
+
+
+def _iterate_events(data: bytes, start: int) -> Iterator[tuple[bytes, int]]:
+    """Yield each event from ``start`` on and the position behind it."""
+    while (found := data.find(_EVENT_END, start)) >= 0:
+        end = found + len(_EVENT_END)
+        yield data[start:end], end
+        start = end
+
+
+def _iterate_fields(event: bytes) -> Iterator[tuple[bytes, bytes]]:
+    """Yield name and value of each field; comments and blank lines are none."""
+    if event.startswith(_BYTE_ORDER_MARK):
+        event = event[len(_BYTE_ORDER_MARK) :]
+    for line in event.split(b"\n"):
+        name, _, value = line.partition(b":")
+        if name:
+            yield name, value.removeprefix(b" ")
+
+
+def _parse_event(event: bytes) -> tuple[bool, str | None]:
+    """Return whether a caller sees an event or its id, and the id."""
+    is_event, event_id = False, None
+    for name, value in _iterate_fields(event):
+        if name == b"id" and b"\0" not in value:
+            is_event, event_id = True, value.decode("utf-8", "replace")
+        elif name == b"data":
+            is_event = True
+    return is_event, event_id
--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -28,6 +28,7 @@
 )
 from fireflyspread.forwarding._config_holder import ConfigHolder
 from fireflyspread.forwarding._demand import estimate_demand
+from fireflyspread.forwarding._event_order import EventSteps
 from fireflyspread.forwarding._replica_watch import ReplicaWatch
 from fireflyspread.forwarding._request import ForwardRequest, ResponseSink
 from fireflyspread.forwarding._stream_versions import StreamVersions
@@ -85,6 +86,7 @@
         self._metrics = metrics
         self._watch = ReplicaWatch(backend, scheduler.record_loss, clock)
         self._buffers = AnswerBuffers()
+        self._event_steps = EventSteps()
         self.running = 0
         # Callers get an answer that tells whether their request may have run instead of
         # a connection that breaks off.
@@ -196,6 +198,7 @@
             clock=self._clock,
             watch=self._watch,
             buffers=self._buffers,
+            event_steps=self._event_steps,
             recorder=recorder,
         )
 
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -34,5 +34,5 @@
         splitter = EventSplitter()
         assert splitter.feed(make_events(1, 1) + b"id: 2\nda") == (make_events(1, 1), 1)
         assert splitter.has_partial_event
-        splitter.discard_partial_event()
+        splitter.begin_run()
         assert splitter.feed(make_events(2, 2)) == (make_events(2, 2), 1)
