Do not send streams again behind events without an id

Nothing names the position behind such an event, so no run can go on there; the stream is cut now. Comments, and events with neither data nor an id, do not count, as callers do not see them.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -282,9 +282,14 @@
     def _may_repeat(self) -> bool:
         """Return whether the request may run again.
 
-        Unlike a stream, a body cannot be continued by another run.
+        Unlike a stream, a body cannot be continued by another run. Neither can a stream
+        behind an event without an id.
         """
-        return self.route.is_repeatable and not self._has_started_body
+        return (
+            self.route.is_repeatable
+            and not self._has_started_body
+            and self._splitter.order.can_go_on
+        )
 
     async def _run_on_replica(self, ticket: Ticket) -> None:
         """Send to one replica, and once more if the connection breaks."""
--- a/tests/forwarding/test_event_order.py
+++ b/tests/forwarding/test_event_order.py
@@ -75,6 +75,20 @@
         assert _is_prefix_of_the_stream(sink.body, first=4)
         assert not sink.is_finished
 
+    async def test_without_ids_do_not_begin_again(self):
+        """Guards against events without an id that reach a caller twice."""
+        events = [_make_event_without_id(str(n)) for n in range(8)]
+        sink, _ = await _forward([*events[:3], None], [b"".join(events)])
+        assert sink.body == b"".join(events[:3])
+        assert not sink.is_finished
+
+    async def test_do_not_go_on_behind_an_event_without_id(self):
+        """Guards against a repeated event behind the last id."""
+        begun = _BEGUN + _make_event_without_id("y")
+        sink, _ = await _forward([begun, None], [make_events(4, 8)])
+        assert sink.body == begun
+        assert not sink.is_finished
+
     async def test_go_on_after_comments_and_settings_without_id(self):
         """Guards against sound streams that are cut because of lines without an id."""
         begun = _BEGUN + b": wait\n\nretry: 100\n\n"
