Pass on events whose lines end with CR LF or CR

The format allows CR LF, LF and CR. A CR at the end of the data ends its line at once, and an LF that comes later is passed on as the rest of it, so no event waits for the next one. Bytes stay as they are.

--- a/src/fireflyspread/forwarding/_events.py
+++ b/src/fireflyspread/forwarding/_events.py
@@ -1,5 +1,6 @@
 """Splits a stream of server-sent events at event boundaries."""
 
+import re
 from collections.abc import Iterator
 
 from fireflyspread.exceptions import ReplicaCrashedError
@@ -9,7 +10,11 @@
 
 # Bytes of one event. Events carry a few tokens each.
 _MAX_EVENT_BYTES = 1 << 20
-_EVENT_END = b"\n\n"
+# Lines end with CR LF, LF or CR, and a blank line ends an event. A CR at the end of the
+# data counts, because the next byte may come seconds later or never.
+_EVENT_END = re.compile(rb"(?:\r\n|\r(?!\n)|\n)(?:\r\n|\r(?!\n)|\n)")
+_LONGEST_EVENT_END = 4
+_LINE_END = re.compile(rb"\r\n|\r|\n")
 _BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -45,6 +50,7 @@
         self._searched = 0
         # Complete events that the order holds.
         self._held = b""
+        self._may_get_line_feed = False
 
     @property
     def last_id(self) -> str | None:
@@ -66,6 +72,11 @@
         """
         if self.fault is not None:
             return b"", 0
+        rest_of_line_end = b""
+        if data and self._may_get_line_feed:
+            self._may_get_line_feed = False
+            if data.startswith(b"\n"):
+                rest_of_line_end, data = data[:1], data[1:]
         if self._partial:
             data = self._partial + data
         end = self._find_last_end(data)
@@ -74,15 +85,22 @@
                 f"an event has more than {_MAX_EVENT_BYTES} bytes; resume elsewhere"
             )
         self._partial = data[end:]
-        self._searched = max(0, len(self._partial) - len(_EVENT_END))
+        self._searched = max(0, len(self._partial) - _LONGEST_EVENT_END)
         if end == 0:
-            return b"", 0
-        return self._release(data[:end])
+            return rest_of_line_end, 0
+        self._may_get_line_feed = not self._partial and data.endswith(b"\r")
+        released, count = self._release(data[:end])
+        return rest_of_line_end + released, count
 
     def _find_last_end(self, data: bytes) -> int:
         """Return the position behind the last complete event; 0 if there is none."""
-        start = data.rfind(_EVENT_END, self._searched)
-        return 0 if start < 0 else start + len(_EVENT_END)
+        if b"\r" not in data:
+            start = data.rfind(b"\n\n", self._searched)
+            return 0 if start < 0 else start + 2
+        end = 0
+        for match in _EVENT_END.finditer(data, self._searched):
+            end = match.end()
+        return end
 
     def _release(self, complete: bytes) -> tuple[bytes, int]:
         """Return the events up to the first one that cannot follow or is held."""
@@ -113,23 +131,28 @@
         """Discard what has not been released, and expect another run of the stream."""
         self._partial = self._held = b""
         self._searched = 0
+        self._may_get_line_feed = False
         self.fault = None
         self.order.begin_run()
 
 
 def _iterate_events(data: bytes, start: int) -> Iterator[tuple[bytes, int]]:
     """Yield each event from ``start`` on and the position behind it."""
-    while (found := data.find(_EVENT_END, start)) >= 0:
-        end = found + len(_EVENT_END)
-        yield data[start:end], end
-        start = end
+    if b"\r" in data:
+        for match in _EVENT_END.finditer(data, start):
+            yield data[start : match.end()], match.end()
+            start = match.end()
+        return
+    while (end := data.find(b"\n\n", start)) >= 0:
+        yield data[start : end + 2], end + 2
+        start = end + 2
 
 
 def _iterate_fields(event: bytes) -> Iterator[tuple[bytes, bytes]]:
     """Yield name and value of each field; comments and blank lines are none."""
     if event.startswith(_BYTE_ORDER_MARK):
         event = event[len(_BYTE_ORDER_MARK) :]
-    for line in event.split(b"\n"):
+    for line in _LINE_END.split(event):
         name, _, value = line.partition(b":")
         if name:
             yield name, value.removeprefix(b" ")
--- a/tests/forwarding/test_event_order.py
+++ b/tests/forwarding/test_event_order.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 
 from fireflyspread.exceptions import FireflyError
-from fireflyspread.forwarding import EventOrder, EventSteps
+from fireflyspread.forwarding import EventOrder, EventSplitter, EventSteps
 from tests.forwarding.fakes import (
     CONFIG,
     Answer,
@@ -233,3 +233,37 @@
                 steps.record("models", order.observed_step)
             assert reasons == [None] * 6
             assert steps.get("models") == step
+
+
+class TestLineEnds:
+    @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
+    @pytest.mark.parametrize("size", [1, 2, 3, 7, 1000])
+    def test_events_are_released_with_any_line_end(self, line_end, size):
+        """Guards against events that never reach the caller, and lost line ends."""
+        data = make_events(1, 4).replace(b"\n", line_end)
+        splitter, released, count = EventSplitter(), b"", 0
+        for start in range(0, len(data), size):
+            complete, new = splitter.feed(data[start : start + size])
+            released, count = released + complete, count + new
+        assert released == data
+        assert count == 4
+        assert splitter.last_id == "4"
+        assert not splitter.has_partial_event
+
+    @given(
+        st.lists(st.sampled_from([b"\n", b"\r\n", b"\r"]), min_size=1, max_size=30),
+        st.lists(st.integers(1, 9), min_size=1),
+    )
+    def test_released_bytes_do_not_depend_on_chunking(self, line_ends, sizes):
+        """Guards against bytes lost or duplicated where line ends are mixed."""
+        data = b"".join(
+            b"id: %d" % n + end + b"data: x" + end + end
+            for n, end in enumerate(line_ends)
+        )
+        splitter, released, start = EventSplitter(), b"", 0
+        while start < len(data):
+            size = sizes[start % len(sizes)]
+            released += splitter.feed(data[start : start + size])[0]
+            start += size
+        assert released == data
+        assert splitter.last_id == str(len(line_ends) - 1)
