Remember versions of streams beyond a loss of all processes

Cause: the loan servers kept streams and versions in memory only, and a loan server that had just started answered for versions it could not know. Class of fault: evidence that binds later requests lives in processes that are lost together.

Loan servers now write reported streams to their disks, with one sync for all that wait, and the versions that targets recently had to one key of the store, when versions come and go (StreamFile, VersionRecord). A loan server says whether it knows all recent versions; without that, a node that has just started refuses a stream that nobody knows. Without the disks the streams are refused, not joined.

--- a/src/fireflyspread/forwarding/__init__.py
+++ b/src/fireflyspread/forwarding/__init__.py
@@ -23,6 +23,8 @@
     ResponseSink,
 )
 from fireflyspread.forwarding._stream_memory import (
+    STREAM_RETENTION,
+    VERSION_RETENTION,
     StreamMemory,
     StreamOrigin,
     VersionMemory,
@@ -34,6 +36,8 @@
 )
 
 __all__ = [
+    "STREAM_RETENTION",
+    "VERSION_RETENTION",
     "Backend",
     "CallerLimits",
     "ConfigHolder",
--- a/src/fireflyspread/forwarding/_stream_memory.py
+++ b/src/fireflyspread/forwarding/_stream_memory.py
@@ -7,7 +7,13 @@
 
 from fireflyspread.clock import Clock
 
-__all__ = ["STREAM_RETENTION", "StreamMemory", "StreamOrigin", "VersionMemory"]
+__all__ = [
+    "STREAM_RETENTION",
+    "VERSION_RETENTION",
+    "StreamMemory",
+    "StreamOrigin",
+    "VersionMemory",
+]
 
 # Seconds for which a stream is remembered. Callers take streams up within their
 # deadline.
@@ -15,7 +21,7 @@
 _MAX_STREAMS = 100_000
 # Seconds for which a version is remembered after the last report of it. Nodes report
 # more often than the difference to the retention of streams.
-_VERSION_RETENTION = 45.0
+VERSION_RETENTION = 45.0
 
 
 @frozen
@@ -75,6 +81,18 @@
 
     def list_for(self, target: str) -> list[str]:
         """Return the versions that a target has or recently had."""
-        oldest = self._clock.read_monotonic() - _VERSION_RETENTION
+        oldest = self._clock.read_monotonic() - VERSION_RETENTION
         self._reported = {key: at for key, at in self._reported.items() if at >= oldest}
         return sorted(name for known, name in self._reported if known == target)
+
+    def list_targets(self) -> set[str]:
+        """Return the targets with a recent version."""
+        return {target for target, _ in self._reported}
+
+    def is_reported_within(self, target: str, seconds: float) -> bool:
+        """Return whether a version of a target was reported in the last seconds."""
+        oldest = self._clock.read_monotonic() - seconds
+        return any(
+            known == target and at >= oldest
+            for (known, _), at in self._reported.items()
+        )
--- a/src/fireflyspread/forwarding/_stream_versions.py
+++ b/src/fireflyspread/forwarding/_stream_versions.py
@@ -44,7 +44,7 @@
     versions : sequence of str
         Versions that the target recently had, as far as the node knows.
     is_keeper : bool
-        Whether the answer is that of a keeper.
+        Whether the answer is that of a keeper that knows all recent versions.
     """
 
     origin: StreamOrigin | None
@@ -87,8 +87,8 @@
     it begins to a few nodes and keepers, chosen by rendezvous hashing of the request. A
     stream that none of them knows goes on only if its target had a single version.
 
-    Keepers are processes that are not lost together with the nodes. They also remember
-    which versions targets had, for nodes that have all started again.
+    Keepers remember durably, also which versions targets had, for nodes that have all
+    started again.
 
     Parameters
     ----------
--- a/src/fireflyspread/gateway/_streams.py
+++ b/src/fireflyspread/gateway/_streams.py
@@ -63,7 +63,7 @@
         return FoundStream(
             origin=origin,
             versions=answer.versions,
-            is_keeper=node in self._roster.list_loan_servers(),
+            is_keeper=answer.is_complete and node in self._roster.list_loan_servers(),
         )
 
 
--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -17,7 +17,8 @@
 from fireflyspread.exceptions import FireflyError, PeerError, SettingsError, StoreError
 from fireflyspread.gateway._settings import LoanSettings
 from fireflyspread.loans._file import Loan, LoanFile
-from fireflyspread.loans._streams import register_stream_handlers
+from fireflyspread.loans._stream_file import StreamFile
+from fireflyspread.loans._streams import StreamKeeping
 from fireflyspread.loans._turn_file import TurnFile
 from fireflyspread.loans._turns import TurnKeeping
 from fireflyspread.loans._writer import LoanWriter
@@ -121,7 +122,6 @@
         _LOG.error("cannot read the turns: %s", exc)
     server = PeerServer(settings.peers, node=name)
     register_handlers(server, file, clock, node=name)
-    register_stream_handlers(server, clock, node=name)
     store = KvStore(
         str(settings.store.address),
         connector=make_connector(keepalive=_STORE_KEEPALIVE_SECONDS),
@@ -129,20 +129,27 @@
     )
     turns = TurnKeeping(turn_file, TurnStore(store, clock), node=name)
     turns.register(server)
+    stream_file = StreamFile(settings.data_folder, clock)
+    streams = StreamKeeping(
+        stream_file, store, clock, node=name, is_first_start=settings.is_first_start
+    )
+    await streams.open()
+    streams.register(server)
     await server.start()
     _LOG.info("loan server started", extra={"node": name})
-    moving = asyncio.create_task(turns.run())
+    tasks = [asyncio.create_task(part.run()) for part in (turns, streams)]
     registration = asyncio.create_task(
         register_address(store, name, str(settings.peers))
     )
     await stop.wait()
     _LOG.info("loan server stopped", extra={"node": name})
-    registration.cancel()
-    moving.cancel()
+    for task in (registration, *tasks):
+        task.cancel()
     await server.stop()
     await store.close()
     file.close()
     turn_file.close()
+    stream_file.close()
 
 
 def main() -> None:
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -507,10 +507,14 @@
         Target and software version; None if the node does not know the stream.
     versions : tuple of str
         Versions that the target recently had, as far as the node knows.
+    is_complete : bool
+        Whether a loan server knows all versions that the target recently had. Loan
+        servers of earlier releases do not tell.
     """
 
     origin: tuple[str, str] | None
     versions: tuple[str, ...]
+    is_complete: bool = True
 
 
 class KeepTurns(Message, frozen=True, kw_only=True):
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -1,8 +1,9 @@
 """Tests of gateway processes before replicas of two software versions."""
 
 import asyncio
+import shutil
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
 
 import aiohttp
@@ -115,11 +116,24 @@
 
 
 async def _restart_all(cluster: Cluster) -> None:
-    for node in cluster.nodes:
-        await node.stop(signal.SIGKILL)
+    await _kill(cluster.nodes)
     await asyncio.gather(*(node.start(is_first=False) for node in cluster.nodes))
 
 
+async def _kill(processes: Sequence[Gateway]) -> None:
+    for process in processes:
+        process.send_signal(signal.SIGKILL)
+    for process in processes:
+        await process.stop(signal.SIGKILL)
+
+
+async def _start_again(cluster: Cluster) -> None:
+    """Start all nodes and loan servers, and wait until they know each other."""
+    processes = (*cluster.loan_servers, *cluster.nodes)
+    await asyncio.gather(*(each.start(is_first=False) for each in processes))
+    await asyncio.sleep(_SETTLE_SECONDS)
+
+
 class TestStreamsOfTwoVersions:
     async def test_broken_stream_goes_on_at_its_version(self, cluster, session):
         """Guards against events of two versions in one answer."""
@@ -190,6 +204,33 @@
         await asyncio.gather(*(n.start(is_first=False) for n in cluster.nodes))
         await _take_all_up(session, cluster, begun, cluster.nodes)
 
+    async def test_stream_goes_on_after_a_restart_of_all_processes(
+        self, cluster, session
+    ):
+        """Guards against versions that only lost nodes and loan servers knew."""
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        await asyncio.sleep(0.1)
+        await _kill((*cluster.nodes, *cluster.loan_servers))
+        await _start_again(cluster)
+        count = await _take_all_up(session, cluster, begun, cluster.nodes)
+        assert count >= 0.9 * _STREAMS
+
+    @pytest.mark.parametrize("is_disk_lost", [False, True])
+    async def test_stream_is_not_joined_after_its_version_and_all_processes_are_gone(
+        self, cluster, session, is_disk_lost
+    ):
+        """Guards against loan servers that have forgotten a version that just left."""
+        begun, _ = await _begin_all(session, cluster.nodes[0])
+        await asyncio.sleep(0.1)
+        await _kill((*cluster.nodes, *cluster.loan_servers))
+        for replica in cluster.models[::2]:
+            cluster.store.remove(f"servers/{replica.instance}")
+        for loan_server in cluster.loan_servers if is_disk_lost else ():
+            shutil.rmtree(loan_server.folder / f"{loan_server.name}-data")
+        await _start_again(cluster)
+        count = await _take_all_up(session, cluster, begun, cluster.nodes)
+        assert is_disk_lost or count
+
     async def test_stream_without_its_version_is_refused_at_once(
         self, cluster, session
     ):
