--- a/src/fireflyspread/forwarding/_events.py
+++ b/src/fireflyspread/forwarding/_events.py
@@ -1,8 +1,12 @@
 """Splits a stream of server-sent events at event boundaries."""
 
-import re
-from collections.abc import Iterator
-
+from fireflyspread._event_stream import (
+    LONGEST_EVENT_END,
+    find_events_end,
+    iterate_events,
+    iterate_fields,
+    parse_event,
+)
 from fireflyspread.exceptions import ReplicaCrashedError
 from fireflyspread.forwarding._event_order import EventOrder
 
@@ -10,17 +14,11 @@
 
 # Bytes of one event. Events carry a few tokens each.
 _MAX_EVENT_BYTES = 1 << 20
-# Lines end with CR LF, LF or CR, and a blank line ends an event. A CR at the end of the
-# data counts, because the next byte may come seconds later or never.
-_EVENT_END = re.compile(rb"(?:\r\n|\r(?!\n)|\n)(?:\r\n|\r(?!\n)|\n)")
-_LONGEST_EVENT_END = 4
-_LINE_END = re.compile(rb"\r\n|\r|\n")
-_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 def contains_event(data: bytes) -> bool:
     """Return whether ``data``, which ends at an event boundary, has any event."""
-    return any(name for name, _ in _iterate_fields(data))
+    return any(name for name, _ in iterate_fields(data))
 
 
 class EventSplitter:
@@ -79,34 +77,24 @@
                 rest_of_line_end, data = data[:1], data[1:]
         if self._partial:
             data = self._partial + data
-        end = self._find_last_end(data)
+        end = find_events_end(data, self._searched)
         if end == 0 and len(data) > _MAX_EVENT_BYTES:
             raise ReplicaCrashedError(
                 f"an event has more than {_MAX_EVENT_BYTES} bytes; resume elsewhere"
             )
         self._partial = data[end:]
-        self._searched = max(0, len(self._partial) - _LONGEST_EVENT_END)
+        self._searched = max(0, len(self._partial) - LONGEST_EVENT_END)
         if end == 0:
             return rest_of_line_end, 0
         self._may_get_line_feed = not self._partial and data.endswith(b"\r")
         released, count = self._release(data[:end])
         return rest_of_line_end + released, count
 
-    def _find_last_end(self, data: bytes) -> int:
-        """Return the position behind the last complete event; 0 if there is none."""
-        if b"\r" not in data:
-            start = data.rfind(b"\n\n", self._searched)
-            return 0 if start < 0 else start + 2
-        end = 0
-        for match in _EVENT_END.finditer(data, self._searched):
-            end = match.end()
-        return end
-
     def _release(self, complete: bytes) -> tuple[bytes, int]:
         """Return the events up to the first one that cannot follow or is held."""
         data, count, end = self._held + complete, 0, 0
-        for event, event_end in _iterate_events(data, len(self._held)):
-            is_event, event_id = _parse_event(event)
+        for event, event_end in iterate_events(data, len(self._held)):
+            is_event, event_id = parse_event(event)
             if is_event:
                 was_held = self.order.holds_event
                 self.fault = self.order.add(event_id)
@@ -134,36 +122,3 @@
         self._may_get_line_feed = False
         self.fault = None
         self.order.begin_run()
-
-
-def _iterate_events(data: bytes, start: int) -> Iterator[tuple[bytes, int]]:
-    """Yield each event from ``start`` on and the position behind it."""
-    if b"\r" in data:
-        for match in _EVENT_END.finditer(data, start):
-            yield data[start : match.end()], match.end()
-            start = match.end()
-        return
-    while (end := data.find(b"\n\n", start)) >= 0:
-        yield data[start : end + 2], end + 2
-        start = end + 2
-
-
-def _iterate_fields(event: bytes) -> Iterator[tuple[bytes, bytes]]:
-    """Yield name and value of each field; comments and blank lines are none."""
-    if event.startswith(_BYTE_ORDER_MARK):
-        event = event[len(_BYTE_ORDER_MARK) :]
-    for line in _LINE_END.split(event):
-        name, _, value = line.partition(b":")
-        if name:
-            yield name, value.removeprefix(b" ")
-
-
-def _parse_event(event: bytes) -> tuple[bool, str | None]:
-    """Return whether a caller sees an event or its id, and the id."""
-    is_event, event_id = False, None
-    for name, value in _iterate_fields(event):
-        if name == b"id" and b"\0" not in value:
-            is_event, event_id = True, value.decode("utf-8", "replace")
-        elif name == b"data":
-            is_event = True
-    return is_event, event_id
--- a/src/fireflyspread/turns/_recorder.py
+++ b/src/fireflyspread/turns/_recorder.py
@@ -1,8 +1,8 @@
 """Records the answer of one turn until it is complete."""
 
-import re
 from typing import Protocol
 
+from fireflyspread._event_stream import iterate_events, parse_event
 from fireflyspread.turns._turn import Turn, extract_data
 
 __all__ = ["TurnRecorder", "make_partial_id"]
@@ -62,15 +62,11 @@
         bool
             Whether there is such an event.
         """
-        marker = re.compile(
-            rb"^id: ?" + re.escape(last_event.encode()) + rb"$", re.MULTILINE
-        )
-        found = marker.search(events)
-        if found is None:
-            return False
-        end = events.find(b"\n\n", found.start())
-        self._events = [events[: end + 2]]
-        return True
+        for event, end in iterate_events(events):
+            if parse_event(event) == (True, last_event):
+                self._events = [events[:end]]
+                return True
+        return False
 
     def add(self, events: bytes) -> None:
         """Record complete events before they are passed on."""
--- a/src/fireflyspread/turns/_turn.py
+++ b/src/fireflyspread/turns/_turn.py
@@ -1,16 +1,14 @@
 """Turns that callers can continue from, and the text of their chains."""
 
-import re
-
 import msgspec
 
 from fireflyspread._decoding import decode_msgpack
+from fireflyspread._event_stream import iterate_fields
 
 __all__ = ["CLOCK_MARGIN", "Turn", "decode_turn", "encode_turn", "extract_data"]
 
 # Seconds by which the clocks of two processes may differ.
 CLOCK_MARGIN = 10.0
-_DATA_LINE = re.compile(rb"^data:(?: (.*)|(.*))$", re.MULTILINE)
 
 
 class Turn(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,7 +57,9 @@
 
 def extract_data(events: bytes) -> bytes:
     """Return the data lines of events, each followed by a line feed."""
-    return b"".join(a + b + b"\n" for a, b in _DATA_LINE.findall(events))
+    return b"".join(
+        value + b"\n" for name, value in iterate_fields(events) if name == b"data"
+    )
 
 
 def encode_turn(turn: Turn) -> bytes:
--- a/tests/turns/test_turn.py
+++ b/tests/turns/test_turn.py
@@ -1,5 +1,6 @@
 """Tests of turns and the text of their chains."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -39,6 +40,12 @@
         events = b"id: 1\ndata: a\n\n: comment\n\nid: 2\nevent: x\ndata:b\ndata: c\n\n"
         assert extract_data(events) == b"a\nb\nc\n"
 
+    @pytest.mark.parametrize("line_end", [b"\r\n", b"\r"])
+    def test_takes_lines_with_any_end(self, line_end):
+        """Guards against turns without text, or with ends of lines in it."""
+        events = b"id: 1\ndata: a\n\nid: 2\ndata:b\n\n".replace(b"\n", line_end)
+        assert extract_data(events) == b"a\nb\n"
+
     @given(st.lists(_LINES))
     def test_keeps_the_bytes_of_each_line(self, lines):
         """Guards against data that is stripped or taken as a field."""
