--- a/tests/turns/test_recorder.py
+++ b/tests/turns/test_recorder.py
@@ -25,7 +25,7 @@
 class TestTurnRecorder:
     @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
     async def test_restored_turn_holds_each_event_once(self, line_end):
-        """Guards against events of a broken answer that are kept twice or not at all."""
+        """Guards against events kept twice, or not at all."""
         keeper = _Keeper()
         recorder = TurnRecorder(
             keeper, request="t1", team="lids", parts=(), retention=9.0, resumes="t0"
