Take streams of moved routes up at their own version

A stream whose route had moved to another target before its caller took it up went on at any version there, so two versions could be joined; nothing tells that versions of two targets fit together. It goes on at the version that began it, or is refused at once. Without a program, a stream that is taken up has the target of the request that began it, where a route is split by weight.

The test that took such versions for irrelevant asked the opposite and is replaced by a stricter one; it and the test of the joined stream failed before.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -178,9 +178,7 @@
             self.request.resumes, self.service
         )
         replicas = self._directory.get_target(self.service).replicas
-        if self.stream_version is not None and not any(
-            replica.version == self.stream_version for replica in replicas
-        ):
+        if not any(replica.version == self.stream_version for replica in replicas):
             raise StreamVersionError(
                 f"{self.service} has no replica of version {self.stream_version}, "
                 "which began the stream; send the request again from its start"
--- a/src/fireflyspread/forwarding/_forwarder.py
+++ b/src/fireflyspread/forwarding/_forwarder.py
@@ -308,11 +308,14 @@
 
 
 def _choose_service(route: ForwardingRoute, request: ForwardRequest) -> str:
-    """Return a service chosen by weight, the same one for all requests of a program."""
+    """Return a service chosen by weight, the same one for all requests of a program.
+
+    A stream that its caller takes up has the service of the request that began it.
+    """
     if len(route.services) == 1:
         return route.services[0][0]
     total = sum(weight for _, weight in route.services)
-    subject = request.program.id if request.program else request.id
+    subject = request.program.id if request.program else request.resumes or request.id
     position = xxhash.xxh3_64_intdigest(subject.encode()) / 2**64 * total
     for service, weight in route.services:
         position -= weight
--- a/src/fireflyspread/forwarding/_stream_versions.py
+++ b/src/fireflyspread/forwarding/_stream_versions.py
@@ -160,10 +160,11 @@
         origin = self._begun.get(request) or self._reported.get(request)
         return FoundStream(origin=origin, versions=sorted(self._list_versions(target)))
 
-    async def find(self, request: str | None, target: str) -> str | None:
+    async def find(self, request: str | None, target: str) -> str:
         """Return the version at which a stream may go on.
 
-        None if the stream began on another target, whose versions do not matter.
+        A stream that began on another target, from which its route has moved, may go on
+        at the same version only, as nothing tells that the two targets' versions fit.
 
         Parameters
         ----------
@@ -186,8 +187,7 @@
                 assert request is not None
                 self.record(request, each.origin)
                 _log_found(request, each.origin, source="record")
-                is_same = each.origin.target == target
-                return each.origin.version if is_same else None
+                return each.origin.version
             versions.update(each.versions)
         if len(versions) == 1 and self._is_certain(found):
             version = versions.pop()
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -123,6 +123,10 @@
         self.ran: list[str] = []
         self.crashed: set[str] = set()
 
+    def answer_with(self, chunks: list[bytes | None]) -> None:
+        """Answer all further requests with the same body."""
+        self._answer = lambda name, n: Answer(chunks=chunks)
+
     async def send(
         self, request: ForwardRequest, replica: Replica, dispatch: Dispatch
     ) -> Reply:
@@ -269,7 +273,7 @@
             for service in ("models", "orders"):
                 version = (versions or {}).get(name, "v1")
                 self.register(service, name, version=version)
-        configs = ConfigHolder()
+        self.configs = configs = ConfigHolder()
         limiter = StaticSplitLimiter(clock=clock)
         if config is not None:
             configs.offer(config, source="test")
--- a/tests/forwarding/test_event_order.py
+++ b/tests/forwarding/test_event_order.py
@@ -1,5 +1,7 @@
 """Tests of the order of events over the runs of a stream."""
 
+import contextlib
+
 import pytest
 from attrs import evolve
 from hypothesis import given
@@ -136,6 +138,41 @@
         assert sink.is_finished
 
 
+class TestMovedRoutes:
+    async def _take_up(self, version: str) -> tuple[FakeSink, Harness]:
+        """Take up a stream of ``models`` whose route has moved to ``others``."""
+        harness = Harness(lambda name, n: Answer(chunks=[make_events(1, 3), None]))
+        sink = FakeSink()
+        with pytest.raises(FireflyError):
+            await harness.forwarder.forward(
+                harness.make_request("/turns/1", **make_turn()), sink
+            )
+        moved = evolve(CONFIG.routes[0], services=(("others", 1.0),))
+        config = evolve(CONFIG, version=8, routes=(moved, *CONFIG.routes[1:]))
+        harness.configs.offer(config, source="test")
+        harness.register("others", "r9", version=version)
+        harness.backend.answer_with([make_events(4, 8)])
+        sink = FakeSink()
+        options = {"last_event_id": "3", "resumes": "request-1", "id": "request-2"}
+        with contextlib.suppress(FireflyError):
+            await harness.forwarder.forward(
+                harness.make_request("/turns/1", **make_turn(), **options), sink
+            )
+        return sink, harness
+
+    async def test_do_not_join_two_versions(self):
+        """Guards against a stream that goes on at another version of another target."""
+        sink, harness = await self._take_up("v2")
+        assert not sink.is_started
+        assert "others-r9" not in harness.backend.ran
+
+    async def test_go_on_at_the_same_version(self):
+        """Guards against streams that are refused because their route has moved."""
+        sink, _ = await self._take_up("v1")
+        assert sink.body == make_events(4, 8)
+        assert sink.is_finished
+
+
 class TestRunsWithoutBreak:
     async def test_going_back_go_on_elsewhere(self):
         """Guards against numbers that go back within the answer of one replica."""
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -134,11 +134,11 @@
         with pytest.raises(StreamVersionError):
             await nodes.nodes["n0"].find("r1", "models")
 
-    async def test_version_of_another_target_does_not_matter(self):
-        """Guards against streams that are refused because their route has moved."""
+    async def test_version_stays_when_the_route_moves(self):
+        """Guards against two versions in a stream whose route moved to a target."""
         nodes = make_nodes("v1", "v2")
         nodes.nodes["n0"].record("r1", StreamOrigin("others", "v7"))
-        assert await nodes.nodes["n0"].find("r1", "models") is None
+        assert await nodes.nodes["n0"].find("r1", "models") == "v7"
 
     async def test_second_attempt_is_known_after_a_release(self):
         """Guards against a stream that is refused when it is taken up again."""
