--- a/tests/gateway/test_stream_order.py
+++ b/tests/gateway/test_stream_order.py
@@ -1,5 +1,6 @@
 """Tests of gateway processes with replicas that go on with streams at a wrong event."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -10,6 +11,8 @@
 from tests.gateway.test_process import STREAM_BODY
 
 _STREAMS = 8
+# Seconds until all nodes know that one of them reaches no replica.
+_SETTLE_SECONDS = 1.0
 _RESUME_IDS = {
     "begins-again": (1, 2, 3, 4, 5, 6, 7, 8),
     "repeats-the-last": (2, 3, 4, 5, 6, 7, 8),
@@ -110,3 +113,46 @@
             body, is_complete = await _read_stream(cluster, number % 2, f"s{number}")
             assert body == STREAM_BODY.replace(b"\n", line_end)
             assert is_complete
+
+
+class TestRelayedStreams:
+    @pytest.fixture
+    async def relaying_cluster(self, tmp_path: Path) -> AsyncIterator[Cluster]:
+        """Three nodes, the first of which reaches no replica."""
+        async with Cluster(tmp_path, nodes=3, replicas=3, viewed=True) as found:
+            config = make_config(4)
+            config["routes"][0]["maxAttempts"] = 3
+            found.put_config(config)
+            found.views[0].cut(resets=True)
+            await asyncio.sleep(_SETTLE_SECONDS)
+            yield found
+
+    @_wrong_runs
+    async def test_hold_no_events_out_of_order(self, relaying_cluster, ids):
+        """Guards against a wrong event that reaches the caller through a relay."""
+        cluster = relaying_cluster
+        for replica in cluster.models:
+            replica.faults.resume_ids = ids
+        for number in range(_STREAMS):
+            _break_next_streams(cluster)
+            body, is_complete = await _read_stream(cluster, 0, f"s{number}")
+            assert body
+            assert STREAM_BODY.startswith(body)
+            assert not is_complete
+
+    async def test_are_in_order_when_the_relaying_node_stops(self, relaying_cluster):
+        """Guards against events that two relays of one stream both bring."""
+        cluster = relaying_cluster
+        for replica in cluster.models:
+            replica.faults.work = 0.2
+        reads = [
+            asyncio.create_task(_read_stream(cluster, 0, f"s{number}"))
+            for number in range(_STREAMS)
+        ]
+        await asyncio.sleep(0.5)
+        for node in cluster.nodes[1:]:
+            await node.stop()
+            await node.start(is_first=False)
+        for body, is_complete in await asyncio.gather(*reads):
+            assert STREAM_BODY.startswith(body)
+            assert body == STREAM_BODY or not is_complete
