Soak: wrong runs of streams, a kill of everything, streams taken up

Replicas that go on at a wrong event, and kills of all nodes and loan servers at once, which the soak did not draw; its callers take half of their broken streams up at any node. Other faults of a seed stay as they were.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,17 @@
     "replica_refuse",
     "loan_server_kill",
 )
+# Faults of streams; drawn on their own, so that each seed keeps its other faults.
+_STREAM_KINDS = ("replica_resume_wrongly", "kill_everything")
+_STREAM_FAULTS = 3
+# Ids of the events of runs that are to go on after event 2, which break_streams leaves.
+_WRONG_RUNS = (
+    (1, 2, 3, 4, 5, 6, 7, 8),
+    (2, 3, 4, 5, 6, 7, 8),
+    (4, 5, 6, 7, 8),
+    (3, 5, 6, 7, 8),
+    (3, 2, 3, 4, 5, 6, 7, 8),
+)
 
 
 @frozen(kw_only=True)
@@ -64,7 +75,16 @@
         faults.append(fault)
         # A third of the faults start right after the previous one, to overlap with it.
         at += rng.uniform(0.0, 0.2) if rng.random() < 0.33 else rng.uniform(0.3, 1.5)
-    return faults
+    rng = random.Random(f"streams-{seed}")
+    for _ in range(_STREAM_FAULTS):
+        fault = Fault(
+            at=rng.uniform(0.5, seconds),
+            kind=rng.choice(_STREAM_KINDS),
+            seconds=rng.uniform(0.2, 3.0),
+            index=rng.randrange(100),
+        )
+        faults.append(fault)
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 async def apply_fault(cluster: Cluster, fault: Fault) -> None:
@@ -77,12 +97,17 @@
         proxy.clear()
     elif fault.kind.startswith("store_"):
         await _apply_store_fault(cluster, fault)
+    elif fault.kind == "replica_resume_wrongly":
+        await _resume_wrongly(cluster, fault)
     elif fault.kind.startswith("replica_"):
         _apply_replica_fault(cluster, fault)
     elif fault.kind == "loan_server_kill":
         await _restart(cluster.loan_servers[fault.index % len(cluster.loan_servers)])
     elif fault.kind == "kill_all":
         await asyncio.gather(*(_restart(node) for node in cluster.nodes))
+    elif fault.kind == "kill_everything":
+        processes = (*cluster.nodes, *cluster.loan_servers)
+        await asyncio.gather(*(_restart(process) for process in processes))
     else:
         await _apply_node_fault(cluster.nodes[fault.index % len(cluster.nodes)], fault)
 
@@ -116,6 +141,14 @@
             faults.refuse = 3
 
 
+async def _resume_wrongly(cluster: Cluster, fault: Fault) -> None:
+    faults = cluster.models[fault.index % len(cluster.models)].faults
+    faults.resume_ids = _WRONG_RUNS[fault.index % len(_WRONG_RUNS)]
+    faults.break_streams = 4
+    await asyncio.sleep(fault.seconds)
+    faults.resume_ids, faults.break_streams = (), 0
+
+
 async def _apply_node_fault(node: Gateway, fault: Fault) -> None:
     if fault.kind == "pause":
         node.send_signal(signal.SIGSTOP)
--- a/soak/load.py
+++ b/soak/load.py
@@ -18,6 +18,8 @@
 _EVENT = re.compile(rb"id: (\d+)\ndata: piece \1\n\n")
 _EVENTS_PER_STREAM = 8
 _NOT_RUN_STATUSES = frozenset({402, 408, 421, 429, 503})
+# Fraction of broken streams that their caller takes up.
+_TAKE_UP_SHARE = 0.5
 # Time-Remaining of each request; callers wait 1 s longer for the error.
 _MAX_WAIT_SECONDS = 4.0
 
@@ -79,17 +81,39 @@
         status, body, is_complete = await self._send(
             session, "/turns/stream", request, headers
         )
-        event_numbers = [int(number) for number in _EVENT.findall(body)]
-        self.tokens[program] += TOKENS_PER_EVENT * len(event_numbers)
-        if status == 200:
-            if event_numbers != list(range(1, len(event_numbers) + 1)):
-                self.findings.append(f"EVENTS {request}: numbers {event_numbers}")
-            if is_complete and len(event_numbers) != _EVENTS_PER_STREAM:
-                self.findings.append(
-                    f"EVENTS {request}: complete with {len(event_numbers)} events"
-                )
+        numbers = self._check_events(request, program, status, body)
+        if is_complete and status == 200 and len(numbers) != _EVENTS_PER_STREAM:
+            self.findings.append(f"EVENTS {request}: complete with {numbers}")
+        if numbers and not is_complete and self.rng.random() < _TAKE_UP_SHARE:
+            await self._take_up(session, program, request, numbers[-1])
         return status
 
+    def _check_events(
+        self, request: str, program: str, status: int, body: bytes, after: int = 0
+    ) -> list[int]:
+        """Return the numbers of the events of an answer."""
+        numbers = [int(number) for number in _EVENT.findall(body)]
+        self.tokens[program] += TOKENS_PER_EVENT * len(numbers)
+        if status == 200 and numbers != list(
+            range(after + 1, after + len(numbers) + 1)
+        ):
+            self.findings.append(f"EVENTS {request}: {numbers} after {after}")
+        return numbers
+
+    async def _take_up(
+        self, session: aiohttp.ClientSession, program: str, begun_by: str, last: int
+    ) -> None:
+        """Take a broken stream up after its event ``last``, at any node."""
+        request = self._make_id()
+        headers = make_turn_headers(request, program, budget=BUDGET)
+        headers |= {"Last-Event-Id": str(last), "Resumes": begun_by}
+        status, body, is_complete = await self._send(
+            session, "/turns/stream", request, headers
+        )
+        numbers = self._check_events(request, program, status, body, last)
+        if is_complete and status == 200 and last + len(numbers) != _EVENTS_PER_STREAM:
+            self.findings.append(f"EVENTS {request}: complete with {numbers}")
+
     async def _send_order(self, session: aiohttp.ClientSession) -> None:
         request = self._make_id()
         headers = make_headers(request)
