Count versions of all targets that a route of streams recently had

Nodes now take the versions of all targets that a route has, or had within 45 s, together, both to report streams and to tell that a stream has one version.

--- a/src/fireflyspread/forwarding/__init__.py
+++ b/src/fireflyspread/forwarding/__init__.py
@@ -25,6 +25,7 @@
 from fireflyspread.forwarding._stream_memory import (
     STREAM_RETENTION,
     VERSION_RETENTION,
+    RouteTargets,
     StreamMemory,
     StreamOrigin,
     VersionMemory,
@@ -61,6 +62,7 @@
     "Reply",
     "ResponseSink",
     "RouteKind",
+    "RouteTargets",
     "ServiceTraits",
     "StreamMemory",
     "StreamOrigin",
--- a/src/fireflyspread/forwarding/_stream_memory.py
+++ b/src/fireflyspread/forwarding/_stream_memory.py
@@ -1,15 +1,18 @@
 """Memory of recent streams and of the versions that targets had."""
 
+import math
 from collections import OrderedDict
 from collections.abc import Iterable, Mapping
 
 from attrs import frozen
 
 from fireflyspread.clock import Clock
+from fireflyspread.forwarding._config import ForwardingConfig, RouteKind
 
 __all__ = [
     "STREAM_RETENTION",
     "VERSION_RETENTION",
+    "RouteTargets",
     "StreamMemory",
     "StreamOrigin",
     "VersionMemory",
@@ -96,3 +99,45 @@
             known == target and at >= oldest
             for (known, _), at in self._reported.items()
         )
+
+
+class RouteTargets:
+    """Targets that routes of streams have, or recently had.
+
+    A stream whose route is split, or has moved, may have begun on another target.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._routes: dict[str, dict[str, float]] = {}
+
+    def update(self, config: ForwardingConfig) -> None:
+        """Remember the targets of the routes of a configuration."""
+        now = self._clock.read_monotonic()
+        current = {
+            route.name: [name for name, _ in route.services]
+            for route in config.routes
+            if route.kind is RouteKind.STREAM
+        }
+        for name, targets in self._routes.items():
+            for target, until in targets.items():
+                # What was in force until now is recent from now on.
+                if until == math.inf and target not in current.get(name, ()):
+                    targets[target] = now + VERSION_RETENTION
+        for name, services in current.items():
+            for service in services:
+                self._routes.setdefault(name, {})[service] = math.inf
+        self._routes = {
+            name: recent
+            for name, targets in self._routes.items()
+            if (recent := {t: until for t, until in targets.items() if until >= now})
+        }
+
+    def list_related(self, target: str) -> set[str]:
+        """Return ``target`` and those that recently shared a route with it."""
+        now = self._clock.read_monotonic()
+        related = {target}
+        for targets in self._routes.values():
+            if target in targets:
+                related.update(t for t, until in targets.items() if until >= now)
+        return related
--- a/src/fireflyspread/forwarding/_stream_versions.py
+++ b/src/fireflyspread/forwarding/_stream_versions.py
@@ -99,7 +99,9 @@
     list_targets : callable
         Returns the names of the targets.
     list_versions : callable
-        Returns the versions that a target recently had, as far as this node knows.
+        Returns the versions at which a stream may be that goes on at a target, as far
+        as this node knows: those that the target, and the targets that shared a route
+        with it, recently had.
     """
 
     def __init__(
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -19,6 +19,7 @@
     Forwarder,
     ForwardingConfig,
     RelayingBackend,
+    RouteTargets,
     StreamVersions,
 )
 from fireflyspread.gateway._crashes import CRASHES_PREFIX, CrashExchange
@@ -289,12 +290,13 @@
             rng=self._rng,
         )
         self._crash_exchange.register(self._server)
+        self._route_targets = RouteTargets(self._clock)
         self._streams = StreamVersions(
             NodeStreamVersionPeers(self._client, self._roster, node=self._name),
             node=self._name,
             clock=self._clock,
             list_members=self._roster.list_names,
-            list_versions=self._directory.list_versions,
+            list_versions=self._list_recent_versions,
             list_keepers=self._roster.list_loan_servers,
             list_targets=self._directory.list_services,
         )
@@ -618,8 +620,18 @@
             self._placement.set_cache_tokens(
                 min(e.cache_tokens for e in engines.values())
             )
+        self._route_targets.update(config)
         self._set_targets(set())
 
+    def _list_recent_versions(self, target: str) -> set[str]:
+        """Return the versions at which a stream on the routes of a target may be."""
+        return set().union(
+            *(
+                self._directory.list_versions(name)
+                for name in self._route_targets.list_related(target)
+            )
+        )
+
     def _set_targets(self, changed: set[str]) -> None:
         services = self._directory.list_services() | changed
         if self._configs.version >= 0:
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -5,11 +5,12 @@
 import signal
 from collections.abc import AsyncIterator, Sequence
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import pytest
 
-from soak.cluster import Cluster, Gateway, make_turn_headers
+from soak.cluster import Cluster, Gateway, make_config, make_turn_headers
 from tests.gateway.test_process import STREAM_BODY
 
 _STREAMS = 12
@@ -285,3 +286,43 @@
         )
         after = {r: sum(r in m.count_runs() for m in cluster.models) for r in requests}
         assert after == before
+
+
+class TestMovedRoutes:
+    @pytest.fixture
+    async def spare_cluster(self, tmp_path: Path) -> AsyncIterator[Cluster]:
+        """Replicas of version v1 of one target, and of version v2 of another one."""
+        async with Cluster(tmp_path, nodes=3, replicas=4) as found:
+            found.put_config(self._make_config(5, "models"))
+            for number, replica in enumerate(found.models):
+                replica.faults.work = _EVENT_SECONDS
+                if number % 2:
+                    replica.version = "v2"
+                    found.store.put(
+                        f"servers/{replica.instance}",
+                        replica.make_registration("spare"),
+                    )
+            await asyncio.sleep(2 * _SETTLE_SECONDS)
+            yield found
+
+    def _make_config(self, version: int, service: str) -> dict[str, Any]:
+        config = make_config(version)
+        config["services"].append({**config["services"][0], "name": "spare"})
+        config["routes"][0]["service"] = service
+        return config
+
+    @pytest.mark.parametrize("is_node_lost", [True, False])
+    async def test_stream_is_not_joined_with_another_version_of_another_target(
+        self, spare_cluster, session, is_node_lost
+    ):
+        """Guards against nodes that look at the versions of the new target only."""
+        cluster = spare_cluster
+        begun, responses = await _begin_all(session, cluster.nodes[0])
+        cluster.put_config(self._make_config(6, "spare"))
+        if is_node_lost:
+            await asyncio.sleep(_EVENT_SECONDS)
+            await cluster.nodes[0].stop(signal.SIGKILL)
+        await asyncio.sleep(_SETTLE_SECONDS)
+        for response in responses:
+            response.close()
+        await _take_all_up(session, cluster, begun, cluster.nodes[1:])
