Read the record of versions again after a silence or a conflict

A loan server that was cut off for longer than versions are remembered said that it knew all of them, and one that had missed a report removed the version that another one had written. A loan server without a report for 25 s counts as incomplete until it has read the record, and versions read from it count as recent.

--- a/src/fireflyspread/loans/_streams.py
+++ b/src/fireflyspread/loans/_streams.py
@@ -96,6 +96,7 @@
         )
 
     async def _handle_find(self, message: FindStream) -> Message:
+        self._record.check_contact()
         origin = self._streams.get(message.request)
         return StreamFound(
             node=self._node,
--- a/src/fireflyspread/loans/_version_record.py
+++ b/src/fireflyspread/loans/_version_record.py
@@ -22,6 +22,9 @@
 # Seconds for which reports are collected before the record is written.
 _WRITE_DELAY = 0.02
 _RETRY_SECONDS = 0.5
+# Seconds without a report after which versions may have been missed; nodes report
+# every 10 s.
+_MAX_SILENCE = 25.0
 
 _DECODER = msgspec.json.Decoder(dict[str, list[str]])
 
@@ -55,8 +58,11 @@
         self._changed = asyncio.Event()
         self._recorded: dict[str, list[str]] = {}
         self._revision = 0
+        self._is_read = False
         # When this process knows of all recent versions, in monotonic seconds.
         self._complete_at = clock.read_monotonic() + VERSION_RETENTION
+        # When nodes reported, or the record was read, last.
+        self._confirmed_at = clock.read_monotonic()
 
     @property
     def is_complete(self) -> bool:
@@ -65,14 +71,26 @@
 
     def update(self) -> None:
         """Check whether reported versions have to be written."""
+        self.check_contact()
+        self._confirmed_at = self._clock.read_monotonic()
         self._changed.set()
 
+    def check_contact(self) -> None:
+        """Read the record again if no node has reported for long.
+
+        Versions may have come and left while this process was cut off.
+        """
+        now = self._clock.read_monotonic()
+        if now > self._confirmed_at + _MAX_SILENCE and self._is_read:
+            self._is_read = False
+            self._complete_at = now + VERSION_RETENTION
+            self._changed.set()
+
     async def run(self) -> None:
         """Read the record, then write changes to it until cancelled."""
-        is_read = False
         while True:
-            is_read = is_read or await self._read()
-            if not is_read or not await self._write_changes():
+            self._is_read = self._is_read or await self._read()
+            if not self._is_read or not await self._write_changes():
                 await asyncio.sleep(_RETRY_SECONDS)
                 continue
             with contextlib.suppress(TimeoutError):
@@ -96,10 +114,11 @@
             except msgspec.DecodeError as exc:
                 _LOG.error("versions of targets in the store are malformed: %s", exc)
                 return True
+        # Versions that left before count as recent from now on.
+        self._versions.add(self._recorded)
+        self._confirmed_at = self._clock.read_monotonic()
         if self.is_complete:
             return True
-        # Versions that left before the start count as recent from now on.
-        self._versions.add(self._recorded)
         if entry is not None or self._is_first_start:
             self._complete_at = self._clock.read_monotonic()
         _LOG.info(
