--- a/src/fireflyspread/loans/_stream_file.py
+++ b/src/fireflyspread/loans/_stream_file.py
@@ -78,8 +78,13 @@
         if self._file is None or self._appended_lines > _MAX_APPENDED_LINES:
             self.open()
         assert self._file is not None
-        write_bytes(self._file, _encode(records))
-        os.fsync(self._file)
+        try:
+            write_bytes(self._file, _encode(records))
+            os.fsync(self._file)
+        except OSError:
+            # The next records must not join a torn line; opening removes it.
+            self.close()
+            raise
         self._appended_lines += len(records)
 
     def close(self) -> None:
--- a/tests/loans/test_stream_file.py
+++ b/tests/loans/test_stream_file.py
@@ -1,8 +1,13 @@
 """Tests of the file of reported streams."""
 
+import errno
+import os
 from pathlib import Path
 
+import pytest
+
 from fireflyspread.clock import ManualClock
+from fireflyspread.loans import _stream_file
 from fireflyspread.loans._stream_file import StreamFile, StreamRecord
 
 
@@ -29,6 +34,24 @@
         path.write_bytes(path.read_bytes() + path.read_bytes()[:20])
         assert StreamFile(tmp_path, clock).open() == [record]
 
+    def test_streams_behind_a_failed_write_are_read(self, tmp_path: Path, monkeypatch):
+        """Guards against an acknowledged line that joins a torn one."""
+        clock = ManualClock()
+        file = StreamFile(tmp_path, clock)
+        file.append([_make_record("s1", at=clock.read_wall())])
+
+        def write_half(descriptor: int, data: bytes) -> None:
+            os.write(descriptor, data[: len(data) // 2])
+            raise OSError(errno.ENOSPC, "no space left on the device")
+
+        with monkeypatch.context() as patch:
+            patch.setattr(_stream_file, "write_bytes", write_half)
+            with pytest.raises(OSError, match="no space"):
+                file.append([_make_record("s2", at=clock.read_wall())])
+        file.append([_make_record("s3", at=clock.read_wall())])
+        found = StreamFile(tmp_path, clock).open()
+        assert [record.request for record in found] == ["s1", "s3"]
+
     def test_old_streams_are_dropped(self, tmp_path: Path):
         """Guards against a file that grows with each release."""
         clock = ManualClock()
