Keep the order of mixed ids, and pass odd ends of streams

Found by a review, each shown by a test that failed before: numbers began afresh behind a text id, ids of 19 digits and more were taken as text, remembered ids had no bound, and sound streams were cut for an event without an id behind a break, or for an extra blank line at their end. A stream that was taken up can be taken up again by naming either request.

--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -478,7 +478,8 @@
             )
         if self._ticket is not None:
             self._scheduler.record_begin(self._ticket)
-        if self.stream_version is None:
+        if self.stream_version is None or self.request.last_event_id:
+            # A caller that takes the stream up again may name either request.
             self._record_stream(replica.version)
 
     def _record_stream(self, version: str) -> None:
--- a/src/fireflyspread/forwarding/_event_order.py
+++ b/src/fireflyspread/forwarding/_event_order.py
@@ -5,7 +5,7 @@
 __all__ = ["EventOrder", "EventSteps"]
 
 # Longer numbers are compared as text.
-_MAX_DIGITS = 18
+_MAX_DIGITS = 100
 # Ids that are no numbers are remembered; a stream with more of them cannot go on.
 _MAX_TEXT_IDS = 10_000
 # Equal differences of ids after which another one shows that events are missing.
@@ -87,6 +87,7 @@
         self._observed: int | None = None
         self._last_number = _parse_number(after)
         self._held_number: int | None = None
+        self._has_id_in_run = False
         self._text_ids: set[str] = set()
         if after is not None and self._last_number is None:
             self._text_ids.add(after)
@@ -104,6 +105,7 @@
     def begin_run(self) -> None:
         """Expect a new run after one that broke."""
         self._held_number = None
+        self._has_id_in_run = False
         if self.last_id is not None:
             self.is_continuation = self._has_joins = True
 
@@ -116,7 +118,7 @@
             None if the event has no id.
         """
         if not event_id:
-            if self.is_continuation:
+            if self.is_continuation and not self._has_id_in_run:
                 return "an event of a run that goes on with a stream has no id"
             self.can_go_on = False
             return None
@@ -150,16 +152,18 @@
 
     def _accept(self, event_id: str, number: int | None) -> None:
         self.last_id, self._last_number = event_id, number
-        self.can_go_on = len(self._text_ids) <= _MAX_TEXT_IDS
+        self._has_id_in_run = True
+        self.can_go_on = len(self._text_ids) < _MAX_TEXT_IDS
 
     def _add_text(self, event_id: str) -> str | None:
         if event_id in self._text_ids:
             return f"event {event_id!r} comes twice"
         if self.holds_event:
             return f"event {event_id!r} comes after event {self._held_number}"
-        self._text_ids.add(event_id)
+        if len(self._text_ids) < _MAX_TEXT_IDS:
+            self._text_ids.add(event_id)
         self._step = 0
-        self._accept(event_id, None)
+        self._accept(event_id, self._last_number)
         return None
 
     def _has_right_step(self, previous: int, number: int) -> bool:
--- a/src/fireflyspread/forwarding/_events.py
+++ b/src/fireflyspread/forwarding/_events.py
@@ -59,7 +59,7 @@
     @property
     def has_partial_event(self) -> bool:
         """Whether an incomplete event is buffered."""
-        return bool(self._partial)
+        return bool(self._partial.strip(b"\r\n"))
 
     def feed(self, data: bytes) -> tuple[bytes, int]:
         """Return the events released by ``data``, and how many of them have an id.
@@ -110,6 +110,8 @@
                     count += was_held + bool(event_id)
             if not self.order.holds_event:
                 end = event_end
+        if not self.order.holds_event:
+            end = len(data)
         self._held = data[end:]
         if len(self._held) > _MAX_EVENT_BYTES:
             self.fault = f"no event in {_MAX_EVENT_BYTES} bytes"
--- a/tests/forwarding/test_event_order.py
+++ b/tests/forwarding/test_event_order.py
@@ -98,6 +98,22 @@
         assert sink.body == begun + make_events(4, 8)
         assert sink.is_finished
 
+    async def test_go_on_with_an_event_without_id_at_the_end(self):
+        """Guards against sound streams that are cut before a last event without id."""
+        rest = make_events(4, 5) + _make_event_without_id("[DONE]")
+        sink, _ = await _forward([_BEGUN, None], [rest])
+        assert sink.body == _BEGUN + rest
+        assert sink.is_finished
+
+    @pytest.mark.parametrize("line_end", [b"\n", b"\r\n"])
+    async def test_end_with_an_extra_blank_line(self, line_end):
+        """Guards against sound streams that are cut for a blank line at their end."""
+        body = make_events(1, 8).replace(b"\n", line_end)
+        for chunks in ([body, line_end], [body + line_end]):
+            sink, _ = await _forward([*chunks])
+            assert sink.body.startswith(body)
+            assert sink.is_finished
+
     async def test_go_on_after_comments_and_settings_without_id(self):
         """Guards against sound streams that are cut because of lines without an id."""
         begun = _BEGUN + b": wait\n\nretry: 100\n\n"
@@ -245,6 +261,24 @@
             assert order.add("5") is not None
         assert order.last_id is None
 
+    @pytest.mark.parametrize(
+        "ids", [["1", "2", "x", "1"], [f"{10**20 + 3}", f"{10**20 + 1}"]]
+    )
+    def test_numbers_do_not_go_back_behind_other_ids(self, ids):
+        """Guards against repeated numbers behind text, and long ones taken as text."""
+        order = EventOrder()
+        for event_id in ids[:-1]:
+            assert order.add(event_id) is None
+        assert order.add(ids[-1]) is not None
+
+    def test_remembered_text_ids_are_bounded(self):
+        """Guards against a faulty replica that fills the memory with ids."""
+        order = EventOrder()
+        for number in range(20_000):
+            order.add(f"a{number}")
+        assert len(order._text_ids) <= 10_000
+        assert not order.can_go_on
+
     def test_repeated_text_ids_are_rejected(self):
         """Guards against streams with text ids that begin again."""
         order = EventOrder()
