--- a/src/fireflyspread/forwarding/_attempt.py
+++ b/src/fireflyspread/forwarding/_attempt.py
@@ -136,10 +136,9 @@
         self._clock = clock
         self._event_steps = event_steps
         self._splitter = EventSplitter(
+            # Replicas get the position also where the route no longer allows resuming.
             EventOrder(
-                # Without resumption the header means nothing.
-                after=(request.last_event_id if route.is_repeatable else "") or None,
-                step=event_steps.get(service),
+                after=request.last_event_id or None, step=event_steps.get(service)
             )
         )
         self._runs = 0
--- a/tests/forwarding/test_event_order.py
+++ b/tests/forwarding/test_event_order.py
@@ -204,6 +204,20 @@
         assert sink.body == _make_events(1, 2, 3)
         assert not sink.is_finished
 
+    @pytest.mark.parametrize("run", _WRONG_RUNS.values(), ids=_WRONG_RUNS)
+    async def test_taken_up_where_the_route_is_not_resumable_are_cut(self, run):
+        """Guards against a configuration that ends resuming, and with it the check."""
+        routes = tuple(evolve(route, resumable=False) for route in CONFIG.routes)
+        harness = Harness(
+            lambda name, n: Answer(chunks=[run]), config=evolve(CONFIG, routes=routes)
+        )
+        sink = FakeSink()
+        request = harness.make_request("/turns/1", **make_turn(), last_event_id="3")
+        with pytest.raises(FireflyError):
+            await harness.forwarder.forward(request, sink)
+        assert _is_prefix_of_the_stream(sink.body, first=4)
+        assert not sink.is_finished
+
     async def test_on_a_route_without_resumption_are_cut(self):
         """Guards against events of a second run where none may follow."""
         routes = tuple(evolve(route, resumable=False) for route in CONFIG.routes)
