Stand-ins: share the connections of replicas that write raw bytes

EndlessReplica keeps its bytes; accepting connections, reading requests and the registration move to a base class.

--- a/standins/endless_replica.py
+++ b/standins/endless_replica.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import itertools
-import re
 from collections.abc import Iterator
 
-import msgspec
+from standins.raw_replica import RawReplica
 
 __all__ = ["KINDS", "EndlessReplica"]
 
 _CHUNK_BYTES = 1 << 16
-_ID = re.compile(rb"\r\nFireflyspread-Request-Id: (\S+)\r\n", re.IGNORECASE)
 
 # Kinds of bytes, by where they occur.
 KINDS = (
@@ -69,69 +67,22 @@
     yield from itertools.repeat(rest)
 
 
-class EndlessReplica:
+class EndlessReplica(RawReplica):
     """Replica that answers each request with bytes without end.
 
-    Attributes
+    Parameters
     ----------
     kind : str
         One of ``KINDS``.
-    open_connections : int
-        Connections that the node has not closed.
-    requests : list of str
-        Ids of the requests received.
     """
 
     def __init__(self, kind: str, *, instance: str = "e-1") -> None:
-        self.kind = kind
-        self.instance = instance
-        self.open_connections = 0
-        self.requests: list[str] = []
-        self._server: asyncio.Server | None = None
-
-    async def __aenter__(self) -> "EndlessReplica":
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self
-
-    async def __aexit__(self, *exc: object) -> None:
-        assert self._server is not None
-        self._server.close()
-
-    @property
-    def address(self) -> str:
-        """Address as ``host:port``."""
-        assert self._server is not None
-        return "{}:{}".format(*self._server.sockets[0].getsockname())
-
-    def make_registration(self, service: str) -> bytes:
-        """Return the registration that the replica writes to the platform's store."""
-        return msgspec.json.encode(
-            {
-                "service": service,
-                "address": self.address,
-                "zone": "z1",
-                "slots": 8,
-                "state": "ready",
-                "born": 1,
-            }
-        )
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self.open_connections += 1
-        try:
-            head = await reader.readuntil(b"\r\n\r\n")
-            found = _ID.search(head)
-            request = b"" if found is None else found[1]
-            self.requests.append(request.decode())
-            for data in make_bytes(self.kind, request):
-                writer.write(data)
-                await writer.drain()
-                # Without it the test would have no time of its own.
-                await asyncio.sleep(0)
-        except (ConnectionError, asyncio.IncompleteReadError):
-            return
-        finally:
-            self.open_connections -= 1
-            writer.close()
+        super().__init__(instance=instance)
+        self._kind = kind
+
+    async def _answer(self, writer: asyncio.StreamWriter, request: bytes) -> None:
+        for data in make_bytes(self._kind, request):
+            writer.write(data)
+            await writer.drain()
+            # Without it the test would have no time of its own.
+            await asyncio.sleep(0)
