Reject answers whose status does not exist

Callers got an answer "HTTP/1.1 0" with the body and the stamp of a replica that had sent the status 000, and likewise 99, 101, 600 and 999.

Cause: the HTTP parser takes any three digits as a status, and no code checked them; statuses below 500 were passed on as answers of the replica, and higher ones where the request may not be repeated. A relaying node did the same.

Now the protocol of all HTTP client connections closes a connection whose answer has a status outside 100 to 599, or a switch to another protocol, which no request asks for. The request fails like any that got bytes that are no answer: it is repeated if its route allows that, else its caller gets 502.

--- a/src/fireflyspread/_http_protocol.py
+++ b/src/fireflyspread/_http_protocol.py
@@ -8,6 +8,8 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from fireflyspread._http_heads import is_valid_status
+
 __all__ = ["LimitedProtocol", "ResetAwareProtocol", "UnexpectedBytesError"]
 
 _LOG = logging.getLogger(__name__)
@@ -63,9 +65,9 @@
 
 
 class LimitedProtocol(ResetAwareProtocol):
-    """Closes a connection on which bytes arrive that belong to no body.
+    """Closes a connection on which bytes arrive that belong to no answer.
 
-    A faulty peer may send them without end.
+    A faulty peer may send an invalid head, or bytes outside bodies without end.
 
     Attributes
     ----------
@@ -83,6 +85,8 @@
     _framing_counted_at = 0.0
     # Bytes that arrived behind those at which reading was paused.
     _unparsed = b""
+    # What is wrong with the head of an answer.
+    _head_fault: str | None = None
 
     def is_expected(self, message: Any) -> bool:
         """Return whether the head of an answer belongs to the request."""
@@ -96,8 +100,12 @@
         return message, payload
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        self._unexpected_count += 1
-        super().feed_data(data, size)
+        message, _ = data
+        if self._head_fault is None:
+            self._head_fault = self._find_head_fault(message)
+        if self._head_fault is None:
+            self._unexpected_count += 1
+            super().feed_data(data, size)
 
     def data_received(self, data: bytes) -> None:
         """Parse ``data``, or go on with earlier data if it is empty."""
@@ -118,12 +126,19 @@
     def _parse(self, part: bytes) -> None:
         super().data_received(part)
         self._count_bytes(len(part))
-        if (
+        if self._head_fault is not None:
+            self._reject(self._head_fault)
+        elif (
             self._unexpected_count > _MAX_UNEXPECTED_RESPONSES
             or self._idle_bytes > _MAX_IDLE_BYTES
             or self._framing_bytes > _MAX_FRAMING_BYTES
         ):
-            self._reject()
+            self._reject("bytes that are no answer")
+
+    def _find_head_fault(self, message: Any) -> str | None:
+        if not is_valid_status(message.code):
+            return f"an answer with the invalid status {message.code:03}"
+        return None
 
     def _count_bytes(self, size: int) -> None:
         total = 0 if self._payload is None else self._payload.total_bytes
@@ -138,11 +153,11 @@
             0.0, self._framing_bytes + size - 2 * progress - made_good
         )
 
-    def _reject(self) -> None:
+    def _reject(self, fault: str) -> None:
         transport = self.transport
         peer = None if transport is None else transport.get_extra_info("peername")
-        _LOG.warning("connection to %s closed: bytes that are no answer", peer)
-        error = UnexpectedBytesError("bytes that are no answer")
+        _LOG.warning("connection to %s closed: %s", peer, fault)
+        error = UnexpectedBytesError(fault)
         if self._payload is not None and not self._payload.is_eof():
             self._payload.set_exception(error)
         self.set_exception(error)
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -256,3 +256,18 @@
                 ) as response:
                     async for _ in response.content.iter_any():
                         pass
+
+
+@pytest.mark.parametrize(
+    "open_session", _SENDING_SESSIONS.values(), ids=_SENDING_SESSIONS
+)
+class TestInvalidHeads:
+    @pytest.mark.parametrize("status", ["000", "099", "101", "600", "999"])
+    async def test_status_that_does_not_exist_is_an_error(self, open_session, status):
+        """Guards against a broken answer that is passed on."""
+        answer = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode()
+        server, url = await _RepeatingServer(answer).start()
+        async with server, open_session() as session:
+            with pytest.raises(aiohttp.ClientError):
+                async with session.get(url) as response:
+                    await response.read()
