Reject answers with malformed lines in their heads

Callers got a line "Transfer-Encoding : chunked", "Content-Length : 2" or "Connection : close" of a replica passed on, with the blank in the name. An answer with " Transfer-Encoding: chunked" behind another field reached them with the sizes of its chunks as a part of the body. A control byte in a value became a 500 of the node for an answer 200.

Cause: the parser reads heads of answers leniently. It takes the names that concern the connection also with a blank behind them, and it joins a line that begins with a blank to the value before it, so a framing field there is lost. What it returns does not show how the lines were written.

Now each connection keeps the bytes in which a head may begin, and an answer counts only if these bytes have a head that is well formed by RFC 9112 and has the status and fields that the parser returned. A gateway may replace continuation lines or discard the answer; these are discarded, because the line may have been meant as a field.

--- a/src/fireflyspread/_http_heads.py
+++ b/src/fireflyspread/_http_heads.py
@@ -1,8 +1,18 @@
 """Rules for the heads of HTTP answers, which the parser reads leniently."""
 
-__all__ = ["is_valid_status"]
+import re
+from collections.abc import Sequence
+
+__all__ = ["find_head", "is_valid_status"]
 
 _SWITCHING_PROTOCOLS = 101
+_TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
+_NAME = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
+# RFC 9112, sections 2 to 5, without continuation lines. LF alone ends a line too.
+_HEAD = re.compile(
+    rb"[A-Z]+/[0-9]\.[0-9] ([0-9]{3})(?: %s)?\r?\n((?:%s:%s\r?\n)*)\r?\n"
+    % (_TEXT, _NAME, _TEXT)
+)
 
 
 def is_valid_status(status: int) -> bool:
@@ -11,3 +21,33 @@
     No request asks for another protocol, so none may be answered with a switch to one.
     """
     return 100 <= status < 600 and status != _SWITCHING_PROTOCOLS
+
+
+def find_head(
+    data: bytes, *, status: int, fields: Sequence[tuple[bytes, bytes]]
+) -> int:
+    """Return the position behind the first well-formed head with a status and fields.
+
+    Parameters
+    ----------
+    data : bytes
+        Bytes in which the head was read, maybe behind others.
+    status : int
+        Status as it was read.
+    fields : sequence of (bytes, bytes)
+        Names and values as they were read.
+
+    Returns
+    -------
+    int
+        -1 if there is none, so the head was read from malformed lines.
+    """
+    for match in _HEAD.finditer(data):
+        if int(match[1]) == status and _split_fields(match[2]) == [*fields]:
+            return match.end()
+    return -1
+
+
+def _split_fields(lines: bytes) -> list[tuple[bytes, bytes]]:
+    parts = [line.partition(b":") for line in lines.split(b"\n")[:-1]]
+    return [(name, value.strip(b" \t\r")) for name, _, value in parts]
--- a/src/fireflyspread/_http_protocol.py
+++ b/src/fireflyspread/_http_protocol.py
@@ -1,5 +1,6 @@
 """Protocols of HTTP client connections to peers that may be faulty."""
 
+import asyncio
 import logging
 import socket
 import time
@@ -8,7 +9,7 @@
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
-from fireflyspread._http_heads import is_valid_status
+from fireflyspread._http_heads import find_head, is_valid_status
 
 __all__ = ["LimitedProtocol", "ResetAwareProtocol", "UnexpectedBytesError"]
 
@@ -88,6 +89,15 @@
     # What is wrong with the head of an answer.
     _head_fault: str | None = None
 
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop=loop)
+        # Bytes behind the last head or body, which may hold the next head.
+        self._head_parts: list[bytes] = []
+
+    def set_response_params(self, **options: Any) -> None:
+        self._head_parts.clear()
+        super().set_response_params(**options)
+
     def is_expected(self, message: Any) -> bool:
         """Return whether the head of an answer belongs to the request."""
         return message.code >= 200
@@ -124,7 +134,12 @@
             self._parse(data[start : start + _MAX_PARSED_BYTES])
 
     def _parse(self, part: bytes) -> None:
+        self._head_parts.append(part)
         super().data_received(part)
+        is_in_body = self._payload is not None and not self._payload.is_eof()
+        # A paused parser has not read the whole part yet.
+        if is_in_body and not self._reading_paused:
+            self._head_parts.clear()
         self._count_bytes(len(part))
         if self._head_fault is not None:
             self._reject(self._head_fault)
@@ -138,6 +153,11 @@
     def _find_head_fault(self, message: Any) -> str | None:
         if not is_valid_status(message.code):
             return f"an answer with the invalid status {message.code:03}"
+        data = b"".join(self._head_parts)
+        end = find_head(data, status=message.code, fields=message.raw_headers)
+        if end < 0:
+            return "an answer with a malformed head"
+        self._head_parts = [data[end:]]
         return None
 
     def _count_bytes(self, size: int) -> None:
--- a/tests/gateway/test_malformed_heads.py
+++ b/tests/gateway/test_malformed_heads.py
@@ -22,6 +22,19 @@
     rb"((?:[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r\n)*)\r\n"
 )
 _STATUSES = (b"000", b"099", b"101", b"600", b"999")
+_LENGTH = b"Content-Length: 2\r\n"
+# Lines after the status line, and whether the body is sent in chunks.
+_LINES = {
+    "blank inside a name": (_LENGTH + b"X A: v", False),
+    "control byte in a name": (_LENGTH + b"X\x01A: v", False),
+    "blank behind the length": (b"Content-Length : 2", False),
+    "blank behind the coding": (b"Transfer-Encoding : chunked", True),
+    "blank behind another name": (_LENGTH + b"Connection : close", False),
+    "blank before the first name": (b" Transfer-Encoding: chunked", True),
+    "blank before a name": (b"X-A: v\r\n Transfer-Encoding: chunked", True),
+    "tab before a name": (b"X-A: v\r\n\tTransfer-Encoding: chunked", True),
+    "control byte in a value": (_LENGTH + b"X-A: a\x01b", False),
+}
 
 
 @pytest.fixture
@@ -140,3 +153,24 @@
         """Guards against answers that are none in HTTP."""
         head = b"HTTP/1.1 %s X\r\nContent-Length: 2" % status
         await _check_answers(cluster, head, b"ok", closes=False, is_relayed=is_relayed)
+
+
+class TestFields:
+    @pytest.mark.parametrize("name", _LINES)
+    async def test_malformed_lines_do_not_reach_callers(self, cluster, name):
+        """Guards against lines that are passed on, and bodies read by other framing."""
+        lines, is_chunked = _LINES[name]
+        body = b"2\r\nok\r\n0\r\n\r\n" if is_chunked else b"ok"
+        await _check_answers(
+            cluster, b"HTTP/1.1 200 OK\r\n" + lines, body, closes=True, is_relayed=False
+        )
+
+    async def test_relayed_ones_do_not_reach_callers(self, cluster):
+        """Guards against lines that are only checked where the caller is served."""
+        await _check_answers(
+            cluster,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked",
+            b"2\r\nok\r\n0\r\n\r\n",
+            closes=False,
+            is_relayed=True,
+        )
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -258,6 +258,16 @@
                         pass
 
 
+async def _check_rejected(open_session: Callable[[], Any], head: str) -> None:
+    """Check that an answer with this head, and a valid length and body, is an error."""
+    answer = f"{head}\r\nContent-Length: 2\r\n\r\nok".encode()
+    server, url = await _RepeatingServer(answer).start()
+    async with server, open_session() as session:
+        with pytest.raises(aiohttp.ClientError):
+            async with session.get(url) as response:
+                await response.read()
+
+
 @pytest.mark.parametrize(
     "open_session", _SENDING_SESSIONS.values(), ids=_SENDING_SESSIONS
 )
@@ -265,9 +275,9 @@
     @pytest.mark.parametrize("status", ["000", "099", "101", "600", "999"])
     async def test_status_that_does_not_exist_is_an_error(self, open_session, status):
         """Guards against a broken answer that is passed on."""
-        answer = f"HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok".encode()
-        server, url = await _RepeatingServer(answer).start()
-        async with server, open_session() as session:
-            with pytest.raises(aiohttp.ClientError):
-                async with session.get(url) as response:
-                    await response.read()
+        await _check_rejected(open_session, f"HTTP/1.1 {status} X")
+
+    @pytest.mark.parametrize("line", ["Connection : close", "X-A: v\r\n X-B: w"])
+    async def test_malformed_line_is_an_error(self, open_session, line):
+        """Guards against a broken answer that is passed on."""
+        await _check_rejected(open_session, f"HTTP/1.1 200 OK\r\n{line}")
