Reject answers of protocols other than HTTP/1.0 and HTTP/1.1

Callers got the answers of replicas that had sent "RTSP/1.0 200 OK", "ICE/1.0 200 OK" or "HTTP/2.0 200 OK" as answers in HTTP/1.1.

The rule for heads now names HTTP/1.0 and 1.1.

Found while looking for more of the cause of malformed lines.

--- a/src/fireflyspread/_http_heads.py
+++ b/src/fireflyspread/_http_heads.py
@@ -10,7 +10,7 @@
 _NAME = rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
 # RFC 9112, sections 2 to 5, without continuation lines. LF alone ends a line too.
 _HEAD = re.compile(
-    rb"[A-Z]+/[0-9]\.[0-9] ([0-9]{3})(?: %s)?\r?\n((?:%s:%s\r?\n)*)\r?\n"
+    rb"HTTP/1\.[01] ([0-9]{3})(?: %s)?\r?\n((?:%s:%s\r?\n)*)\r?\n"
     % (_TEXT, _NAME, _TEXT)
 )
 
--- a/tests/gateway/test_malformed_heads.py
+++ b/tests/gateway/test_malformed_heads.py
@@ -174,3 +174,16 @@
             closes=False,
             is_relayed=True,
         )
+
+
+class TestProtocol:
+    @pytest.mark.parametrize("version", [b"RTSP/1.0", b"ICE/1.0", b"HTTP/2.0"])
+    async def test_answers_of_another_one_do_not_reach_callers(self, cluster, version):
+        """Guards against answers that are none in HTTP/1.0 or 1.1."""
+        await _check_answers(
+            cluster,
+            version + b" 200 OK\r\nContent-Length: 2",
+            b"ok",
+            closes=True,
+            is_relayed=False,
+        )
--- a/tests/test_http_heads.py
+++ b/tests/test_http_heads.py
@@ -38,6 +38,8 @@
     "control byte in a name": _HEAD.replace(b"X-A", b"X\x01A"),
     "control byte in a value": _HEAD.replace(b"v", b"v\x01"),
     "control byte in the reason": _HEAD.replace(b"OK", b"\x01"),
+    "other protocol": _HEAD.replace(b"HTTP/1.1", b"RTSP/1.0"),
+    "other version": _HEAD.replace(b"1.1", b"2.0"),
     "no name": _HEAD.replace(b"X-A", b""),
     "no colon": _HEAD.replace(b"X-A: v", b"X-A"),
     "other status": _HEAD.replace(b"200", b"204"),
