Reject answers whose transfer coding is not decoded

A replica that answered with "Transfer-Encoding: gzip, chunked" had its body passed on without chunks but compressed, and one with "chunked, gzip" or "gzip" with the sizes of its chunks inside, each as a whole 200 with the replica's stamp. The field itself is not passed on, so callers could not know.

Cause: the parser decodes chunks if they are the last coding, and otherwise reads up to the end of the connection; no code compared the field with what was decoded. No request allows other codings, so an answer that has one is rejected. "identity", an old name of no coding, is still taken.

--- a/src/fireflyspread/_http_heads.py
+++ b/src/fireflyspread/_http_heads.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Sequence
 
-__all__ = ["find_head", "is_valid_status"]
+__all__ = ["are_known_codings", "find_head", "is_valid_status"]
 
 _SWITCHING_PROTOCOLS = 101
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
@@ -23,6 +23,14 @@
     return 100 <= status < 600 and status != _SWITCHING_PROTOCOLS
 
 
+def are_known_codings(values: Sequence[str]) -> bool:
+    """Return whether the parser decodes a body with these ``Transfer-Encoding`` fields.
+
+    It decodes chunks only, and ``identity`` was the name of no coding.
+    """
+    return [value.lower() for value in values] in ([], ["chunked"], ["identity"])
+
+
 def find_head(
     data: bytes, *, status: int, fields: Sequence[tuple[bytes, bytes]]
 ) -> int:
--- a/src/fireflyspread/_http_protocol.py
+++ b/src/fireflyspread/_http_protocol.py
@@ -7,9 +7,10 @@
 from typing import Any
 
 import aiohttp
+from aiohttp import hdrs
 from aiohttp.client_proto import ResponseHandler
 
-from fireflyspread._http_heads import find_head, is_valid_status
+from fireflyspread._http_heads import are_known_codings, find_head, is_valid_status
 
 __all__ = ["LimitedProtocol", "ResetAwareProtocol", "UnexpectedBytesError"]
 
@@ -158,6 +159,9 @@
         if end < 0:
             return "an answer with a malformed head"
         self._head_parts = [data[end:]]
+        codings = message.headers.getall(hdrs.TRANSFER_ENCODING, ())
+        if not are_known_codings(codings):
+            return f"an answer with the transfer codings {codings!r:.64}"
         return None
 
     def _count_bytes(self, size: int) -> None:
--- a/tests/gateway/test_malformed_heads.py
+++ b/tests/gateway/test_malformed_heads.py
@@ -187,3 +187,16 @@
             closes=True,
             is_relayed=False,
         )
+
+
+class TestTransferCodings:
+    @pytest.mark.parametrize("codings", [b"gzip, chunked", b"chunked, gzip", b"gzip"])
+    async def test_coded_body_does_not_reach_callers(self, cluster, codings):
+        """Guards against a body that is still coded, or still has its chunk sizes."""
+        await _check_answers(
+            cluster,
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: " + codings,
+            b"2\r\nok\r\n0\r\n\r\n",
+            closes=True,
+            is_relayed=False,
+        )
--- a/tests/test_http_heads.py
+++ b/tests/test_http_heads.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fireflyspread._http_heads import find_head, is_valid_status
+from fireflyspread._http_heads import are_known_codings, find_head, is_valid_status
 from fireflyspread._http_protocol import LimitedProtocol
 
 _READ_BUFFER_BYTES = 16
@@ -60,6 +60,20 @@
         assert not is_valid_status(status)
 
 
+class TestCodings:
+    @pytest.mark.parametrize("values", [[], ["chunked"], ["Chunked"], ["identity"]])
+    def test_are_known(self, values):
+        """Guards against answers of sound servers that are dropped."""
+        assert are_known_codings(values)
+
+    @pytest.mark.parametrize(
+        "values", [["gzip"], ["gzip, chunked"], ["chunked", "chunked"], ["x"], [""]]
+    )
+    def test_are_unknown(self, values):
+        """Guards against a body that is passed on without being decoded."""
+        assert not are_known_codings(values)
+
+
 class TestFindHead:
     @pytest.mark.parametrize("data", _WELL_FORMED.values(), ids=_WELL_FORMED)
     def test_well_formed_head_is_found(self, data):
