Check the heads of answers that other nodes relay

A node of an earlier build does not check the answers that it relays, so while builds are replaced its answers reached callers of newer nodes with a status 000 or a malformed line: the head comes as a message of its own, not as a head that the connection checks. The relay client now applies the same rules to it.

Tests of the client against a node that relays such heads: 4 of 4 failed before, and a valid head is taken. Not played with processes of two builds.

--- a/src/fireflyspread/_http_heads.py
+++ b/src/fireflyspread/_http_heads.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Sequence
 
-__all__ = ["are_known_codings", "find_head", "is_valid_status"]
+__all__ = ["are_known_codings", "find_head", "is_valid_field", "is_valid_status"]
 
 _SWITCHING_PROTOCOLS = 101
 _TEXT = rb"[\t\x20-\x7e\x80-\xff]*"
@@ -13,6 +13,8 @@
     rb"HTTP/1\.[01] ([0-9]{3})(?: %s)?\r?\n((?:%s:%s\r?\n)*)\r?\n"
     % (_TEXT, _NAME, _TEXT)
 )
+_FIELD_TEXT = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
+_FIELD_NAME = re.compile(_NAME.decode())
 
 
 def is_valid_status(status: int) -> bool:
@@ -23,6 +25,11 @@
     return 100 <= status < 600 and status != _SWITCHING_PROTOCOLS
 
 
+def is_valid_field(name: str, value: str) -> bool:
+    """Return whether name and value can be sent as one line of a head."""
+    return bool(_FIELD_NAME.fullmatch(name) and _FIELD_TEXT.fullmatch(value))
+
+
 def are_known_codings(values: Sequence[str]) -> bool:
     """Return whether the parser decodes a body with these ``Transfer-Encoding`` fields.
 
--- a/src/fireflyspread/gateway/_relay_client.py
+++ b/src/fireflyspread/gateway/_relay_client.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fireflyspread._http_client import open_session
+from fireflyspread._http_heads import is_valid_field, is_valid_status
 from fireflyspread._http_reply import HttpReply
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock
@@ -113,9 +114,16 @@
         if head is None:
             response.release()
             raise self._read_failure(response)
+        reply_head = decode_header(head, ReplyHead)
+        if not _is_valid_head(reply_head):
+            response.close()
+            raise ReplicaCrashedError(
+                f"node {self.name} relayed an answer with a malformed head; "
+                "retry if repeatable"
+            )
         return _RelayedReply(
             response,
-            decode_header(head, ReplyHead),
+            reply_head,
             node=self.name,
             now=self._clock.read_monotonic(),
         )
@@ -161,6 +169,13 @@
         return TargetError(failure.message, outcome=Outcome(failure.outcome))
 
 
+def _is_valid_head(head: ReplyHead) -> bool:
+    """Return whether the head can be passed on; earlier builds do not check it."""
+    return is_valid_status(head.status) and all(
+        is_valid_field(name, value) for name, value in head.headers
+    )
+
+
 class HttpRelayNodes(RelayNodes):
     """The members of the cluster that have a relay address."""
 
