Report an invalid head once

The connection went on to look at the bytes behind an invalid head while an answer before it was read, and logged the fault up to six times for an answer of 300 KB. Nothing behind such a head is looked at any more; the answer before it is whole, as it was.

--- a/src/fireflyspread/_http_protocol.py
+++ b/src/fireflyspread/_http_protocol.py
@@ -120,6 +120,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse ``data``, or go on with earlier data if it is empty."""
+        if self._head_fault is not None:
+            # Nothing behind an invalid head counts.
+            return
         self.active_at = time.monotonic()
         if not data:
             # The parser keeps the rest of the part in which it was paused.
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -281,3 +281,15 @@
     async def test_malformed_line_is_an_error(self, open_session, line):
         """Guards against a broken answer that is passed on."""
         await _check_rejected(open_session, f"HTTP/1.1 200 OK\r\n{line}")
+
+    @pytest.mark.parametrize("size", [2, 300_000])
+    async def test_answer_before_a_malformed_head_is_whole(
+        self, open_session, size, caplog
+    ):
+        """Guards against a lost answer, and a fault that is logged again and again."""
+        answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % size + b"x" * size
+        server, url = await _RepeatingServer(answer + b"HTTP/1.1 000 X\r\n\r\n").start()
+        async with server, open_session() as session, session.get(url) as response:
+            assert await response.read() == b"x" * size
+        faults = [each for each in caplog.messages if "invalid status 000" in each]
+        assert len(faults) <= 1
