--- a/review/support_2/programs.py
+++ b/review/support_2/programs.py
@@ -1,8 +1,10 @@
 """Agent programs that loop without end until they are stopped, and their judgement."""
 
 import asyncio
+import signal
+from collections.abc import Callable
 
-from cluster import BROKEN, HELD, Cluster, Front
+from cluster import BROKEN, HELD, TROUBLE, Cluster, Front, LoanServer
 
 from fireflyspread._ranking import rank_nodes
 
@@ -21,6 +23,8 @@
     ("store-zagreb-west-1", "zagreb-west"),
     ("store-zagreb-north-1", "zagreb-north"),
 ]
+# Seconds for which the store is down (pages: 4.5).
+STORE_DOWN = 4.5
 TENANTS = [
     {"name": TENANT, "apiKeys": [KEY], "priority": 1, "ratePerS": 122, "burst": 122}
 ]
@@ -91,6 +95,82 @@
     return [each for each in ids if rank_nodes(names, each)[0] == owner][:count]
 
 
+async def start_deployment(cluster: Cluster, fronts: list[Front]) -> None:
+    """Start the replicas, the configuration, ``fronts`` and the loan servers."""
+    cluster.record.say(
+        f"TROUBLE={int(TROUBLE)}, allowed: {BUDGET} + {LARGEST_TURN} tokens"
+    )
+    await cluster.add_replicas("models", 3)
+    await cluster.add_replicas("orders", 1)
+    cluster.put_config(TENANTS)
+    cluster.loan_servers = [LoanServer(cluster, *each) for each in STORES]
+    cluster.fronts = fronts
+    await cluster.start_all()
+    # For 5 s after its start a front lets the loan servers confirm each draw.
+    await asyncio.sleep(6.0)
+
+
+async def spend_budgets(
+    cluster: Cluster, owner: Front, on_end: Callable[[], None] = lambda: None
+) -> list[AgentProgram]:
+    """Let programs spend their budgets while their owner is restarted as planned.
+
+    The store is down meanwhile, unless TROUBLE is 0.
+
+    Parameters
+    ----------
+    on_end : callable
+        Called when the process of ``owner`` has ended, before it is started again.
+    """
+    record, loop = cluster.record, asyncio.get_running_loop()
+    begin = loop.time()
+    if TROUBLE:
+        record.say(f"fault    the store is down (503) for {STORE_DOWN:g} s")
+        cluster.store.faults.status = 503
+
+    def heal() -> None:
+        if TROUBLE:
+            cluster.store.faults.status = 0
+            record.say("healed   the store answers again")
+
+    loop.call_at(begin + STORE_DOWN, heal)
+    await asyncio.sleep(0.7)
+    stop = asyncio.create_task(owner.end(signal.SIGTERM))
+    await asyncio.sleep(0.3)
+    programs = [AgentProgram(cluster, e) for e in choose_programs(owner.name, 6)]
+    entry = next(each for each in cluster.fronts if each is not owner)
+    await asyncio.gather(*(each.run_until_stopped(entry) for each in programs))
+    await stop
+    record.say(f"ended    {owner.name}")
+    on_end()
+    await asyncio.sleep(0.3)
+    await owner.start()
+    await owner.wait_ready()
+    await asyncio.sleep(max(0.0, begin + STORE_DOWN - loop.time()))
+    return programs
+
+
+async def return_programs(cluster: Cluster, programs: list[AgentProgram]) -> int:
+    """Let the stopped programs come again; return the exit code."""
+    cluster.record.say("return   the stopped programs come again")
+    entry = cluster.fronts[0]
+    await asyncio.gather(*(each.run_until_stopped(entry) for each in programs))
+    return judge(cluster, programs)
+
+
+async def restart_fronts(cluster: Cluster, gap: float) -> None:
+    """Stop and start the fronts in turn, ``gap`` seconds apart, as planned work."""
+
+    async def restart(front: Front, delay: float) -> None:
+        await asyncio.sleep(delay)
+        await front.end(signal.SIGTERM)
+        await asyncio.sleep(0.3)
+        await front.start()
+        await front.wait_ready()
+
+    await asyncio.gather(*(restart(f, n * gap) for n, f in enumerate(cluster.fronts)))
+
+
 def judge(cluster: Cluster, programs: list[AgentProgram]) -> int:
     """Return the exit code: whether a program got more than the rule allows."""
     most = max(each.tokens for each in programs)
