--- a/review/support_2/cluster.py
+++ b/review/support_2/cluster.py
@@ -249,8 +249,16 @@
                 f"servers/{replica.instance}", replica.make_registration(service)
             )
 
-    def put_config(self, tenants: list[dict]) -> None:
-        """Write the configuration, as the operator does."""
+    def put_config(
+        self, tenants: list[dict], *, version: int = 7, added: tuple[str, ...] = ()
+    ) -> None:
+        """Write the configuration, as the operator does.
+
+        Parameters
+        ----------
+        added : tuple of str
+            Names of further safe routes.
+        """
 
         def make_route(name: str, kind: str, service: str, **fields) -> dict:
             return {
@@ -260,12 +268,13 @@
             }
 
         config = {
-            "version": 7,
+            "version": version,
             "routes": [
                 make_route("turns", "streaming", "models", resumable=True,
                            retainContext=False, retentionS=60.0, targetGapMs=200),
                 make_route("prices", "safe", "orders"),
                 make_route("orders", "unsafe", "orders"),
+                *(make_route(name, "safe", "orders") for name in added),
             ],
             "services": [
                 {"name": "models", "maxConnections": 180,
