--- a/review/9/case.py
+++ b/review/9/case.py
@@ -27,9 +27,11 @@
         await start_deployment(cluster, [Front(cluster, *each) for each in FRONTS])
         lender = next(each for each in cluster.fronts if each.name == LENDER)
         programs = await spend_budgets(cluster, lender)
+        await asyncio.sleep(FIRST_LOSS)
         if TROUBLE:
-            await asyncio.sleep(FIRST_LOSS)
             await lose_disks(cluster)
+        else:
+            await asyncio.sleep(BETWEEN_LOSSES * len(cluster.loan_servers))
         await restart_fronts(cluster, BETWEEN_STOPS)
         await asyncio.sleep(2.0)
         return await return_programs(cluster, programs)
