--- a/review/10/case.py
+++ b/review/10/case.py
@@ -195,18 +195,18 @@
             front.store = view.address
         await cluster.start_all()
         await asyncio.sleep(6.0)
-        if await run_wave(cluster, 0, "before"):
+        programs: list[Program] = []
+        if await run_wave(cluster, 0, "before", programs):
             raise RuntimeError("programs are refused before the disruption")
         if TROUBLE:
             count = view.silence()
             record.say(f"fault    {count} open connections go silent; new ones work")
         await asyncio.sleep(CALM)
-        denied = requests = 0
+        denied = 0
         for wave in range(1, WAVES + 1):
-            programs: list[Program] = []
             denied += await run_wave(cluster, wave, f"wave {wave}", programs)
-            requests += sum(len(program.answers) for program in programs)
             await asyncio.sleep(INTERVAL)
+        requests = sum(len(program.answers) for program in programs)
         allowed = 5 + requests / 500
         broken = denied > allowed
         record.say(
@@ -217,18 +217,24 @@
 
 
 async def run_wave(
-    cluster: Cluster, wave: int, name: str, programs: list[Program] | None = None
+    cluster: Cluster, wave: int, name: str, programs: list[Program]
 ) -> int:
-    """Run the programs of a wave; return how many were denied a turn."""
-    programs = [] if programs is None else programs
+    """Run the programs of a wave; return how many were denied a turn.
+
+    Parameters
+    ----------
+    programs : list of Program
+        Gets the programs.
+    """
     # Every second program moves to another zone from one turn to the next.
-    programs += [
+    begun = [
         Program(cluster, wave * PROGRAMS + number, moves=number % 2 == 1)
         for number in range(PROGRAMS)
     ]
-    await asyncio.gather(*(each.run() for each in programs))
-    ends = Counter(each.answers[-1] for each in programs)
-    denied = [each for each in programs if each.is_denied]
+    programs += begun
+    await asyncio.gather(*(each.run() for each in begun))
+    ends = Counter(each.answers[-1] for each in begun)
+    denied = [each for each in begun if each.is_denied]
     cluster.record.say(f"programs {name}: last answers {dict(sorted(ends.items()))}")
     for each in denied:
         cluster.record.write(
