Replace connections between nodes that have fallen silent

Cause: PeerClient keeps one connection for each address and nothing closed one that does not answer, so every later request on it failed too.

An unanswered request now makes the client establish a second connection, and requests move to it once it is established. A node that is slow or cut off keeps its connection, so that 'no connection' still means an ended process. Answers to silent clients time out after 5 s at the server.

The new method silence_open of the soak's proxy silences open connections, in one direction or both, while new ones work.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -14,7 +14,8 @@
 
     ``DELAY`` delays each chunk, ``RESET`` resets all connections and refuses new ones,
     ``SILENCE`` blocks both directions, and ``CUT_ANSWERS`` blocks the bytes from the
-    target. Blocked bytes are delivered when the fault is cleared.
+    target. Blocked bytes are delivered when the fault is cleared. ``silence_open``
+    injects a fault of its own.
     """
 
     NONE = "none"
@@ -44,6 +45,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._unblocked = asyncio.Event()
         self._unblocked.set()
+        self._pairs: set[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = set()
+        # Writers that get no further bytes.
+        self._silent: set[asyncio.StreamWriter] = set()
         self.fault = ProxyFault.NONE
         self.delay = 0.0
 
@@ -85,6 +89,28 @@
         self.fault = ProxyFault.NONE
         self._unblocked.set()
 
+    def silence_open(self, *, requests: bool = True, answers: bool = True) -> int:
+        """Drop all further bytes of the open connections; new ones work.
+
+        The connections stay open for good, as on a path that has lost their state.
+
+        Parameters
+        ----------
+        requests, answers : bool
+            Directions to silence.
+
+        Returns
+        -------
+        int
+            Number of open connections.
+        """
+        for caller, target in self._pairs:
+            if requests:
+                self._silent.add(target)
+            if answers:
+                self._silent.add(caller)
+        return len(self._pairs)
+
     def reset(self) -> None:
         """Reset all connections."""
         for writer in tuple(self._writers):
@@ -117,7 +143,9 @@
         target_writer: asyncio.StreamWriter,
     ) -> None:
         writers = {writer, target_writer}
+        pair = (writer, target_writer)
         self._writers |= writers
+        self._pairs.add(pair)
         try:
             await asyncio.gather(
                 self._forward(reader, target_writer, is_answer=False),
@@ -125,6 +153,8 @@
             )
         finally:
             self._writers -= writers
+            self._pairs.discard(pair)
+            self._silent -= writers
             for endpoint in writers:
                 endpoint.close()
 
@@ -144,8 +174,12 @@
                     is_answer and self.fault is ProxyFault.CUT_ANSWERS
                 ):
                     await self._unblocked.wait()
-                writer.write(data)
-                await writer.drain()
+                if writer not in self._silent:
+                    writer.write(data)
+                    await writer.drain()
+            if writer in self._silent:
+                # The other side does not learn of the end either.
+                await asyncio.Event().wait()
             if writer.can_write_eof():
                 writer.write_eof()
             return
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -652,6 +652,7 @@
             ("config.version", self._configs.version),
             ("store.away", float(self._followers[0].is_store_unavailable)),
             ("members.known", len(self._roster.list_peers()) + 1),
+            ("members.replaced_connections", self._client.count_replaced()),
             ("replicas.unreached", len(self._backend.list_broken_paths())),
             ("replicas.leaving", len(self._directory.list_leaving())),
             ("zones.evacuated", len(self._evacuations.zones)),
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -350,11 +350,15 @@
         Maximum number of tokens to hand over.
     drawn : dict of str to int
         Tokens that each process has drawn, as recorded in the store.
+    request : str
+        Id under which the request is repeated until it is answered; empty if the
+        node of an earlier release does not repeat it.
     """
 
     program: str
     amount: int
     drawn: dict[str, int] = {}
+    request: str = ""
 
 
 class AllowanceTaken(Message, frozen=True, kw_only=True):
--- a/src/fireflyspread/nodes/_peers.py
+++ b/src/fireflyspread/nodes/_peers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, TypeVar
@@ -12,7 +11,6 @@
 from fireflyspread.exceptions import (
     FireflyError,
     PeerError,
-    PeerUnconnectedError,
     SealedError,
     UnsupportedVersionError,
 )
@@ -22,6 +20,7 @@
     decode_message,
     encode_message,
 )
+from fireflyspread.nodes._peer_connection import PeerConnection, close_context
 from fireflyspread.settings import Address, Tls
 
 __all__ = ["PeerClient", "PeerServer"]
@@ -35,8 +34,9 @@
 # minute; here the caller decides whether to repeat it.
 _NO_RESEND = -1
 
-# Seconds that a request waits for the first connection.
-_FIRST_DIAL_TIMEOUT = 0.3
+# Milliseconds to send an answer. A client whose connection has fallen silent reads
+# none, and a handler must not wait for it.
+_SEND_TIMEOUT_MS = 5_000
 
 _MIN_RECONNECT_MS = 50
 _MAX_RECONNECT_MS = 500
@@ -105,6 +105,7 @@
         try:
             self._socket = pynng.Rep0(
                 recv_max_size=_MAX_MESSAGE_BYTES,
+                send_timeout=_SEND_TIMEOUT_MS,
                 tls_config=config,
                 async_backend="asyncio",
             )
@@ -145,7 +146,7 @@
             _, pending = await asyncio.wait(pending, timeout=1.0)
         self._tasks.clear()
         for context in self._contexts:
-            _close_quietly(context)
+            close_context(context)
         self._contexts.clear()
         if self._socket is not None:
             self._socket.close()
@@ -202,14 +203,15 @@
     def __init__(self, *, tls: Tls | None = None, fail_fast: bool = False) -> None:
         self._tls = tls
         self._fail_fast = fail_fast
-        self._sockets: dict[str, pynng.Req0] = {}
-        self._first_dialed_at: dict[str, float] = {}
+        self._connections: dict[str, PeerConnection] = {}
+        self._replaced = 0
 
     async def ask(self, address: str, message: Message, *, timeout: float) -> Message:
         """Send ``message`` to the node at ``address`` and return its answer.
 
-        A lost connection is reestablished in the background. The message is never
-        sent twice; the other node may have handled it even if this method raises.
+        A lost connection is reestablished in the background, and one that has fallen
+        silent is replaced. The message is never sent twice; the other node may have
+        handled it even if this method raises.
 
         Parameters
         ----------
@@ -261,49 +263,40 @@
 
     def forget(self, address: str) -> None:
         """Close the connection to a node that is no longer a member."""
-        socket = self._sockets.pop(address, None)
-        if socket is not None:
-            socket.close()
+        connection = self._connections.pop(address, None)
+        if connection is not None:
+            self._replaced += connection.replaced
+            connection.close()
 
     async def close(self) -> None:
         """Close all connections; running requests fail."""
-        for address in tuple(self._sockets):
+        for address in tuple(self._connections):
             self.forget(address)
 
+    def count_replaced(self) -> int:
+        """Return how many connections were replaced after they had fallen silent."""
+        return self._replaced + sum(c.replaced for c in self._connections.values())
+
     async def _exchange(self, address: str, data: bytes) -> bytes:
-        socket = self._connect(address)
-        if (
-            self._fail_fast
-            and not socket.pipes
-            and time.monotonic() > self._first_dialed_at[address] + _FIRST_DIAL_TIMEOUT
-        ):
-            # The library keeps dialing in the background; waiting for it would block
-            # the caller for the whole timeout.
-            raise PeerUnconnectedError(f"no connection to {address}; check the node")
-        context = socket.new_context()
-        try:
-            await context.asend(data)
-            return await context.arecv()
-        finally:
-            _close_quietly(context)
-
-    def _connect(self, address: str) -> pynng.Req0:
-        socket = self._sockets.get(address)
-        if socket is None:
-            # Without an explicit name the library rejects certificates of IP addresses.
-            host = Address.from_text(address).host
-            config = _make_tls_config(self._tls, pynng.TLSConfig.MODE_CLIENT, host)
-            socket = pynng.Req0(
-                resend_time=_NO_RESEND,
-                recv_max_size=_MAX_MESSAGE_BYTES,
-                reconnect_time_min=_MIN_RECONNECT_MS,
-                reconnect_time_max=_MAX_RECONNECT_MS,
-                tls_config=config,
-                async_backend="asyncio",
-            )
-            socket.dial(_make_url(address, self._tls), block=False)
-            self._sockets[address] = socket
-            self._first_dialed_at[address] = time.monotonic()
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = PeerConnection(address, lambda: self._dial(address))
+            self._connections[address] = connection
+        return await connection.exchange(data, fail_fast=self._fail_fast)
+
+    def _dial(self, address: str) -> pynng.Req0:
+        # Without an explicit name the library rejects certificates of IP addresses.
+        host = Address.from_text(address).host
+        config = _make_tls_config(self._tls, pynng.TLSConfig.MODE_CLIENT, host)
+        socket = pynng.Req0(
+            resend_time=_NO_RESEND,
+            recv_max_size=_MAX_MESSAGE_BYTES,
+            reconnect_time_min=_MIN_RECONNECT_MS,
+            reconnect_time_max=_MAX_RECONNECT_MS,
+            tls_config=config,
+            async_backend="asyncio",
+        )
+        socket.dial(_make_url(address, self._tls), block=False)
         return socket
 
 
@@ -339,11 +332,3 @@
         ca_string=authority,
         auth_mode=pynng.TLSConfig.AUTH_MODE_REQUIRED,
     )
-
-
-def _close_quietly(context: pynng.Context) -> None:
-    # Closing the socket has closed its contexts already.
-    try:
-        context.close()
-    except pynng.Closed:
-        return
