Take a former owner that does not answer for unknown, not for empty

Cause: HandOvers counted a former owner of a program's account that did not answer as one that holds no tokens, so the refill ended with BudgetExceededError. An answer that was lost also lost the tokens in it.

A former owner is now unknown until it answers or is known to have ended (no longer a member, or no lease and no connection); the turn gets 503 with a Retry-After meanwhile. Requests for tokens are repeated under an id. An account with loans or unconfirmed draws answers 'later' instead of 0.

Tests: TestFormerOwners, 3 of 4 fail with the decisions of before. The fakes of the other nodes raised PeerError for a node that has ended; they raise PeerGoneError for it now, as the roster tells the two apart, and HeldCalls also delivers a refusal of the other node.

--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -17,6 +17,9 @@
 # Stands in ``ProgramRecord.drawn`` for all lost nodes that may have lent tokens.
 LOST_NODES = "lost"
 _SEPARATOR = "/"
+# Requests of other nodes for tokens whose answers an account remembers. Each node has
+# one at a time.
+_MAX_HAND_OVERS = 64
 
 
 class ProgramRecord(msgspec.Struct, frozen=True, kw_only=True):
@@ -73,6 +76,12 @@
         Monotonic seconds of the last use.
     asked_at : dict of str to float
         Monotonic seconds at which former owners were asked for their tokens.
+    emptied_at : dict of str to float
+        Monotonic seconds at which those were asked that have answered.
+    hand_over_requests : dict of str to str
+        Ids of the requests to former owners that have not been answered.
+    handed_over : dict of str to int
+        Tokens that this account has handed over, by the id of the request.
     refill : Refill or None
         The draw in progress.
     """
@@ -90,6 +99,9 @@
     used_at: float = 0.0
     lock: asyncio.Lock = field(factory=asyncio.Lock)
     asked_at: dict[str, float] = field(factory=dict)
+    emptied_at: dict[str, float] = field(factory=dict)
+    hand_over_requests: dict[str, str] = field(factory=dict)
+    handed_over: dict[str, int] = field(factory=dict)
     refill: Refill | None = None
 
     def reserve(self, amount: int) -> bool:
@@ -99,6 +111,21 @@
         self.available -= amount
         return True
 
+    def hand_over(self, amount: int, request: str = "") -> int:
+        """Take out up to ``amount`` available tokens for another node.
+
+        A repeated ``request`` is answered as before: the first answer may be lost.
+        """
+        if request in self.handed_over:
+            return self.handed_over[request]
+        taken = max(0, min(self.available, amount))
+        self.available -= taken
+        if request:
+            self.handed_over[request] = taken
+            while len(self.handed_over) > _MAX_HAND_OVERS:
+                del self.handed_over[next(iter(self.handed_over))]
+        return taken
+
     def take_available(self) -> int:
         """Take out all available tokens, so that nobody else gets them."""
         taken, self.available = self.available, 0
--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -267,7 +267,11 @@
             account.used_at = self._clock.read_monotonic()
 
     def hand_over(
-        self, program: str, amount: int, drawn: dict[str, int] | None = None
+        self,
+        program: str,
+        amount: int,
+        drawn: dict[str, int] | None = None,
+        request: str = "",
     ) -> int:
         """Hand over up to ``amount`` tokens to the node that now owns the program.
 
@@ -275,6 +279,14 @@
         ----------
         drawn : dict of str to int or None
             Tokens drawn by each process according to the store's record.
+        request : str
+            Id of the request; a repeated one is answered as before. Empty if it is
+            never repeated.
+
+        Raises
+        ------
+        OverloadedError
+            The account holds tokens that it can hand over only later.
         """
         account = self._accounts.get(program)
         if account is None:
@@ -283,11 +295,13 @@
         self._credit(account, (drawn or {}).get(account.process, 0))
         if account.unconfirmed and not self._may_be_lent():
             account.confirm()
-        if account.lent:
-            return 0
-        handed_over = max(0, min(account.available, amount))
-        account.available -= handed_over
-        return handed_over
+        is_held = account.lent and account.available
+        if request not in account.handed_over and (is_held or account.unconfirmed):
+            raise OverloadedError(
+                "the account's tokens are lent or not confirmed yet; ask again",
+                retry_after=_RETRY_AFTER,
+            )
+        return 0 if account.lent else account.hand_over(amount, request)
 
     async def _refill(
         self, account: Account, max_tokens: int, *, may_lend: bool
--- a/src/fireflyspread/budgets/_hand_over.py
+++ b/src/fireflyspread/budgets/_hand_over.py
@@ -1,12 +1,13 @@
 """Collects the tokens that former owners of a program's account still hold."""
 
+import itertools
 import logging
 import math
 from collections.abc import Awaitable, Callable
 
 from fireflyspread.budgets._account import Account, find_node
 from fireflyspread.clock import Clock
-from fireflyspread.exceptions import OverloadedError, PeerError
+from fireflyspread.exceptions import OverloadedError, PeerError, PeerGoneError
 
 __all__ = ["HandOvers", "RequestHandOver"]
 
@@ -15,27 +16,31 @@
 # Former owners that are asked for one turn. More than one exist only after the loss of
 # several nodes.
 _MAX_ASKED = 2
-# Seconds for which a former owner counts as empty after it was asked.
+# Seconds for which a former owner counts as empty after it has answered.
 _EMPTY_SECONDS = 2.0
-# Seconds after which to retry a turn while not all former owners have been asked.
+# Seconds after which to retry a turn while not all former owners have answered.
 _RETRY_AFTER = 0.3
 
 # Requests tokens from a node that has drawn for a program (node, program, tokens,
-# tokens drawn by process); returns the tokens that it hands over.
-RequestHandOver = Callable[[str, str, int, dict[str, int]], Awaitable[int]]
+# tokens drawn by process, id of the request); returns the tokens that it hands over. A
+# request that is repeated under its id hands over the same tokens.
+RequestHandOver = Callable[[str, str, int, dict[str, int], str], Awaitable[int]]
 
 
 class HandOvers:
     """Asks former owners for all their tokens, a few of them for each turn.
 
     A turn asks only if the store has no tokens left to draw. What it gets is all that
-    the former owner holds, so later turns rarely ask again.
+    the former owner holds, so later turns rarely ask again. A former owner that has not
+    answered may hold tokens: the turn is then refused for a moment, and the budget does
+    not count as spent. It holds none once its process is known to have ended.
     """
 
     def __init__(self, request: RequestHandOver, *, node: str, clock: Clock) -> None:
         self._request = request
         self._node = node
         self._clock = clock
+        self._numbers = itertools.count()
 
     async def collect(self, account: Account, max_tokens: int) -> None:
         """Add tokens of former owners until ``max_tokens`` are available.
@@ -48,30 +53,50 @@
         now = self._clock.read_monotonic()
         drawn = {} if account.record is None else dict(account.record.drawn)
         nodes = {find_node(process) for process in drawn} - {None, self._node}
-        asked_at = {
-            node: account.asked_at.get(node, -math.inf)
-            for node in sorted(filter(None, nodes))
-        }
-        order = sorted(asked_at, key=lambda node: asked_at[node])
-        for node in order[:_MAX_ASKED]:
+        names = sorted(filter(None, nodes))
+        for node in sorted(names, key=lambda each: account.asked_at.get(each, 0.0))[
+            :_MAX_ASKED
+        ]:
             account.asked_at[node] = now
-            account.available += await self._ask(account, node, drawn)
+            tokens = await self._ask(account, node, drawn)
+            if tokens is None:
+                continue
+            account.emptied_at[node] = now
+            account.available += tokens
             if account.available >= max_tokens:
                 return
-        if any(asked_at[node] < now - _EMPTY_SECONDS for node in order[_MAX_ASKED:]):
+        unknown = [
+            node
+            for node in names
+            if account.emptied_at.get(node, -math.inf) < now - _EMPTY_SECONDS
+        ]
+        if unknown:
             raise OverloadedError(
-                "former owners of the program's budget account may hold tokens; retry",
+                "former owners of the program's budget account may hold tokens: "
+                f"{', '.join(unknown)}; retry",
                 retry_after=_RETRY_AFTER,
             )
 
-    async def _ask(self, account: Account, node: str, drawn: dict[str, int]) -> int:
+    async def _ask(
+        self, account: Account, node: str, drawn: dict[str, int]
+    ) -> int | None:
+        """Return the tokens that a node hands over; None if it does not answer."""
+        request = account.hand_over_requests.setdefault(
+            node, f"{account.process}#{next(self._numbers)}"
+        )
         try:
-            return await self._request(node, account.program, account.budget, drawn)
+            tokens = await self._request(
+                node, account.program, account.budget, drawn, request
+            )
+        except PeerGoneError:
+            tokens = 0
         except PeerError as exc:
             _LOG.warning(
-                "node %s handed over no tokens: %s",
+                "it is not known whether node %s holds tokens: %s",
                 node,
                 exc,
                 extra={"program": account.program},
             )
-            return 0
+            return None
+        account.hand_over_requests.pop(node, None)
+        return tokens
--- a/src/fireflyspread/exceptions.py
+++ b/src/fireflyspread/exceptions.py
@@ -340,6 +340,12 @@
     code = "peer_unconnected"
 
 
+class PeerGoneError(PeerError):
+    """Another node is known to have ended, with all that only it knew."""
+
+    code = "peer_gone"
+
+
 class PeerUnreadyError(PeerError):
     """Another node has just started and cannot act yet; it has done nothing."""
 
--- a/src/fireflyspread/gateway/_peers.py
+++ b/src/fireflyspread/gateway/_peers.py
@@ -13,6 +13,8 @@
     NoAuthorityError,
     OverloadedError,
     PeerError,
+    PeerGoneError,
+    PeerUnconnectedError,
     PeerUnreadyError,
     StoreError,
 )
@@ -116,7 +118,12 @@
         await self._ask(node, message, timeout=_MESSAGE_TIMEOUT)
 
     async def request_hand_over(
-        self, node: str, program: str, amount: int, drawn: dict[str, int]
+        self,
+        node: str,
+        program: str,
+        amount: int,
+        drawn: dict[str, int],
+        request: str,
     ) -> int:
         """Take over tokens of a program that ``node`` owned before.
 
@@ -127,13 +134,27 @@
 
         Raises
         ------
+        PeerGoneError
+            The node is known to have ended.
         PeerError
-            The node is not a member or did not answer.
+            The node did not answer.
         """
         message = TakeAllowance(
-            node=self._node, program=program, amount=amount, drawn=drawn
+            node=self._node,
+            program=program,
+            amount=amount,
+            drawn=drawn,
+            request=request,
         )
-        answer = await self._ask(node, message, timeout=_HAND_OVER_TIMEOUT)
+        if self._roster.is_gone(node):
+            raise PeerGoneError(f"{node} is no longer a member")
+        try:
+            answer = await self._ask(node, message, timeout=_HAND_OVER_TIMEOUT)
+        except PeerUnconnectedError as exc:
+            if self._roster.has_lease(node):
+                raise
+            # Its lease has ended and nothing listens at its address.
+            raise PeerGoneError(f"{node} has lost its lease: {exc.message}") from exc
         if not isinstance(answer, AllowanceTaken):
             raise PeerError(f"{node} answered {type(answer).__name__}")
         return answer.amount
@@ -193,7 +214,9 @@
         return BudgetReserved(node=node, tokens=0)
 
     async def hand_over(message: TakeAllowance) -> Message:
-        amount = accounts.hand_over(message.program, message.amount, message.drawn)
+        amount = accounts.hand_over(
+            message.program, message.amount, message.drawn, message.request
+        )
         _LOG.info(
             "unspent tokens handed over to another node",
             extra={"program": message.program, "node": message.node, "tokens": amount},
--- a/src/fireflyspread/recovery/_roster.py
+++ b/src/fireflyspread/recovery/_roster.py
@@ -138,6 +138,17 @@
         found = self._members.get(name)
         return None if found is None else found[0]
 
+    def is_gone(self, name: str) -> bool:
+        """Return whether a node is known to be no member any more.
+
+        A node that has not read the members knows of none that it is gone.
+        """
+        return self.has_read_members and name not in self._members
+
+    def has_lease(self, name: str) -> bool:
+        """Return whether a member's lease is not known to have ended."""
+        return name not in self._lease_lost_at
+
     def get_peer_address(self, name: str, *, allow_loan_servers: bool = False) -> str:
         """Return the address of a member for messages.
 
--- a/tests/budgets/cluster_simulation.py
+++ b/tests/budgets/cluster_simulation.py
@@ -291,6 +291,8 @@
         self.roster = SimpleNamespace(
             list_names=lambda: self.members,
             get_peer_address=self._get_peer_address,
+            is_gone=lambda name: name not in self.members,
+            has_lease=lambda name: True,
         )
         self.nodes = {name: Node(self, name) for name in self.members}
         for node in self.nodes.values():
--- a/tests/budgets/held_calls.py
+++ b/tests/budgets/held_calls.py
@@ -6,7 +6,7 @@
 
 from attrs import define, field
 
-from fireflyspread.exceptions import StoreError
+from fireflyspread.exceptions import FireflyError, StoreError
 from fireflyspread.recovery import Entry, Write
 from tests.recovery.snapshot_store import MemoryStore
 
@@ -68,11 +68,15 @@
         if refusal is not None:
             self.calls.remove(call)
             raise refusal
-        result = await work()
+        failure: FireflyError | None = None
+        try:
+            result = await work()
+        except FireflyError as exc:
+            failure = exc
         loss = await call.answer
         self.calls.remove(call)
-        if loss is not None:
-            raise loss
+        if loss is not None or failure is not None:
+            raise loss or failure
         return result
 
 
--- a/tests/budgets/test_accounts.py
+++ b/tests/budgets/test_accounts.py
@@ -14,9 +14,11 @@
     BudgetExceededError,
     OverloadedError,
     PeerError,
+    PeerGoneError,
     StoreError,
 )
 from fireflyspread.recovery import Entry, Write
+from tests.budgets.hand_overs import answer_hand_over
 from tests.recovery.snapshot_store import MemoryStore
 
 BUDGET = 864
@@ -78,6 +80,9 @@
         self.drawn: dict[str, int] = {}
         self.starts: dict[str, int] = {}
         self.has_loan_log = True
+        # Nodes that get no requests for tokens, and answers to these that are lost.
+        self.cut_off: set[str] = set()
+        self.lost_answers = 0
         # Whether a majority of the loan servers answers, and what they wait for.
         self.is_log_complete = True
         self.log_gate: asyncio.Event | None = None
@@ -89,11 +94,22 @@
         """Start a node, or start it anew without its state."""
 
         async def hand_over(
-            node: str, program: str, amount: int, drawn: dict[str, int]
+            node: str,
+            program: str,
+            amount: int,
+            drawn: dict[str, int],
+            request: str,
         ) -> int:
             if node not in self.accounts:
-                raise PeerError(f"{node} is unreachable")
-            return self.accounts[node].hand_over(program, amount, drawn)
+                raise PeerGoneError(f"{node} has ended")
+            if node in self.cut_off:
+                raise PeerError(f"{node} did not answer")
+            accounts = self.accounts[node]
+            tokens = answer_hand_over(accounts, program, amount, drawn, request)
+            if self.lost_answers:
+                self.lost_answers -= 1
+                raise PeerError(f"the answer of {node} is lost")
+            return tokens
 
         self.starts[name] = self.starts.get(name, 0) + 1
         lender = f"{name}-{self.starts[name]}"
@@ -523,6 +539,58 @@
         assert asyncio.run(run_steps()) <= BUDGET + MAX_TOKENS
 
 
+class TestFormerOwners:
+    """Tokens that former owners of an account hold, whether they answer or not."""
+
+    async def _move_program(self) -> Nodes:
+        """Let ``a`` draw half of the budget, spend little, and ``b`` take over."""
+        nodes = Nodes("a", "b")
+        await nodes.spend("a", 10)
+        await nodes.spend("b")
+        return nodes
+
+    async def test_without_an_answer_hold_an_unknown_number(self):
+        """Guards against programs ended by 402 while their owner is not heard."""
+        nodes = await self._move_program()
+        nodes.cut_off = {"a"}
+        for _ in range(5):
+            with pytest.raises(OverloadedError, match="a; retry"):
+                await nodes.spend("b")
+            nodes.clock.advance(0.3)
+        nodes.cut_off = set()
+        assert await nodes.spend("b") == MAX_TOKENS
+
+    async def test_that_have_ended_hold_none(self):
+        """Guards against programs that are never told that their budget is spent."""
+        nodes = await self._move_program()
+        del nodes.accounts["a"]
+        with pytest.raises(BudgetExceededError):
+            await nodes.spend("b")
+
+    async def test_hand_over_once_if_an_answer_is_lost(self):
+        """Guards against tokens that are lost with an answer, and 402 for them."""
+        nodes = await self._move_program()
+        nodes.lost_answers = 3
+        for _ in range(3):
+            with pytest.raises(OverloadedError):
+                await nodes.spend("b")
+        assert await nodes.spend("b") == MAX_TOKENS
+        held = [nodes.accounts[name].hand_over("p", BUDGET) for name in "ab"]
+        assert sum(held) == BUDGET - 10 - 2 * MAX_TOKENS
+
+    async def test_with_loans_hand_over_later(self):
+        """Guards against lent tokens that count as none while they are not settled."""
+        nodes = Nodes("a")
+        nodes.store.is_down = nodes.is_outage = True
+        await nodes.spend("a", 10, may_lend=True)
+        with pytest.raises(OverloadedError):
+            nodes.accounts["a"].hand_over("p", BUDGET)
+        nodes.store.is_down = nodes.is_outage = False
+        nodes.clock.advance(6.0)
+        await nodes.accounts["a"].settle_loans()
+        assert nodes.accounts["a"].hand_over("p", BUDGET) > 0
+
+
 class _StepStore(MemoryStore):
     """Calls ``between`` after each write has taken effect and before its answer."""
 
--- a/tests/budgets/test_helped_accounts.py
+++ b/tests/budgets/test_helped_accounts.py
@@ -9,6 +9,7 @@
 from fireflyspread.budgets import BudgetAccounts, WriteHelpers
 from fireflyspread.exceptions import FireflyError, PeerError, StoreError
 from fireflyspread.recovery import Entry, Write
+from tests.budgets.hand_overs import answer_hand_over
 from tests.budgets.test_accounts import BUDGET, MAX_TOKENS, MemoryLoanLog, Nodes
 from tests.effort import scale_examples
 from tests.recovery.snapshot_store import MemoryStore
@@ -60,9 +61,15 @@
 
     def restart(self, name: str) -> BudgetAccounts:
         async def hand_over(
-            node: str, program: str, amount: int, drawn: dict[str, int]
+            node: str,
+            program: str,
+            amount: int,
+            drawn: dict[str, int],
+            request: str,
         ) -> int:
-            return self.accounts[node].hand_over(program, amount, drawn)
+            return answer_hand_over(
+                self.accounts[node], program, amount, drawn, request
+            )
 
         self.starts[name] = self.starts.get(name, 0) + 1
         self.accounts[name] = BudgetAccounts(
--- a/tests/budgets/test_tokens_machine.py
+++ b/tests/budgets/test_tokens_machine.py
@@ -1,6 +1,7 @@
 """Model test: each token of a program is in one place, in any order of events."""
 
 import asyncio
+import contextlib
 from collections.abc import Sequence
 
 import msgspec
@@ -24,8 +25,14 @@
     WriteHelpers,
 )
 from fireflyspread.clock import ManualClock
-from fireflyspread.exceptions import FireflyError, PeerError, StoreUncertainError
+from fireflyspread.exceptions import (
+    FireflyError,
+    OverloadedError,
+    PeerError,
+    StoreUncertainError,
+)
 from fireflyspread.recovery import Entry, Write
+from tests.budgets.hand_overs import answer_hand_over
 from tests.budgets.held_calls import HeldCalls, HeldStore, ManualLoop
 from tests.effort import scale_examples
 
@@ -101,12 +108,16 @@
 
     def _start_node(self, name: str) -> None:
         async def request_hand_over(
-            node: str, program: str, amount: int, drawn: dict[str, int]
+            node: str,
+            program: str,
+            amount: int,
+            drawn: dict[str, int],
+            request: str,
         ) -> int:
             target = self.nodes[node]
 
             async def hand_over() -> int:
-                return target.hand_over(program, amount, drawn)
+                return answer_hand_over(target, program, amount, drawn, request)
 
             return await self.calls.run(hand_over)
 
@@ -188,7 +199,9 @@
         """Let a node ask another one for tokens without a turn."""
         record = self._read_record()
         drawn = {} if record is None else record.drawn
-        self.nodes[node].hand_over(PROGRAM, 7, drawn)
+        # Refused while the tokens are not confirmed.
+        with contextlib.suppress(OverloadedError):
+            self.nodes[node].hand_over(PROGRAM, 7, drawn)
 
     @rule(name=st.sampled_from(NAMES))
     def report_drawn(self, name: str) -> None:
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -18,6 +18,7 @@
 from fireflyspread.exceptions import (
     NoConnectionError,
     PeerError,
+    PeerGoneError,
     ReplicaCrashedError,
     TargetUnreachableError,
 )
@@ -346,9 +347,14 @@
         )
 
     async def _request_hand_over(
-        self, node: str, program: str, amount: int, drawn: dict[str, int]
+        self,
+        node: str,
+        program: str,
+        amount: int,
+        drawn: dict[str, int],
+        request: str,
     ) -> int:
-        raise PeerError("there are no other nodes")
+        raise PeerGoneError("there are no other nodes")
 
     def make_request(self, path: str, **options: object) -> ForwardRequest:
         """Return a request of team ``lids``."""
