Write loans of ended nodes to the store, and empty retired loan servers

Cause: loans of a lender that has ended stayed on the loan servers' disks until their program drew again, and a retired server moved its turns only. An order was acknowledged after four attempts without an answer, and at once for a server that the node did not know. The loans of several lost lenders were recorded as their maximum.

The owner of a program and the next node now write such loans to its record, under the name of the lender, so that the write can be repeated by any node. A server that is retired is asked for its loans and totals of draws, and the others write them to their disks first. An order is acknowledged only when the server is emptied or the store lists none of that name.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import sys
 from base64 import b64decode
@@ -211,15 +212,23 @@
 class LoanServer(Gateway):
     """One loan server process, which stores loans on a disk."""
 
+    @property
+    def data(self) -> Path:
+        """Folder of the disk."""
+        return self.folder / f"{self.name}-data"
+
+    def lose_disk(self) -> None:
+        """Empty the disk; the process must have ended."""
+        shutil.rmtree(self.data)
+
     async def start(self, *, is_first: bool = True, wait_ready: bool = True) -> None:
         """Start the process, which registers its address in the store."""
-        data = self.folder / f"{self.name}-data"
-        data.mkdir(exist_ok=True)
+        self.data.mkdir(exist_ok=True)
         settings = {
             "node": {"name": self.name, "zone": "z1", "vm": self.name},
             "peers": self.peers,
             "store": {"address": self.store},
-            "data_folder": str(data),
+            "data_folder": str(self.data),
             "is_first_start": is_first,
         }
         path = self.folder / f"{self.name}.json"
@@ -242,6 +251,8 @@
         Zones of the replicas of a service, in turn.
     settings : dict or None
         Settings of the gateways in addition to the usual ones.
+    loan_servers : int
+        Number of loan servers.
     """
 
     def __init__(
@@ -250,6 +261,7 @@
         *,
         nodes: int = 2,
         replicas: int = 2,
+        loan_servers: int = 2,
         proxied: bool = False,
         viewed: bool = False,
         store_settings: dict[str, Any] | None = None,
@@ -272,6 +284,7 @@
         )
         self._folder = folder
         self._nodes = nodes
+        self._loan_servers = loan_servers
         self.nodes: list[Gateway] = []
         self.loan_servers: list[LoanServer] = []
 
@@ -304,8 +317,7 @@
             node.store_settings = self._store_settings
             node.settings = self._settings
         self.loan_servers = [
-            LoanServer(self._folder, f"store-{n}", url.removeprefix("http://"))
-            for n in range(2)
+            self.make_loan_server(n) for n in range(self._loan_servers)
         ]
         results = await asyncio.gather(
             *(p.start() for p in (*self.loan_servers, *self.nodes)),
@@ -325,6 +337,11 @@
             await asyncio.sleep(0.025)
         raise AssertionError("not all nodes know all loan servers")
 
+    def make_loan_server(self, number: int) -> LoanServer:
+        """Return a loan server that is not started yet."""
+        address = self.store.url.removeprefix("http://")
+        return LoanServer(self._folder, f"store-{number}", address)
+
     def _register(self, service: str, replica: PlatformReplica, address: str) -> None:
         self.store.put(
             f"servers/{replica.instance}",
--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -11,11 +11,14 @@
     "ProgramRecord",
     "Refill",
     "find_node",
+    "is_lost_process",
+    "make_lost_process",
     "make_process_id",
 ]
 
-# Stands in ``ProgramRecord.drawn`` for all lost nodes that may have lent tokens.
+# Stands in ``ProgramRecord.drawn`` for tokens of nodes that are not known by name.
 LOST_NODES = "lost"
+_LENDER_SEPARATOR = ":"
 _SEPARATOR = "/"
 # Requests of other nodes for tokens whose answers an account remembers. Each node has
 # one at a time.
@@ -217,6 +220,16 @@
     return f"{node}{_SEPARATOR}{incarnation}"
 
 
+def make_lost_process(lender: str) -> str:
+    """Return the name under which the loans of a lost lender are recorded."""
+    return f"{LOST_NODES}{_LENDER_SEPARATOR}{lender}"
+
+
+def is_lost_process(process: str) -> bool:
+    """Return whether lost nodes have drawn or lent what is recorded under a name."""
+    return process.partition(_LENDER_SEPARATOR)[0] == LOST_NODES
+
+
 def find_node(process: str) -> str | None:
     """Return the node of a process; None if no process can be asked for its tokens."""
     node, separator, _ = process.rpartition(_SEPARATOR)
--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -10,10 +10,10 @@
 from attrs import frozen
 
 from fireflyspread.budgets._account import (
-    LOST_NODES,
     Account,
     ProgramRecord,
     Refill,
+    make_lost_process,
     make_process_id,
 )
 from fireflyspread.budgets._hand_over import HandOvers, RequestHandOver
@@ -107,6 +107,9 @@
         a node lend, because no other node can draw for the program at the same time.
     helpers : WriteHelpers or None
         Nodes that write records while the store does not accept this node's writes.
+    owns : callable
+        Returns whether this node writes the loans of lost nodes to a program. Several
+        nodes may write the same ones.
 
     Attributes
     ----------
@@ -124,7 +127,11 @@
         loan_log: LoanLog,
         is_outage: Callable[[], bool],
         helpers: WriteHelpers | None = None,
+        owns: Callable[[str], bool] = lambda program: True,
     ) -> None:
+        self._owns = owns
+        # Loans of lost nodes that the store is known to have, by program and lender.
+        self._settled: dict[str, dict[str, int]] = {}
         self.writer = BudgetWriter(store, clock, helpers)
         self._node = node
         self._clock = clock
@@ -348,12 +355,13 @@
 
     def _add_lost_loans(self, account: Account) -> None:
         """Count the tokens that lost nodes have lent to a program as drawn."""
-        lost = min(account.budget, self._loan_log.count_lost_loans(account.program))
-        drawn = {} if account.record is None else account.record.drawn
-        if lost > drawn.get(LOST_NODES, 0):
-            account.record = ProgramRecord(
-                budget=account.budget, drawn={**drawn, LOST_NODES: lost}
-            )
+        lost = self._loan_log.get_lost_loans(account.program)
+        if not _includes(account.record, lost):
+            drawn = {} if account.record is None else dict(account.record.drawn)
+            for lender, tokens in lost.items():
+                process = make_lost_process(lender)
+                drawn[process] = max(drawn.get(process, 0), tokens)
+            account.record = ProgramRecord(budget=account.budget, drawn=drawn)
 
     async def _write_draw(self, account: Account, amount: int) -> bool:
         """Add ``amount`` to the account's draws; False if the record has changed."""
@@ -484,7 +492,9 @@
             return
         totals = None
         if self._is_outage():
-            totals = await self._loan_log.append_loan(account.program, amount)
+            totals = await self._loan_log.append_loan(
+                account.program, amount, budget=account.budget
+            )
         if totals is None:
             raise OverloadedError(
                 "the store is unavailable, the program's budget cannot be drawn; retry",
@@ -511,6 +521,7 @@
             await asyncio.sleep(_FLUSH_INTERVAL)
             try:
                 await self.settle_loans()
+                await self.settle_lost_loans()
                 if self._clock.read_monotonic() > expired_at + _EXPIRE_INTERVAL:
                     expired_at = self._clock.read_monotonic()
                     await self._expire()
@@ -536,6 +547,49 @@
             if not account.lent:
                 self._unsettled.discard(program)
 
+    async def settle_lost_loans(self) -> None:
+        """Write the loans of lost nodes to the store; raises ``StoreError``.
+
+        They are on the disks of loan servers only until then, and these may be lost or
+        retired one after the other.
+        """
+        programs = self._loan_log.list_lost_programs()
+        self._settled = {p: s for p, s in self._settled.items() if p in programs}
+        if self.is_store_unavailable:
+            return
+        await asyncio.gather(
+            *(
+                self._settle_lost(program, budget)
+                for program, budget in programs.items()
+                if self._owns(program)
+                and self._loan_log.get_lost_loans(program) != self._settled.get(program)
+            )
+        )
+
+    async def _settle_lost(self, program: str, budget: int) -> None:
+        account = self._open(program, budget)
+        async with account.lock:
+            lost = self._loan_log.get_lost_loans(program)
+            for _ in range(_MAX_DRAW_ATTEMPTS):
+                self._add_lost_loans(account)
+                assert account.record is not None
+                value = encode_record(account.record)
+                write = Write(make_record_key(program), value, account.revision)
+                try:
+                    account.revision = await self.writer.write(write)
+                    break
+                except WriteConflictError as exc:
+                    self._load_record(account, exc.entry)
+                    if _includes(account.record, lost):
+                        break
+            else:
+                return
+        self._settled[program] = lost
+        _LOG.info(
+            "loans of lost nodes are in the store",
+            extra={"program": program, "tokens": sum(lost.values())},
+        )
+
     async def _expire(self) -> None:
         now = self._clock.read_monotonic()
         idle = [
@@ -640,6 +694,15 @@
         ]
 
 
+def _includes(record: ProgramRecord | None, lost: dict[str, int]) -> bool:
+    """Return whether a record has the loans of lost nodes, by lender."""
+    drawn = {} if record is None else record.drawn
+    return all(
+        drawn.get(make_lost_process(lender), 0) >= tokens
+        for lender, tokens in lost.items()
+    )
+
+
 def _log_withheld(account: Account, tokens: int) -> None:
     if tokens:
         _LOG.info(
--- a/src/fireflyspread/budgets/_loan_log.py
+++ b/src/fireflyspread/budgets/_loan_log.py
@@ -31,14 +31,25 @@
     """Log on several loan servers that survives the loss of the nodes that append."""
 
     @abc.abstractmethod
-    def count_lost_loans(self, program: str) -> int:
-        """Return the tokens that lost nodes have lent to a program."""
+    def get_lost_loans(self, program: str) -> dict[str, int]:
+        """Return the tokens that lost nodes have lent to a program, by lender."""
+
+    def list_lost_programs(self) -> dict[str, int]:
+        """Return the budgets of the programs to which lost nodes have lent."""
+        return {}
 
     @abc.abstractmethod
-    async def append_loan(self, program: str, tokens: int) -> LoanTotals | None:
+    async def append_loan(
+        self, program: str, tokens: int, *, budget: int = 0
+    ) -> LoanTotals | None:
         """Append a loan; negative ``tokens`` mean that it was drawn from the store.
 
         Returns None if the entry is not on enough disks.
+
+        Parameters
+        ----------
+        budget : int
+            Budget of the program, for a loan.
         """
 
     @abc.abstractmethod
--- a/src/fireflyspread/budgets/_records.py
+++ b/src/fireflyspread/budgets/_records.py
@@ -6,7 +6,12 @@
 import xxhash
 
 from fireflyspread._decoding import decode_json
-from fireflyspread.budgets._account import LOST_NODES, Account, ProgramRecord
+from fireflyspread.budgets._account import (
+    LOST_NODES,
+    Account,
+    ProgramRecord,
+    is_lost_process,
+)
 
 __all__ = [
     "RECORDS_PREFIX",
@@ -24,7 +29,8 @@
 
 def count_live_loans(account: Account, lent: int) -> int:
     """Return the tokens lent without those of lost nodes, which count as drawn."""
-    lost = 0 if account.record is None else account.record.drawn.get(LOST_NODES, 0)
+    drawn = {} if account.record is None else account.record.drawn
+    lost = sum(n for process, n in drawn.items() if is_lost_process(process))
     return max(0, lent - lost)
 
 
--- a/src/fireflyspread/gateway/_listeners.py
+++ b/src/fireflyspread/gateway/_listeners.py
@@ -20,12 +20,8 @@
 
 _LOG = logging.getLogger(__name__)
 
-# Attempts, and seconds between them, to acknowledge a retirement order while writes to
-# the store fail.
-_MAX_ACKNOWLEDGE_ATTEMPTS = 20
-# Attempts to empty a loan server before its retirement is acknowledged all the same.
-_MAX_EMPTYING_ATTEMPTS = 4
-_ACKNOWLEDGE_INTERVAL = 0.5
+# Seconds between attempts to carry out a retirement order.
+_RETIREMENT_INTERVAL = 0.5
 
 
 class PrefixSplitter(PrefixListener):
@@ -123,13 +119,14 @@
 class OperatorListener(PrefixListener):
     """Activates configurations and acknowledges orders to retire a VM.
 
-    A loan server first moves the turns on its disk to the store. One that does not
-    answer is acknowledged as retired after the last attempt.
+    A loan server is first emptied: its loans are copied to the others and its turns
+    are moved to the store. An order is acknowledged only once this is done or the
+    store lists no loan server of that name, which then holds nothing.
 
     Parameters
     ----------
     empty_server : callable
-        Has the loan server of a name move its turns; raises ``PeerError``.
+        Empties the loan server of a name at an address; raises ``PeerError``.
     """
 
     def __init__(
@@ -141,7 +138,7 @@
         retirement_prefix: str,
         decode: Callable[[bytes], ForwardingConfig],
         make_status: Callable[[str], tuple[str, bytes]],
-        empty_server: Callable[[str], Awaitable[None]],
+        empty_server: Callable[[str, str], Awaitable[None]],
     ) -> None:
         self._configs = configs
         self._store = store
@@ -177,24 +174,25 @@
                 task.add_done_callback(self._tasks.discard)
 
     async def _acknowledge(self, order: str) -> None:
-        key, value = self._make_status(order)
-        name = order.removeprefix(self._retirement_prefix)
-        for _ in range(_MAX_EMPTYING_ATTEMPTS):
-            try:
-                await self._empty_server(name)
-                break
-            except PeerError as exc:
-                _LOG.warning("VM %s not emptied: %s", name, exc.message)
-            await asyncio.sleep(_ACKNOWLEDGE_INTERVAL)
-        for _ in range(_MAX_ACKNOWLEDGE_ATTEMPTS):
+        """Carry out an order, again after each failure."""
+        while True:
             try:
-                # Every node writes this status; only the first write succeeds.
-                result = await self._store.write_all([Write(key, value, 0)])
-                _LOG.info("VM retirement order acknowledged", extra={"order": order})
-                if isinstance(result, int):
-                    # Draws would wait for the retired loan server while it is listed.
-                    await self._store.delete(LOAN_SERVERS_PREFIX + name)
+                await self._retire(order)
                 return
-            except StoreError as exc:
-                _LOG.warning("order %s not acknowledged: %s", order, exc)
-            await asyncio.sleep(_ACKNOWLEDGE_INTERVAL)
+            except (PeerError, StoreError) as exc:
+                _LOG.warning("order %s not carried out yet: %s", order, exc.message)
+            await asyncio.sleep(_RETIREMENT_INTERVAL)
+
+    async def _retire(self, order: str) -> None:
+        name = order.removeprefix(self._retirement_prefix)
+        # This node may not have learned of the server yet, so the store is asked.
+        server = await self._store.read(LOAN_SERVERS_PREFIX + name)
+        if server is not None:
+            await self._empty_server(name, server.value.decode("ascii", "replace"))
+        key, value = self._make_status(order)
+        # Every node writes this status; only the first write succeeds.
+        result = await self._store.write_all([Write(key, value, 0)])
+        _LOG.info("VM retirement order acknowledged", extra={"order": order})
+        if isinstance(result, int):
+            # Draws would wait for the retired loan server while it is listed.
+            await self._store.delete(LOAN_SERVERS_PREFIX + name)
--- a/src/fireflyspread/gateway/_loans.py
+++ b/src/fireflyspread/gateway/_loans.py
@@ -3,14 +3,17 @@
 import asyncio
 import logging
 import time
+from collections import Counter
 
 from fireflyspread._ranking import rank_nodes
 from fireflyspread.budgets import LoanLog, LoanTotals
 from fireflyspread.exceptions import PeerError
-from fireflyspread.loans import Loan
+from fireflyspread.loans import RETENTION_SECONDS, Loan
 from fireflyspread.nodes import (
+    CopyLoans,
     ListLoans,
     LoanNoted,
+    LoansCopied,
     LoansListed,
     Message,
     NoteLoan,
@@ -30,6 +33,8 @@
 _DRAW_TIMEOUT = 0.1
 # Seconds for which draws skip a loan server that did not answer.
 _UNREACHABLE_BACKOFF = 1.0
+# Seconds to copy loans to a loan server.
+_COPY_TIMEOUT = 1.0
 # Seconds to read the loans of one loan server.
 _LIST_TIMEOUT = 0.4
 # Seconds for which a starting node waits for the loans; the loan servers may be
@@ -72,7 +77,8 @@
         self._node = node
         self._incarnation = incarnation
         self._max_losses = max_losses
-        self._loans: dict[tuple[str, int], Loan] = {}
+        # By program, and by lender and number.
+        self._loans: dict[str, dict[tuple[str, int], Loan]] = {}
         self._last_number = 0
         self._unreachable_until: dict[str, float] = {}
         self._pending: set[asyncio.Task[Message | None]] = set()
@@ -83,21 +89,33 @@
         """Read the loans again after the loss of a node."""
         self._refresh_requested.set()
 
-    def count_lost_loans(self, program: str) -> int:
-        if not self._loans:
-            return 0
+    def get_lost_loans(self, program: str) -> dict[str, int]:
+        loans = self._loans.get(program)
+        if not loans:
+            return {}
         alive = self._roster.list_incarnations()
-        lost = sum(
-            loan.tokens
-            for loan in self._loans.values()
-            if loan.program == program and loan.lender not in alive
-        )
-        return max(0, lost)
+        lost: Counter[str] = Counter()
+        for loan in loans.values():
+            if loan.lender not in alive:
+                lost[loan.lender] += loan.tokens
+        return {lender: tokens for lender, tokens in lost.items() if tokens > 0}
+
+    def list_lost_programs(self) -> dict[str, int]:
+        return {
+            program: budget
+            for program in self._loans
+            if (budget := self._find_budget(program)) and self.get_lost_loans(program)
+        }
 
-    async def append_loan(self, program: str, tokens: int) -> LoanTotals | None:
+    def _find_budget(self, program: str) -> int:
+        return max(loan.budget for loan in self._loans[program].values())
+
+    async def append_loan(
+        self, program: str, tokens: int, *, budget: int = 0
+    ) -> LoanTotals | None:
         addresses = self._choose_servers(program)
         answers = await self._write(
-            addresses, program, tokens=tokens, timeout=_LOAN_TIMEOUT
+            addresses, program, tokens=tokens, budget=budget, timeout=_LOAN_TIMEOUT
         )
         # With fewer copies, two nodes that lend to one program could each write to
         # servers that the other does not reach.
@@ -152,6 +170,7 @@
         *,
         tokens: int = 0,
         drawn: int = 0,
+        budget: int = 0,
         timeout: float,
         needed: int | None = None,
     ) -> list[LoanNoted]:
@@ -172,6 +191,7 @@
             tokens=tokens,
             number=self._last_number,
             drawn=drawn,
+            budget=budget,
         )
         tasks = [
             asyncio.create_task(self._ask(each, message, timeout)) for each in addresses
@@ -209,13 +229,55 @@
             *(self._ask(each, ListLoans(), _LIST_TIMEOUT) for each in addresses)
         )
         lists = [answer for answer in answers if isinstance(answer, LoansListed)]
+        self._forget_old_loans()
         for answer in lists:
             for loan in answer.loans:
-                self._loans[loan.lender, loan.number] = loan
+                self._loans.setdefault(loan.program, {})[loan.id] = loan
         if any(answer.loans for answer in lists):
-            _LOG.info("loans read", extra={"count": len(self._loans)})
+            _LOG.info(
+                "loans read", extra={"count": sum(map(len, self._loans.values()))}
+            )
         return len(lists) > len(answers) - _MIN_COPIES
 
+    def _forget_old_loans(self) -> None:
+        oldest = time.time() - RETENTION_SECONDS
+        for program, loans in tuple(self._loans.items()):
+            if all(loan.at < oldest for loan in loans.values()):
+                del self._loans[program]
+
+    async def move_loans(self, name: str, address: str) -> None:
+        """Copy the entries of a loan server that is retired to the others.
+
+        Raises
+        ------
+        PeerError
+            The server did not answer, or too few others have the entries.
+        """
+        listed = await self._client.ask(
+            address, ListLoans(has_draws=True), timeout=_LIST_TIMEOUT
+        )
+        if not isinstance(listed, LoansListed):
+            raise PeerError(f"{name} answered {type(listed).__name__}")
+        if not listed.loans:
+            return
+        servers = self._roster.list_loan_servers()
+        others = [each for server, each in servers.items() if server != name]
+        message = CopyLoans(loans=listed.loans)
+        answers = await asyncio.gather(
+            *(self._ask(each, message, _COPY_TIMEOUT) for each in others)
+        )
+        copied = sum(isinstance(answer, LoansCopied) for answer in answers)
+        # Of the servers that nodes ask for a program, a majority has the entries then.
+        if copied < max(1, len(others) - self._max_losses):
+            raise PeerError(
+                f"the loans of {name} are on {copied} of {len(others)} other loan "
+                "servers; start those that do not answer"
+            )
+        _LOG.info(
+            "loans of a retired loan server copied",
+            extra={"node": name, "count": len(listed.loans)},
+        )
+
     async def _ask(
         self, address: str, message: Message, timeout: float
     ) -> Message | None:
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -13,6 +13,7 @@
 from attrs import evolve
 
 from fireflyspread._http_server import CallerServer
+from fireflyspread._ranking import rank_nodes
 from fireflyspread.budgets import BudgetAccounts, BudgetOwners
 from fireflyspread.bundle import Replica
 from fireflyspread.clock import Clock, SystemClock
@@ -349,6 +350,7 @@
                 clock=self._clock,
                 list_members=self._roster.list_names,
             ),
+            owns=self._owns_program,
         )
         register_write_handler(
             self._server, self._store, self._accounts.writer, node=self._name
@@ -388,6 +390,10 @@
         )
         register_stream_handlers(self._server, self._streams, node=self._name)
 
+    def _owns_program(self, program: str) -> bool:
+        """Return whether this node or the next one owns a program's account."""
+        return self._name in rank_nodes(self._roster.list_names(), program)[:2]
+
     def _build_turns(self) -> None:
         settings = self._settings
         self._turn_disks = LoanServerDisks(
@@ -495,7 +501,7 @@
             retirement_prefix=RETIREMENT_PREFIX,
             decode=decode_config,
             make_status=lambda order: (make_status_key(order), encode_retired()),
-            empty_server=self._turn_disks.flush,
+            empty_server=self._empty_loan_server,
         )
         orders = PrefixSplitter(
             EVACUATION_PREFIX,
@@ -616,6 +622,10 @@
             extra={"node": self._name, "zone": self._settings.node.zone},
         )
 
+    async def _empty_loan_server(self, name: str, address: str) -> None:
+        await self._loan_log.move_loans(name, address)
+        await self._turn_disks.flush(address)
+
     def is_ready(self) -> bool:
         """Return whether the node can serve callers."""
         return (
--- a/src/fireflyspread/gateway/_turns.py
+++ b/src/fireflyspread/gateway/_turns.py
@@ -311,7 +311,7 @@
                 extra={"node": name, "count": len(message.turns)},
             )
 
-    async def flush(self, name: str) -> None:
+    async def flush(self, address: str) -> None:
         """Have a loan server move its turns to the store before it is removed.
 
         Raises
@@ -319,10 +319,8 @@
         PeerError
             The server did not answer or could not write to the store.
         """
-        address = self._list_servers().get(name)
-        if address is not None:
-            message = FlushTurns(node=self._node)
-            await self._client.ask(address, message, timeout=_FLUSH_TIMEOUT)
+        message = FlushTurns(node=self._node)
+        await self._client.ask(address, message, timeout=_FLUSH_TIMEOUT)
 
     async def close(self) -> None:
         """Cancel the messages that have not been sent."""
--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -24,8 +24,10 @@
 from fireflyspread.loans._writer import LoanWriter
 from fireflyspread.logs import configure_logging
 from fireflyspread.nodes import (
+    CopyLoans,
     ListLoans,
     LoanNoted,
+    LoansCopied,
     LoansListed,
     Message,
     NoteLoan,
@@ -59,6 +61,7 @@
             number=message.number,
             at=clock.read_wall(),
             drawn=message.drawn,
+            budget=message.budget,
         )
         try:
             await writer.append(loan)
@@ -75,11 +78,29 @@
         )
 
     async def list_loans(message: ListLoans) -> Message:
+        if message.has_draws:
+            return LoansListed(node=node, loans=tuple(file.list_needed()))
         loans = tuple(loan for loan in file.list_recent() if loan.tokens)
         return LoansListed(node=node, loans=loans)
 
+    async def copy_loans(message: CopyLoans) -> Message:
+        missing = [loan for loan in message.loans if not file.has(loan)]
+        try:
+            await asyncio.gather(*(writer.append(loan) for loan in missing))
+        except OSError as exc:
+            raise PeerError(
+                f"cannot write the loans to disk: {exc.strerror}; "
+                "ask another loan server"
+            ) from exc
+        if missing:
+            _LOG.info(
+                "loans of other loan servers copied", extra={"count": len(missing)}
+            )
+        return LoansCopied(node=node)
+
     server.register(NoteLoan, append_loan)
     server.register(ListLoans, list_loans)
+    server.register(CopyLoans, copy_loans)
 
 
 async def register_address(store: SnapshotStore, node: str, address: str) -> None:
--- a/src/fireflyspread/loans/_file.py
+++ b/src/fireflyspread/loans/_file.py
@@ -12,7 +12,7 @@
 from fireflyspread.clock import Clock
 from fireflyspread.loans._durable import replace_file, write_bytes
 
-__all__ = ["Loan", "LoanFile"]
+__all__ = ["RETENTION_SECONDS", "Loan", "LoanFile"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -42,6 +42,8 @@
         Time of the loan in Unix seconds.
     drawn : int
         Tokens that all nodes together had drawn from the store; 0 if not reported.
+    budget : int
+        Budget of the program; 0 if not reported.
     """
 
     program: str
@@ -50,6 +52,12 @@
     number: int
     at: float
     drawn: int = 0
+    budget: int = 0
+
+    @property
+    def id(self) -> tuple[str, int]:
+        """Lender and number, by which copies of an entry are recognized."""
+        return self.lender, self.number
 
 
 class LoanFile:
@@ -64,7 +72,7 @@
     def __init__(self, folder: str | Path, clock: Clock) -> None:
         self._path = Path(folder) / _FILE_NAME
         self._clock = clock
-        self._loans_by_program: dict[str, list[Loan]] = {}
+        self._loans_by_program: dict[str, dict[tuple[str, int], Loan]] = {}
         self._appended_lines = 0
         self._file: int | None = None
 
@@ -98,28 +106,45 @@
         return [
             loan
             for loans in tuple(self._loans_by_program.values())
-            for loan in loans
+            for loan in tuple(loans.values())
             if loan.at >= cutoff
         ]
 
+    def list_needed(self) -> list[Loan]:
+        """Return the entries with which another loan server can replace this one.
+
+        These are the loans, and of each program the draw with the highest total.
+        """
+        needed: dict[tuple[str, int] | str, Loan] = {}
+        for loan in self.list_recent():
+            key = loan.id if loan.tokens else loan.program
+            known = needed.get(key)
+            if known is None or loan.drawn > known.drawn:
+                needed[key] = loan
+        return list(needed.values())
+
+    def has(self, loan: Loan) -> bool:
+        """Return whether the file has the entry."""
+        return loan.id in self._loans_by_program.get(loan.program, {})
+
     def count_lent_by_others(self, loan: Loan) -> int:
         """Return the undrawn tokens that other nodes have lent to the same program."""
         cutoff = self._clock.read_wall() - RETENTION_SECONDS
         lent = sum(
             other.tokens
-            for other in self._loans_by_program.get(loan.program, ())
+            for other in self._loans_by_program.get(loan.program, {}).values()
             if other.at >= cutoff and other.lender != loan.lender
         )
         return max(0, lent)
 
     def get_max_drawn(self, program: str) -> int:
         """Return the highest number of tokens reported as drawn for a program."""
-        loans = self._loans_by_program.get(program, ())
-        return max((loan.drawn for loan in loans), default=0)
+        loans = self._loans_by_program.get(program, {})
+        return max((loan.drawn for loan in loans.values()), default=0)
 
     def _add(self, loans: Iterable[Loan]) -> None:
         for loan in loans:
-            self._loans_by_program.setdefault(loan.program, []).append(loan)
+            self._loans_by_program.setdefault(loan.program, {})[loan.id] = loan
 
     def _compact(self) -> None:
         """Replace the file by one without old or torn lines."""
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -49,6 +49,8 @@
     "ReturnBudget",
     "StreamFound",
     "StreamsRecorded",
+    "CopyLoans",
+    "LoansCopied",
     "TakeAllowance",
     "TakeRecords",
     "TokensGranted",
@@ -308,12 +310,16 @@
         Unique among the loans of the sender.
     drawn : int
         Tokens that all nodes have drawn from the store, for a draw; else 0.
+    budget : int
+        Budget of the program, for a loan; 0 if the node of an earlier release does
+        not tell it.
     """
 
     program: str
     tokens: int
     number: int
     drawn: int = 0
+    budget: int = 0
 
 
 class LoanNoted(Message, frozen=True, kw_only=True):
@@ -332,7 +338,16 @@
 
 
 class ListLoans(Message, frozen=True, kw_only=True):
-    """Asks for the loans that may not be in the store yet."""
+    """Asks for the loans that may not be in the store yet.
+
+    Attributes
+    ----------
+    has_draws : bool
+        Whether to list also the draws that another loan server needs to replace this
+        one.
+    """
+
+    has_draws: bool = False
 
 
 class LoansListed(Message, frozen=True, kw_only=True):
@@ -341,6 +356,16 @@
     loans: tuple[Loan, ...]
 
 
+class CopyLoans(Message, frozen=True, kw_only=True):
+    """Asks a loan server to write entries of another one to its disk."""
+
+    loans: tuple[Loan, ...]
+
+
+class LoansCopied(Message, frozen=True, kw_only=True):
+    """Answer to ``CopyLoans``, sent when the entries are on the disk."""
+
+
 class TakeAllowance(Message, frozen=True, kw_only=True):
     """Asks a previous owner of a program's budget account for unspent tokens.
 
@@ -765,6 +790,8 @@
     | LoanNoted
     | ListLoans
     | LoansListed
+    | CopyLoans
+    | LoansCopied
     | TakeAllowance
     | AllowanceTaken
     | FetchConfig
--- a/tests/budgets/test_accounts.py
+++ b/tests/budgets/test_accounts.py
@@ -32,15 +32,21 @@
         self._nodes = nodes
         self._lender = lender
 
-    def count_lost_loans(self, program: str) -> int:
+    def get_lost_loans(self, program: str) -> dict[str, int]:
         alive = {f"{n}-{s}" for n, s in self._nodes.starts.items()}
-        return sum(
-            tokens
+        return {
+            lender: tokens
             for (each, lender), tokens in self._nodes.loans.items()
-            if each == program and lender not in alive
-        )
+            if each == program and tokens > 0 and lender not in alive
+        }
+
+    def list_lost_programs(self) -> dict[str, int]:
+        programs = {program for program, _ in self._nodes.loans}
+        return {each: BUDGET for each in programs if self.get_lost_loans(each)}
 
-    async def append_loan(self, program: str, tokens: int) -> LoanTotals | None:
+    async def append_loan(
+        self, program: str, tokens: int, *, budget: int = 0
+    ) -> LoanTotals | None:
         if not self._nodes.has_loan_log:
             return None
         loans = self._nodes.loans
@@ -539,6 +545,52 @@
         assert asyncio.run(run_steps()) <= BUDGET + MAX_TOKENS
 
 
+class TestLostLenders:
+    """Loans that only the loan log has, because their lenders have ended."""
+
+    async def _lend_and_end(self, nodes: Nodes, name: str) -> None:
+        nodes.store.is_down = nodes.is_outage = True
+        await nodes.spend(name, 10, may_lend=True)
+        nodes.store.is_down = nodes.is_outage = False
+        nodes.clock.advance(6.0)
+        nodes.restart(name)
+
+    async def test_are_settled_by_other_nodes(self):
+        """Guards against loans that are on disks alone until their program returns."""
+        nodes = Nodes("a", "b")
+        await self._lend_and_end(nodes, "a")
+        await nodes.accounts["b"].settle_lost_loans()
+        nodes.loans.clear()
+        with pytest.raises(BudgetExceededError):
+            for _ in range(100):
+                await nodes.spend("b", MAX_TOKENS)
+        assert nodes.accounts["b"]._accounts["p"].total_drawn == BUDGET
+
+    async def test_add_up_if_one_was_settled_before(self):
+        """Guards against loans of a second lender that hide behind the first one's."""
+        nodes = Nodes("a", "b", "c")
+        await self._lend_and_end(nodes, "a")
+        await nodes.accounts["c"].settle_lost_loans()
+        nodes.loans.clear()
+        await self._lend_and_end(nodes, "b")
+        for name in "ca":
+            await nodes.accounts[name].settle_lost_loans()
+        nodes.loans.clear()
+        assert nodes.accounts["c"]._accounts["p"].total_drawn == 2 * MAX_TOKENS
+
+    async def test_are_settled_once(self):
+        """Guards against a call to the store for each look at the loan log."""
+        nodes = Nodes("a", "b")
+        await self._lend_and_end(nodes, "a")
+        calls = nodes.store.calls
+        for _ in range(5):
+            await nodes.accounts["b"].settle_lost_loans()
+        assert nodes.store.calls == calls + 1
+        # Another node finds them in the record and leaves it at that.
+        await nodes.accounts["a"].settle_lost_loans()
+        assert nodes.accounts["a"]._accounts["p"].total_drawn == MAX_TOKENS
+
+
 class TestFormerOwners:
     """Tokens that former owners of an account hold, whether they answer or not."""
 
--- a/tests/budgets/test_tokens_machine.py
+++ b/tests/budgets/test_tokens_machine.py
@@ -45,10 +45,12 @@
 class _NoLoans(LoanLog):
     """Loan log that knows of no loans and accepts none."""
 
-    def count_lost_loans(self, program: str) -> int:
-        return 0
+    def get_lost_loans(self, program: str) -> dict[str, int]:
+        return {}
 
-    async def append_loan(self, program: str, tokens: int) -> LoanTotals | None:
+    async def append_loan(
+        self, program: str, tokens: int, *, budget: int = 0
+    ) -> LoanTotals | None:
         return None
 
     async def append_draw(
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -176,10 +176,12 @@
 class NoLoanLog(LoanLog):
     """The loan log of a deployment without loan servers."""
 
-    def count_lost_loans(self, program: str) -> int:
-        return 0
+    def get_lost_loans(self, program: str) -> dict[str, int]:
+        return {}
 
-    async def append_loan(self, program: str, tokens: int) -> LoanTotals | None:
+    async def append_loan(
+        self, program: str, tokens: int, *, budget: int = 0
+    ) -> LoanTotals | None:
         return None
 
     async def append_draw(
--- a/tests/loans/test_file.py
+++ b/tests/loans/test_file.py
@@ -58,3 +58,34 @@
         other = Loan(program="p", tokens=50, lender="b", number=1, at=clock.read_wall())
         file.append([other])
         assert file.count_lent_by_others(other) == 100
+
+    def test_copies_of_an_entry_count_once(self, tmp_path):
+        """Guards against a loan that is copied from another server and counts twice."""
+        clock = ManualClock()
+        file = LoanFile(tmp_path, clock)
+        file.open()
+        loan = _make_loan(1, clock.read_wall())
+        file.append([loan, loan])
+        own = Loan(program="p", tokens=0, lender="b", number=1, at=clock.read_wall())
+        assert file.has(loan)
+        assert file.count_lent_by_others(own) == 100
+
+    def test_lists_what_another_server_needs(self, tmp_path):
+        """Guards against totals of draws that are lost with a retired server."""
+        clock = ManualClock()
+        file = LoanFile(tmp_path, clock)
+        file.open()
+        draws = [
+            Loan(
+                program="p",
+                tokens=0,
+                lender="a",
+                number=number,
+                at=clock.read_wall(),
+                drawn=100 * number,
+            )
+            for number in (2, 3)
+        ]
+        loan = _make_loan(1, clock.read_wall())
+        file.append([*draws, loan])
+        assert set(file.list_needed()) == {draws[1], loan}
