Give a new node its share of the rates once all others know it

Cause: a new node used its share 3 s after its start, taking it that all others had seen it. A node that the store refuses sees no new member while its lease lasts, so two nodes gave out the whole rate of a team whose home had moved.

A new node now tells all members with a lease and waits for their answers, first that they can be reached and then that they count it; its entry in the store names the stage, so that a restarted process goes on there. Members are waited for until their lease has ended. The limiters of teams, limited and cold replicas get the same members.

--- a/src/fireflyspread/gateway/_limiters.py
+++ b/src/fireflyspread/gateway/_limiters.py
@@ -175,12 +175,10 @@
         names: frozenset[str],
         membership: RateMembership,
         *,
-        is_returning: bool,
+        sharing: frozenset[str],
     ) -> None:
         """Apply the names of all members; see ``RateMembership.apply``."""
-        membership.apply(
-            names, (self.teams, self.replicas, self.cold), is_returning=is_returning
-        )
+        membership.apply(names, (self.teams, self.replicas, self.cold), sharing=sharing)
 
     async def run(self) -> None:
         """Exchange limits and cold replicas with other nodes until cancelled."""
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -35,6 +35,7 @@
 from fireflyspread.gateway._crashes import CRASHES_PREFIX, CrashExchange
 from fireflyspread.gateway._evacuations import EvacuationListener
 from fireflyspread.gateway._feed import NodeFeed
+from fireflyspread.gateway._join import NodeJoin
 from fireflyspread.gateway._limiters import NodeLimiters
 from fireflyspread.gateway._listeners import (
     OperatorListener,
@@ -90,6 +91,7 @@
 from fireflyspread.recovery import (
     LEASE_SECONDS,
     ROSTER_PREFIX,
+    JoinStage,
     NodeAddress,
     PrefixFollower,
     Roster,
@@ -221,6 +223,7 @@
             peers=str(settings.listen.peers),
             incarnation=self._incarnation,
             relay="" if settings.listen.relay is None else str(settings.listen.relay),
+            stage=JoinStage.MEMBER if settings.is_first_start else JoinStage.JOINING,
         )
         self._rate_membership = RateMembership(
             node=self._name,
@@ -237,6 +240,8 @@
         )
         self._client = PeerClient(fail_fast=True)
         self._server = PeerServer(settings.listen.peers, node=self._name)
+        self._join = NodeJoin(self._client, self._roster, self._clock)
+        self._join.register(self._server)
         self._feed = NodeFeed(
             self._store,
             self._client,
@@ -606,6 +611,7 @@
         for follower in self._followers:
             self._spawn(follower.run())
         self._spawn(self._roster.run())
+        self._spawn(self._join.run())
         self._spawn(self._accounts.run())
         self._spawn(self._exchange.run())
         self._spawn(self._crash_exchange.run())
@@ -837,7 +843,7 @@
             "members updated", extra={"node": self._name, "members": sorted(names)}
         )
         self._limiters.apply(
-            names, self._rate_membership, is_returning=self._roster.is_returning
+            names, self._rate_membership, sharing=self._roster.list_sharing()
         )
         self._scheduler.set_node_count(len(names))
         self._replica_client.set_node_count(len(names))
--- a/src/fireflyspread/gateway/_rates.py
+++ b/src/fireflyspread/gateway/_rates.py
@@ -13,8 +13,6 @@
 
 __all__ = ["RateMembership", "add_tolerance"]
 
-# Seconds within which all nodes that reach the store have seen a new node.
-_PROPAGATION_SECONDS = 3.0
 # Fraction of the operators' tolerance that is used. The remainder covers requests that
 # are sent to a replica twice and tokens in transit between nodes.
 _TOLERANCE_FRACTION = 0.85
@@ -37,20 +35,20 @@
 
     At the first start of the whole system no node has used any rate, so buckets are
     full. A node that restarts uses its share at once, with empty buckets: its previous
-    process has ended. A new node waits until the others have seen it and have reduced
-    their shares.
+    process has ended. A new node has no share until all others have given it one; see
+    ``NodeJoin``.
 
     A member is removed only long after it has lost its authority, so the others may use
-    its share as soon as they see the removal. A node that has not yet seen a new member
-    exceeds its share by 1 / (n * (n + 1)) of the rate, which the operators' tolerance
-    covers.
+    its share as soon as they see the removal.
     """
 
     def __init__(self, *, node: str, clock: Clock, is_first_start: bool) -> None:
         self._node = node
+        self._clock = clock
         self._started_at = clock.read_monotonic()
         self._accrues_since = -math.inf if is_first_start else None
         self._is_member = False
+        self._is_joining = False
 
     @property
     def is_member(self) -> bool:
@@ -62,21 +60,32 @@
         names: frozenset[str],
         limiters: Iterable[ShareLimiter | PermitLimiter[Any]],
         *,
-        is_returning: bool,
+        sharing: frozenset[str],
     ) -> None:
-        """Pass the names of all members on to the limiters.
+        """Pass the names of the members that share rates on to the limiters.
 
         Parameters
         ----------
-        is_returning : bool
-            Whether this node's name was a member before it started.
+        names : frozenset of str
+            All members.
+        sharing : frozenset of str
+            Those that share rates.
         """
         if self._node not in names:
             return
         self._is_member = True
+        if self._node not in sharing:
+            # Asks the others for tokens until it has a share.
+            self._is_joining = True
+            for limiter in limiters:
+                limiter.replace_members(sharing, since=self._clock.read_monotonic())
+            return
+        if self._is_joining:
+            self._is_joining = False
+            self._accrues_since = self._clock.read_monotonic()
+            for limiter in limiters:
+                limiter.drop_tokens(since=self._accrues_since)
         if self._accrues_since is None:
-            self._accrues_since = self._started_at + (
-                0.0 if is_returning else _PROPAGATION_SECONDS
-            )
+            self._accrues_since = self._started_at
         for limiter in limiters:
-            limiter.replace_members(names, since=self._accrues_since)
+            limiter.replace_members(sharing, since=self._accrues_since)
--- a/src/fireflyspread/limits/_ledger.py
+++ b/src/fireflyspread/limits/_ledger.py
@@ -118,6 +118,14 @@
         self._views = Timeline(view)
         self._revision += 1
 
+    def drop_tokens(self, *, since: float) -> None:
+        """Let all buckets accrue from ``since`` on, in monotonic seconds.
+
+        For a node that gets its first share: what accrued before belonged to others.
+        """
+        for bucket in self.buckets.values():
+            bucket.level, bucket.time = 0.0, max(bucket.time, since)
+
     def set_members(self, epoch: int, names: Iterable[str]) -> None:
         """Set the members of an epoch; an epoch that is not newer is ignored."""
         view = MembersView(epoch, names, **self._view_options)
--- a/src/fireflyspread/limits/_replica_limiter.py
+++ b/src/fireflyspread/limits/_replica_limiter.py
@@ -143,6 +143,10 @@
         self._node_count = max(1, len(members))
         self._shares.replace_members(members, since=since)
 
+    def drop_tokens(self, *, since: float) -> None:
+        """Drop all permits; see ``ShareLedger.drop_tokens``."""
+        self._shares.drop_tokens(since=since)
+
     def read_pause(self, process: str) -> float:
         """Return the seconds for which a replica gets nothing; 0 if it may be tried.
 
--- a/src/fireflyspread/limits/_shares.py
+++ b/src/fireflyspread/limits/_shares.py
@@ -165,6 +165,10 @@
         """Replace the members without a delay; see ``ShareLedger.replace_members``."""
         self._ledger.replace_members(names, since=since)
 
+    def drop_tokens(self, *, since: float) -> None:
+        """Drop all tokens; see ``ShareLedger.drop_tokens``."""
+        self._ledger.drop_tokens(since=since)
+
     def set_teams(self, teams: Mapping[str, Team]) -> None:
         """Set the teams of the bundle in force, by name.
 
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -40,6 +40,8 @@
     "LoansListed",
     "Message",
     "NoteDrawn",
+    "AnnounceNode",
+    "NodeNoted",
     "NoteLoan",
     "RecordStreams",
     "RecordsHeld",
@@ -741,6 +743,36 @@
     age: float = 0.0
 
 
+class AnnounceNode(Message, frozen=True, kw_only=True):
+    """Tells the receiver of the sender, which joins the nodes that share rates.
+
+    Attributes
+    ----------
+    zone, peers, relay, stage : str
+        See ``NodeAddress``.
+    """
+
+    zone: str
+    peers: str
+    relay: str = ""
+    stage: str
+
+
+class NodeNoted(Message, frozen=True, kw_only=True):
+    """Answer to ``AnnounceNode``, sent when the receiver counts the sender.
+
+    Attributes
+    ----------
+    zone, peers, relay, stage : str
+        See ``NodeAddress``; those of the receiver.
+    """
+
+    zone: str
+    peers: str
+    relay: str = ""
+    stage: str
+
+
 class ConfirmFence(Message, frozen=True, kw_only=True):
     """Asks whether the node still acts on a target under an older bundle."""
 
@@ -786,6 +818,8 @@
     | BudgetsWritten
     | ReturnBudget
     | NoteDrawn
+    | AnnounceNode
+    | NodeNoted
     | NoteLoan
     | LoanNoted
     | ListLoans
--- a/src/fireflyspread/nodes/_peers.py
+++ b/src/fireflyspread/nodes/_peers.py
@@ -41,6 +41,9 @@
 _MIN_RECONNECT_MS = 50
 _MAX_RECONNECT_MS = 500
 
+# Code of the answer to a message that an earlier release does not know.
+_UNKNOWN_KIND = "message_unknown"
+
 MessageT = TypeVar("MessageT", bound=Message)
 Handler = Callable[[Any], Awaitable[Message]]
 
@@ -172,9 +175,7 @@
             handler = self._handlers.get(type(message))
             if handler is None:
                 name = type(message).__name__
-                return self._fail(
-                    "message_unknown", f"this node has no handler for {name}"
-                )
+                return self._fail(_UNKNOWN_KIND, f"this node has no handler for {name}")
             return await handler(message)
         except FireflyError as exc:
             return self._fail(exc.code, exc.message)
@@ -304,7 +305,7 @@
     text = f"{address} answered {answer.code}: {answer.reason}"
     if answer.code == SealedError.code:
         return SealedError(text)
-    if answer.code == UnsupportedVersionError.code:
+    if answer.code in (UnsupportedVersionError.code, _UNKNOWN_KIND):
         return UnsupportedVersionError(text)
     return PeerError(text)
 
--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -1,5 +1,6 @@
 """Durability and failover: store, journal, membership, authority, takeover."""
 
+from fireflyspread.recovery._announcements import JoinStage, NodeAddress
 from fireflyspread.recovery._authority import Authority
 from fireflyspread.recovery._batching import (
     SMALL_FLEET_NODES,
@@ -42,7 +43,6 @@
     LEASE_SECONDS,
     LOAN_SERVERS_PREFIX,
     ROSTER_PREFIX,
-    NodeAddress,
     Roster,
 )
 from fireflyspread.recovery._slots import SLOT_COUNT, SlotState, find_slot
@@ -63,6 +63,7 @@
     "LOAN_SERVERS_PREFIX",
     "LEASE_SECONDS",
     "ROSTER_PREFIX",
+    "JoinStage",
     "NodeAddress",
     "PrefixFollower",
     "PrefixListener",
--- a/src/fireflyspread/recovery/_roster.py
+++ b/src/fireflyspread/recovery/_roster.py
@@ -10,6 +10,11 @@
 from fireflyspread._decoding import decode_json
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import NoAuthorityError, PeerError, StoreError
+from fireflyspread.recovery._announcements import (
+    Announcements,
+    JoinStage,
+    NodeAddress,
+)
 from fireflyspread.recovery._follower import PrefixListener
 from fireflyspread.recovery._store import Change, Entry, SnapshotStore, Write
 from fireflyspread.settings import Address
@@ -18,7 +23,6 @@
     "LOAN_SERVERS_PREFIX",
     "LEASE_SECONDS",
     "ROSTER_PREFIX",
-    "NodeAddress",
     "Roster",
 ]
 
@@ -44,33 +48,17 @@
 _REMOVAL_DELAY_SECONDS = 10.0
 
 
-class NodeAddress(msgspec.Struct, frozen=True, kw_only=True):
-    """Address at which a node listens for other nodes.
-
-    Attributes
-    ----------
-    peers : str
-        ``ip:port`` for messages.
-    incarnation : str
-        Unique to one run of the process.
-    relay : str
-        ``ip:port`` for requests that the node relays; empty if it relays none.
-    """
-
-    name: str
-    zone: str
-    peers: str
-    incarnation: str
-    relay: str = ""
-
-
 class Roster(PrefixListener):
     """Registers this node, renews its lease and tracks the other nodes.
 
     Parameters
     ----------
+    own : NodeAddress
+        Entry of this node. If its name is registered already, this process goes on at
+        the stage of the one before.
     on_members : callable
-        Called with the names of all members on each change.
+        Called with the names of all members on each change of them or of the members
+        that share rates.
     on_loss : callable
         Called when a member has restarted or lost its lease.
 
@@ -104,9 +92,23 @@
         self._on_loss = on_loss
         self._loan_servers: dict[str, str] = {}
         self.has_read_members = False
+        self._listed = asyncio.Event()
+        self._announcements = Announcements(clock)
         self._is_leaving = False
         self.is_returning = False
 
+    @property
+    def own(self) -> NodeAddress:
+        """Entry of this node."""
+        return self._own
+
+    def list_sharing(self) -> frozenset[str]:
+        """Return the members that share rates, this node only when it may."""
+        others = {address.name for address in self.list_peers() if address.has_share}
+        if self._own.stage == JoinStage.MEMBER:
+            others.add(self._own.name)
+        return frozenset(others)
+
     def list_peers(self) -> list[NodeAddress]:
         """Return the other nodes."""
         return [a for a, _ in self._members.values() if a.name != self._own.name]
@@ -227,12 +229,72 @@
             revisions = dict.fromkeys(revisions, 0)
             for entry in result:
                 revisions[entry.key] = entry.revision
-                # A restarted node replaces the entry of its name.
-                self.is_returning |= entry.key == member
+                if entry.key == member:
+                    # A restarted node replaces the entry of its name.
+                    self._handle_return(entry)
         raise StoreError(
             "the entry of this node changed during each attempt to write it; retry"
         )
 
+    def _handle_return(self, entry: Entry) -> None:
+        """Go on at the stage of the process that registered under this name before."""
+        previous = _read_address(entry)
+        if previous is None or previous.incarnation == self._own.incarnation:
+            return
+        self._adopt(previous)
+        if self.has_read_members:
+            self._on_members(frozenset(self._members))
+
+    def _adopt(self, previous: NodeAddress) -> None:
+        self._own = msgspec.structs.replace(self._own, stage=previous.stage)
+        self.is_returning = True
+
+    async def wait_listed(self) -> None:
+        """Wait until the members that were read include this process.
+
+        They then include all members that were registered before it.
+        """
+        await self._listed.wait()
+
+    async def advance(self, stage: JoinStage) -> None:
+        """Write the stage of this node to its entry; raises ``StoreError``."""
+        key = _MEMBERS_PREFIX + self._own.name
+        own = msgspec.structs.replace(self._own, stage=stage)
+        known = self._members.get(own.name)
+        revision = 0 if known is None else known[1]
+        for _ in range(2):
+            write = Write(key, msgspec.json.encode(own), revision)
+            result = await self._store.write_all([write])
+            if isinstance(result, int):
+                self._own = own
+                self._members[own.name] = (own, result)
+                self._on_members(frozenset(self._members))
+                return
+            # The watch may not have shown the last write of this node yet.
+            entry = next(iter(result), None)
+            found = None if entry is None else _read_address(entry)
+            if entry is None or found is None or found.incarnation != own.incarnation:
+                break
+            revision = entry.revision
+        raise StoreError("the entry of this node has changed; retry")
+
+    def note_announced(self, address: NodeAddress) -> None:
+        """Count a member that has announced itself, before the store shows it.
+
+        A node that the store refuses learns of new members in no other way.
+        """
+        known = self.find(address.name)
+        if known is not None and not known.is_behind(address):
+            return
+        self._announcements.add(address)
+        merged = self._announcements.merge(address.name, known)
+        if merged is None or merged == known:
+            return
+        _LOG.info("node has announced itself", extra={"node": address.name})
+        revision = self._members[address.name][1] if known is not None else 0
+        self._members[address.name] = (merged, revision)
+        self._on_members(frozenset(self._members))
+
     async def _remove_expired(self) -> None:
         """Remove members that have lost their lease; only one node does this."""
         now = self._clock.read_monotonic()
@@ -257,18 +319,31 @@
                 alive.add(entry.key.removeprefix(_ALIVE_PREFIX))
             elif (address := _read_address(entry)) is not None:
                 self._members[address.name] = (address, entry.revision)
-        own = self.find(self._own.name)
-        if own is not None and own.incarnation != self._own.incarnation:
-            self.is_returning = True
+        for name in self._announcements.list_names():
+            stored, revision = self._members.get(name, (None, 0))
+            if (merged := self._announcements.merge(name, stored)) is not None:
+                self._members[name] = (merged, revision)
+        self._note_own_entry()
         now = self._clock.read_monotonic()
         self._lease_lost_at = {
             name: self._lease_lost_at.get(name, now)
             for name in self._members
-            if name not in alive
+            # The store has not shown a member that has only announced itself.
+            if name not in alive and self._members[name][1]
         }
         self.has_read_members = True
         self._on_members(frozenset(self._members))
 
+    def _note_own_entry(self) -> None:
+        own = self.find(self._own.name)
+        if own is None:
+            return
+        if own.incarnation == self._own.incarnation:
+            self._listed.set()
+        elif not self._lease:
+            # The entry of the process before, which this one replaces.
+            self._adopt(own)
+
     def _apply_loan_server(self, key: str, entry: Entry | None) -> None:
         name = key.removeprefix(LOAN_SERVERS_PREFIX)
         if entry is None:
@@ -292,16 +367,19 @@
                 self._lease_lost_at.pop(name, None)
             return
         name = change.key.removeprefix(_MEMBERS_PREFIX)
-        known = frozenset(self._members)
+        known, sharing = frozenset(self._members), self.list_sharing()
         address = None if change.entry is None else _read_address(change.entry)
         if address is None or change.entry is None:
+            self._announcements.discard(name)
             self._members.pop(name, None)
         else:
+            address = self._announcements.merge(name, address) or address
             before = self._members.get(name)
             if before is not None and before[0].incarnation != address.incarnation:
                 self._report_loss(name)
             self._members[name] = (address, change.entry.revision)
-        if frozenset(self._members) != known:
+            self._note_own_entry()
+        if (frozenset(self._members), self.list_sharing()) != (known, sharing):
             self._on_members(frozenset(self._members))
 
 
--- a/tests/gateway/test_rates.py
+++ b/tests/gateway/test_rates.py
@@ -41,11 +41,10 @@
         )
         self.limiter.set_teams({"lids": TEAM})
 
-    def set_members(self, *names: str, is_returning: bool = False) -> None:
+    def set_members(self, *names: str, joining: str = "") -> None:
         """Give the members to the limiter."""
-        self.membership.apply(
-            frozenset(names), [self.limiter], is_returning=is_returning
-        )
+        members = frozenset(names)
+        self.membership.apply(members, [self.limiter], sharing=members - {joining})
 
     async def count(self) -> int:
         """Return how many requests are admitted without waiting."""
@@ -77,7 +76,7 @@
     async def test_restarted_node_starts_empty_and_accrues_at_once(self):
         """Guards against a burst at each restart, and a share that accrues late."""
         node = Node(is_first_start=False)
-        node.set_members("a", "b", is_returning=True)
+        node.set_members("a", "b")
         assert await node.count() == 0
         node.clock.advance(0.2)
         assert await node.count() == 10
@@ -85,12 +84,24 @@
     async def test_new_node_waits_until_the_others_use_less(self):
         """Guards against shares that add up to more than the rate."""
         node = Node(is_first_start=False)
+        node.set_members("a", "b", joining="a")
+        assert node.membership.is_member
+        node.clock.advance(60.0)
+        assert await node.count() == 0
         node.set_members("a", "b")
-        node.clock.advance(2.9)
         assert await node.count() == 0
-        node.clock.advance(0.3)
+        node.clock.advance(0.2)
         assert 5 <= await node.count() <= 15
 
+    async def test_wait_of_a_new_node_accrues_nothing(self):
+        """Guards against a share of the time in which the others had the whole rate."""
+        node = Node(is_first_start=False)
+        node.set_members("a", "b", joining="a")
+        assert await node.count() == 0
+        node.clock.advance(60.0)
+        node.set_members("a", "b")
+        assert await node.count() == 0
+
     async def test_share_shrinks_with_more_members(self):
         """Guards against a share that does not shrink when other nodes join."""
         node = Node(is_first_start=True)
