Draw budgets only while the loans of lost nodes are known

Cause: a starting node took the loans for read after 2.5 s, and draws needed no confirmation from 5 s after the start on. A failed read after the loss of a node was not repeated.

The loans are now complete or not: when so many loan servers have answered that each loan has a copy among them. Reads are repeated until then, draws get 503 for 0.5 s at most, and then the node leaves its programs to the next one.

--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -59,6 +59,9 @@
 # Seconds after an outage, or after the start of the process, for which other nodes may
 # have lent tokens that they have not drawn. Lenders draw them within a second.
 _LOAN_SECONDS = 5.0
+# Seconds that a draw waits for the loans of lost nodes to be read, which takes a few
+# milliseconds.
+_LOANS_TIMEOUT = 0.5
 # Attempts to log a draw that is not on enough loan servers, and seconds between the
 # first ones and at most; about a minute in all.
 _LOG_ATTEMPTS = 20
@@ -313,6 +316,7 @@
     async def _refill(
         self, account: Account, max_tokens: int, *, may_lend: bool
     ) -> None:
+        await self._wait_for_loans()
         if account.unconfirmed:
             await self._confirm(account)
         if account.available >= max_tokens:
@@ -333,6 +337,25 @@
                 "more; end the program"
             )
 
+    async def _wait_for_loans(self) -> None:
+        """Wait until the loans of lost nodes are known.
+
+        Raises
+        ------
+        OverloadedError
+            They are not; tokens that were lent could be drawn a second time.
+        """
+        if self._loan_log.is_complete:
+            return
+        try:
+            async with asyncio.timeout(_LOANS_TIMEOUT):
+                await self._loan_log.wait_complete()
+        except TimeoutError as exc:
+            raise OverloadedError(
+                "too few loan servers tell what was lent to the program; retry",
+                retry_after=_RETRY_AFTER,
+            ) from exc
+
     @property
     def is_store_unavailable(self) -> bool:
         """Whether a draw from the store has just failed."""
--- a/src/fireflyspread/budgets/_loan_log.py
+++ b/src/fireflyspread/budgets/_loan_log.py
@@ -30,6 +30,15 @@
 class LoanLog(abc.ABC):
     """Log on several loan servers that survives the loss of the nodes that append."""
 
+    @property
+    def is_complete(self) -> bool:
+        """Whether all loans of lost nodes are known."""
+        return True
+
+    async def wait_complete(self) -> None:
+        """Wait until all loans of lost nodes are known."""
+        return
+
     @abc.abstractmethod
     def get_lost_loans(self, program: str) -> dict[str, int]:
         """Return the tokens that lost nodes have lent to a program, by lender."""
--- a/src/fireflyspread/budgets/_owners.py
+++ b/src/fireflyspread/budgets/_owners.py
@@ -112,6 +112,11 @@
     refused, and the owner writes through other nodes. The next node of the ranking
     takes over from an owner that has lost its lease or has not answered this node for
     a second.
+
+    Parameters
+    ----------
+    is_ready : callable
+        Returns whether this node may own accounts.
     """
 
     def __init__(
@@ -122,7 +127,9 @@
         node: str,
         clock: Clock,
         list_members: Callable[[], Iterable[str]],
+        is_ready: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._is_ready = is_ready
         self._accounts = accounts
         self._peers = peers
         self._node = node
@@ -216,9 +223,14 @@
         A program stays at the node that has taken over, so that it moves once.
         """
         placed = self._placed.get(program)
-        if placed in nodes and not self._health.is_lost(placed):
+        if placed in nodes and self._may_own(placed):
             return placed
-        return next((n for n in nodes if not self._health.is_lost(n)), nodes[0])
+        return next((n for n in nodes if self._may_own(n)), nodes[0])
+
+    def _may_own(self, node: str) -> bool:
+        return (
+            self._is_ready() if node == self._node else not self._health.is_lost(node)
+        )
 
     async def _reserve_at_others(
         self,
--- a/src/fireflyspread/gateway/_loans.py
+++ b/src/fireflyspread/gateway/_loans.py
@@ -2,8 +2,10 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections import Counter
+from collections.abc import Mapping
 
 from fireflyspread._ranking import rank_nodes
 from fireflyspread.budgets import LoanLog, LoanTotals
@@ -37,11 +39,14 @@
 _COPY_TIMEOUT = 1.0
 # Seconds to read the loans of one loan server.
 _LIST_TIMEOUT = 0.4
-# Seconds for which a starting node waits for the loans; the loan servers may be
-# starting at the same time.
+# Seconds for which a starting node waits for the loans before it is ready; the loan
+# servers may be starting at the same time.
 _START_TIMEOUT = 2.5
-# Seconds between the attempts to read them.
-_LIST_INTERVAL = 0.1
+# Seconds between the attempts to read them; doubled after each up to the maximum.
+_MIN_LIST_INTERVAL = 0.1
+_MAX_LIST_INTERVAL = 0.4
+# Seconds for which this node keeps its accounts while it reads the loans again.
+_BRIEF_SECONDS = 0.5
 
 
 class ReplicatedLoanLog(LoanLog):
@@ -49,13 +54,20 @@
 
     ``Loan`` describes what loans and draws are.
 
+    Loans of lost nodes are known or unknown as a whole: they are complete when so many
+    loan servers have listed theirs that each loan has a copy among them. A loan that
+    is in none of these answers was not made.
+
     Attributes
     ----------
-    is_initial_read_done : bool
-        Whether the loans were read after the start, or the wait for them has timed out.
+    is_start_over : bool
+        Whether the loans were read after the start, or the node may become ready
+        without them and refuse draws until they are.
 
     Parameters
     ----------
+    is_first_start : bool
+        Whether the whole system starts for the first time, so that there are no loans.
     max_losses : int
         Disks that may be lost at the same time. The entries of a program go to
         ``2 * max_losses + 1`` loan servers, the same ones for all nodes: what was
@@ -71,6 +83,7 @@
         node: str,
         incarnation: str,
         max_losses: int = 1,
+        is_first_start: bool = False,
     ) -> None:
         self._client = client
         self._roster = roster
@@ -83,12 +96,34 @@
         self._unreachable_until: dict[str, float] = {}
         self._pending: set[asyncio.Task[Message | None]] = set()
         self._refresh_requested = asyncio.Event()
-        self.is_initial_read_done = False
+        self._complete = asyncio.Event()
+        self._incomplete_since = -math.inf
+        self.is_start_over = is_first_start
+        if is_first_start:
+            self._complete.set()
+        else:
+            self._refresh_requested.set()
 
     def refresh(self) -> None:
         """Read the loans again after the loss of a node."""
+        if self._complete.is_set():
+            self._incomplete_since = time.monotonic()
+        self._complete.clear()
         self._refresh_requested.set()
 
+    @property
+    def is_complete(self) -> bool:
+        return self._complete.is_set()
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether the loans are complete or will be in a moment."""
+        is_brief = time.monotonic() < self._incomplete_since + _BRIEF_SECONDS
+        return self.is_complete or is_brief
+
+    async def wait_complete(self) -> None:
+        await self._complete.wait()
+
     def get_lost_loans(self, program: str) -> dict[str, int]:
         loans = self._loans.get(program)
         if not loans:
@@ -211,24 +246,25 @@
     async def run(self) -> None:
         """Read the loans at the start and after each lost node, until cancelled."""
         deadline = time.monotonic() + _START_TIMEOUT
-        while not self.is_initial_read_done:
-            if self._roster.has_read_members:
-                self.is_initial_read_done = (
-                    await self._read_loans() or time.monotonic() > deadline
-                )
-            await asyncio.sleep(_LIST_INTERVAL)
         while True:
             await self._refresh_requested.wait()
             self._refresh_requested.clear()
-            await self._read_loans()
+            interval = _MIN_LIST_INTERVAL
+            while not await self._read_all():
+                self.is_start_over |= time.monotonic() > deadline
+                await asyncio.sleep(interval)
+                interval = min(2 * interval, _MAX_LIST_INTERVAL)
+            self.is_start_over = True
+            if not self._refresh_requested.is_set():
+                self._complete.set()
+
+    async def _read_all(self) -> bool:
+        return self._roster.has_read_members and await self._read_loans()
 
     async def _read_loans(self) -> bool:
-        """Read all loan servers; return whether no loan can be missing."""
-        addresses = self._roster.list_loan_servers().values()
-        answers = await asyncio.gather(
-            *(self._ask(each, ListLoans(), _LIST_TIMEOUT) for each in addresses)
-        )
-        lists = [answer for answer in answers if isinstance(answer, LoansListed)]
+        """Read the loan servers; return whether no loan can be missing."""
+        servers = self._roster.list_loan_servers()
+        lists = await self._list_loans(servers)
         self._forget_old_loans()
         for answer in lists:
             for loan in answer.loans:
@@ -237,7 +273,41 @@
             _LOG.info(
                 "loans read", extra={"count": sum(map(len, self._loans.values()))}
             )
-        return len(lists) > len(answers) - _MIN_COPIES
+        is_complete = len(servers) - len(lists) < self._count_copies(len(servers))
+        if not is_complete:
+            _LOG.info(
+                "loans of lost nodes are not known yet: %d of %d loan servers answered",
+                len(lists),
+                len(servers),
+            )
+        return is_complete
+
+    async def _list_loans(self, servers: Mapping[str, str]) -> list[LoansListed]:
+        """Return the answers of the servers, without those that are not needed.
+
+        A server that does not answer delays no draw if the others are enough.
+        """
+        needed = len(servers) + 1 - self._count_copies(len(servers))
+        tasks = [
+            asyncio.create_task(self._ask(each, ListLoans(), _LIST_TIMEOUT))
+            for each in servers.values()
+        ]
+        self._pending.update(tasks)
+        for task in tasks:
+            task.add_done_callback(self._pending.discard)
+        lists: list[LoansListed] = []
+        for done in asyncio.as_completed(tasks):
+            answer = await done
+            if isinstance(answer, LoansListed):
+                lists.append(answer)
+            if len(lists) >= needed:
+                break
+        return lists
+
+    def _count_copies(self, servers: int) -> int:
+        """Return on how many disks each loan is, with that many loan servers."""
+        chosen = min(servers, 2 * self._max_losses + 1)
+        return min(max(_MIN_COPIES, chosen // 2 + 1), max(1, chosen))
 
     def _forget_old_loans(self) -> None:
         oldest = time.time() - RETENTION_SECONDS
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -339,6 +339,7 @@
             node=self._name,
             incarnation=self._incarnation,
             max_losses=self._settings.max_disk_losses,
+            is_first_start=self._settings.is_first_start,
         )
         peers = NodeBudgetPeers(self._client, self._roster, node=self._name)
         self._accounts = BudgetAccounts(
@@ -366,12 +367,13 @@
             node=self._name,
             clock=self._clock,
             list_members=self._roster.list_names,
+            is_ready=self._may_own_budgets,
         )
         register_budget_handlers(
             self._server,
             self._accounts,
             node=self._name,
-            has_read_members=lambda: self._roster.has_read_members,
+            is_ready=self._may_own_budgets,
         )
         self._crash_exchange = CrashExchange(
             self._client,
@@ -399,6 +401,10 @@
         """Return whether this node or the next one owns a program's account."""
         return self._name in rank_nodes(self._roster.list_names(), program)[:2]
 
+    def _may_own_budgets(self) -> bool:
+        """Return whether this node knows what was drawn and lent to programs."""
+        return self._roster.has_read_members and self._loan_log.is_usable
+
     def _build_turns(self) -> None:
         settings = self._settings
         self._turn_disks = LoanServerDisks(
@@ -611,6 +617,8 @@
         for follower in self._followers:
             self._spawn(follower.run())
         self._spawn(self._roster.run())
+        copies = 2 * self._settings.max_disk_losses + 1
+        self._spawn(self._roster.remove_lost_loan_servers(min_left=copies))
         self._spawn(self._join.run())
         self._spawn(self._accounts.run())
         self._spawn(self._exchange.run())
@@ -638,7 +646,7 @@
             not self._is_draining
             and self._configs.version >= 0
             and self._rate_membership.is_member
-            and (self._settings.is_first_start or self._loan_log.is_initial_read_done)
+            and self._loan_log.is_start_over
             and bool(self._directory.list_services())
         )
 
--- a/src/fireflyspread/gateway/_peers.py
+++ b/src/fireflyspread/gateway/_peers.py
@@ -50,7 +50,7 @@
 _HAND_OVER_TIMEOUT = 0.5
 # Seconds after which to retry a turn that no node could reserve tokens for.
 _RETRY_AFTER = 0.3
-_UNREADY = "this node has started and does not know the other nodes yet"
+_UNREADY = "this node does not know the other nodes or their loans yet"
 # Seconds between requests to other nodes while the store is unavailable.
 _EXCHANGE_INTERVAL = 0.3
 # Nodes that are asked at the same time.
@@ -165,20 +165,20 @@
     accounts: BudgetAccounts,
     *,
     node: str,
-    has_read_members: Callable[[], bool] = lambda: True,
+    is_ready: Callable[[], bool] = lambda: True,
 ) -> None:
     """Handle other nodes' messages about the programs that this node owns.
 
     Parameters
     ----------
-    has_read_members : callable
-        Returns whether this node knows the other nodes and the loan servers. A node
-        that starts while the store is unavailable does not, and leaves its programs to
-        the next node of their ranking.
+    is_ready : callable
+        Returns whether this node knows the other nodes, the loan servers and the loans
+        of lost nodes. A node that starts while the store or the loan servers are
+        unavailable does not, and leaves its programs to the next node of their ranking.
     """
 
     async def reserve(message: ReserveBudget) -> Message:
-        if not has_read_members():
+        if not is_ready():
             return BudgetReserved(
                 node=node, tokens=0, code=NoAuthorityError.code, reason=_UNREADY
             )
@@ -203,7 +203,7 @@
         )
 
     async def report_drawn(message: NoteDrawn) -> Message:
-        if not has_read_members():
+        if not is_ready():
             # An answer would count as one of a node that can own accounts.
             raise PeerError(_UNREADY)
         accounts.report_drawn(message.program, message.budget, message.drawn)
--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -14,9 +14,10 @@
 import uvloop
 
 from fireflyspread.clock import Clock, SystemClock
-from fireflyspread.exceptions import FireflyError, PeerError, SettingsError, StoreError
+from fireflyspread.exceptions import FireflyError, PeerError, SettingsError
 from fireflyspread.gateway._settings import LoanSettings
 from fireflyspread.loans._file import Loan, LoanFile
+from fireflyspread.loans._registration import Registration
 from fireflyspread.loans._stream_file import StreamFile
 from fireflyspread.loans._streams import StreamKeeping
 from fireflyspread.loans._turn_file import TurnFile
@@ -34,7 +35,6 @@
     PeerServer,
 )
 from fireflyspread.platform import KvStore, make_connector
-from fireflyspread.recovery import LOAN_SERVERS_PREFIX, SnapshotStore, Write
 from fireflyspread.turns import TurnStore
 
 __all__ = ["main"]
@@ -43,7 +43,6 @@
 
 _EXIT_INVALID_SETTINGS = 2
 _STORE_KEEPALIVE_SECONDS = 1.0
-_REGISTER_RETRY_SECONDS = 0.5
 
 
 def register_handlers(
@@ -103,22 +102,6 @@
     server.register(CopyLoans, copy_loans)
 
 
-async def register_address(store: SnapshotStore, node: str, address: str) -> None:
-    """Write this server's address to the store, retrying until it succeeds."""
-    key, revision = LOAN_SERVERS_PREFIX + node, 0
-    while True:
-        try:
-            result = await store.write_all([Write(key, address.encode(), revision)])
-            if isinstance(result, int):
-                return
-            revision = result[0].revision if result else 0
-            if result and result[0].value == address.encode():
-                return
-        except StoreError as exc:
-            _LOG.warning("address not written to the store: %s", exc)
-            await asyncio.sleep(_REGISTER_RETRY_SECONDS)
-
-
 async def run(settings: LoanSettings) -> None:
     """Serve until SIGTERM or SIGINT."""
     stop = asyncio.Event()
@@ -160,7 +143,7 @@
     _LOG.info("loan server started", extra={"node": name})
     tasks = [asyncio.create_task(part.run()) for part in (turns, streams)]
     registration = asyncio.create_task(
-        register_address(store, name, str(settings.peers))
+        Registration(store, node=name, address=str(settings.peers)).run()
     )
     await stop.wait()
     _LOG.info("loan server stopped", extra={"node": name})
--- a/src/fireflyspread/recovery/__init__.py
+++ b/src/fireflyspread/recovery/__init__.py
@@ -41,6 +41,7 @@
 )
 from fireflyspread.recovery._roster import (
     LEASE_SECONDS,
+    LOAN_SERVER_LEASES_PREFIX,
     LOAN_SERVERS_PREFIX,
     ROSTER_PREFIX,
     Roster,
@@ -61,6 +62,7 @@
 __all__ = [
     "FEEDERS_PER_ZONE",
     "LOAN_SERVERS_PREFIX",
+    "LOAN_SERVER_LEASES_PREFIX",
     "LEASE_SECONDS",
     "ROSTER_PREFIX",
     "JoinStage",
--- a/src/fireflyspread/recovery/_roster.py
+++ b/src/fireflyspread/recovery/_roster.py
@@ -21,6 +21,7 @@
 
 __all__ = [
     "LOAN_SERVERS_PREFIX",
+    "LOAN_SERVER_LEASES_PREFIX",
     "LEASE_SECONDS",
     "ROSTER_PREFIX",
     "Roster",
@@ -33,6 +34,8 @@
 _ALIVE_PREFIX = ROSTER_PREFIX + "alive/"
 # Addresses of the processes that store loans on the disk of a VM.
 LOAN_SERVERS_PREFIX = ROSTER_PREFIX + "journals/"
+# Keys on the leases of these processes.
+LOAN_SERVER_LEASES_PREFIX = ROSTER_PREFIX + "journal-leases/"
 
 # TTL of a node's lease. Longer than the outages and network partitions of the platform
 # (up to 12 s), so that a node keeps its share during them.
@@ -46,6 +49,11 @@
 # Time without a lease after which a node is removed and its share is divided among the
 # others. A node whose lease expired in an outage obtains a new one sooner.
 _REMOVAL_DELAY_SECONDS = 10.0
+# The same for a loan server, whose lease is short, and seconds between the checks.
+_LOAN_SERVER_REMOVAL_DELAY = 1.5
+_LOAN_SERVER_CHECK_INTERVAL = 0.5
+# Further seconds after which any node removes a loan server, in place of the first one.
+_OTHERS_DELAY = 2.0
 
 
 class Roster(PrefixListener):
@@ -90,7 +98,9 @@
         self._renewed_at = -float("inf")
         self._lease = 0
         self._on_loss = on_loss
-        self._loan_servers: dict[str, str] = {}
+        self._loan_servers: dict[str, tuple[str, int]] = {}
+        # Monotonic seconds at which loan servers were seen to have lost their lease.
+        self._loan_server_lost_at: dict[str, float] = {}
         self.has_read_members = False
         self._listed = asyncio.Event()
         self._announcements = Announcements(clock)
@@ -125,7 +135,7 @@
 
     def list_loan_servers(self) -> dict[str, str]:
         """Return the addresses of the loan servers by VM name."""
-        return dict(self._loan_servers)
+        return {name: address for name, (address, _) in self._loan_servers.items()}
 
     def list_incarnations(self) -> set[str]:
         """Return the incarnations of all members."""
@@ -163,7 +173,7 @@
         if member is not None:
             return member.peers
         if allow_loan_servers and name in self._loan_servers:
-            return self._loan_servers[name]
+            return self._loan_servers[name][0]
         raise PeerError(f"{name} is not a member; ask another node")
 
     def check_authority(self) -> None:
@@ -312,7 +322,16 @@
         self._members = {}
         self._loan_servers = {}
         alive = set()
+        leased = {
+            entry.key.removeprefix(LOAN_SERVER_LEASES_PREFIX)
+            for entry in entries
+            if entry.key.startswith(LOAN_SERVER_LEASES_PREFIX)
+        }
+        for name in leased:
+            self._apply_loan_server_lease(name, is_alive=True)
         for entry in entries:
+            if entry.key.startswith(LOAN_SERVER_LEASES_PREFIX):
+                continue
             if entry.key.startswith(LOAN_SERVERS_PREFIX):
                 self._apply_loan_server(entry.key, entry)
             elif entry.key.startswith(_ALIVE_PREFIX):
@@ -349,12 +368,67 @@
         if entry is None:
             self._loan_servers.pop(name, None)
         elif _is_address(address := entry.value.decode("ascii", "replace")):
-            self._loan_servers[name] = address
+            self._loan_servers[name] = address, entry.revision
         else:
             _LOG.warning("entry of loan server %s ignored: no address", name)
             self._loan_servers.pop(name, None)
 
+    def _apply_loan_server_lease(self, name: str, *, is_alive: bool) -> None:
+        if is_alive:
+            self._loan_server_lost_at.pop(name, None)
+        else:
+            self._loan_server_lost_at[name] = self._clock.read_monotonic()
+
+    def handle_reconnect(self) -> None:
+        # Leases may have ended in an outage, and loan servers register again.
+        now = self._clock.read_monotonic()
+        self._loan_server_lost_at = dict.fromkeys(self._loan_server_lost_at, now)
+
+    async def remove_lost_loan_servers(self, *, min_left: int) -> None:
+        """Remove loan servers that have lost their lease, until cancelled.
+
+        The number of answers that make the loans known is counted from the list, so a
+        loan server that is gone for good must not stay there once another one has
+        replaced it. One that runs and only does not reach the store registers again,
+        with its loans.
+
+        Parameters
+        ----------
+        min_left : int
+            Loan servers with a lease without which none is removed: they have more
+            than the majority of the copies of each loan.
+        """
+        while True:
+            await asyncio.sleep(_LOAN_SERVER_CHECK_INTERVAL)
+            lost = self._loan_server_lost_at
+            if sum(name not in lost for name in self._loan_servers) < min_left:
+                continue
+            is_first = min(self.list_names()) == self._own.name
+            delay = _LOAN_SERVER_REMOVAL_DELAY + (0.0 if is_first else _OTHERS_DELAY)
+            oldest = self._clock.read_monotonic() - delay
+            for name in [name for name, since in lost.items() if since <= oldest]:
+                try:
+                    await self._remove_loan_server(name)
+                except StoreError as exc:
+                    _LOG.info("loan server %s not removed: %s", name, exc)
+
+    async def _remove_loan_server(self, name: str) -> None:
+        if name in self._loan_servers:
+            # A loan server that is back has written its entry again.
+            _, revision = self._loan_servers[name]
+            write = Write(LOAN_SERVERS_PREFIX + name, None, revision)
+            if isinstance(await self._store.write_all([write]), int):
+                _LOG.warning(
+                    "loan server without a lease removed", extra={"node": name}
+                )
+        self._loan_server_lost_at.pop(name, None)
+
     def apply(self, change: Change) -> None:
+        if change.key.startswith(LOAN_SERVER_LEASES_PREFIX):
+            name = change.key.removeprefix(LOAN_SERVER_LEASES_PREFIX)
+            is_alive = change.entry is not None
+            self._apply_loan_server_lease(name, is_alive=is_alive)
+            return
         if change.key.startswith(LOAN_SERVERS_PREFIX):
             self._apply_loan_server(change.key, change.entry)
             return
--- a/tests/budgets/cluster_simulation.py
+++ b/tests/budgets/cluster_simulation.py
@@ -286,6 +286,8 @@
         self.starts: dict[str, int] = {}
         self.has_loan_log = True
         self.is_log_complete = True
+        self.are_loans_known = asyncio.Event()
+        self.are_loans_known.set()
         self.log_gate = None
         self.members = [f"gw-{number}" for number in range(nodes)]
         self.roster = SimpleNamespace(
--- a/tests/budgets/test_accounts.py
+++ b/tests/budgets/test_accounts.py
@@ -8,7 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fireflyspread.budgets import BudgetAccounts, LoanLog, LoanTotals
+from fireflyspread.budgets import BudgetAccounts, LoanLog, LoanTotals, _accounts
 from fireflyspread.clock import ManualClock
 from fireflyspread.exceptions import (
     BudgetExceededError,
@@ -32,6 +32,13 @@
         self._nodes = nodes
         self._lender = lender
 
+    @property
+    def is_complete(self) -> bool:
+        return self._nodes.are_loans_known.is_set()
+
+    async def wait_complete(self) -> None:
+        await self._nodes.are_loans_known.wait()
+
     def get_lost_loans(self, program: str) -> dict[str, int]:
         alive = {f"{n}-{s}" for n, s in self._nodes.starts.items()}
         return {
@@ -91,6 +98,9 @@
         self.lost_answers = 0
         # Whether a majority of the loan servers answers, and what they wait for.
         self.is_log_complete = True
+        # Whether so many loan servers have listed their loans that none is missing.
+        self.are_loans_known = asyncio.Event()
+        self.are_loans_known.set()
         self.log_gate: asyncio.Event | None = None
         self.accounts: dict[str, BudgetAccounts] = {}
         for name in names:
@@ -548,6 +558,24 @@
 class TestLostLenders:
     """Loans that only the loan log has, because their lenders have ended."""
 
+    async def test_are_known_before_a_draw(self, monkeypatch):
+        """Guards against loans that could not be read and count as none."""
+        monkeypatch.setattr(_accounts, "_LOANS_TIMEOUT", 0.01)
+        nodes = Nodes("a", "b")
+        await self._lend_and_end(nodes, "a")
+        nodes.are_loans_known.clear()
+        # Long after the start: no time makes an unread loan known.
+        nodes.clock.advance(100.0)
+        for _ in range(3):
+            with pytest.raises(OverloadedError, match="loan servers"):
+                await nodes.spend("b")
+        nodes.are_loans_known.set()
+        spent = 0
+        with pytest.raises(BudgetExceededError):
+            for _ in range(100):
+                spent += await nodes.spend("b", MAX_TOKENS)
+        assert spent == BUDGET - MAX_TOKENS
+
     async def _lend_and_end(self, nodes: Nodes, name: str) -> None:
         nodes.store.is_down = nodes.is_outage = True
         await nodes.spend(name, 10, may_lend=True)
--- a/tests/budgets/test_owners.py
+++ b/tests/budgets/test_owners.py
@@ -37,6 +37,7 @@
             node=name,
             clock=self.nodes.clock,
             list_members=lambda: self.names,
+            is_ready=lambda: name not in self.unready,
         )
 
     def find_owner(self, program: str) -> str:
@@ -95,6 +96,18 @@
     return used
 
 
+class TestUnreadyOwner:
+    async def test_leaves_its_programs_to_the_next_node(self):
+        """Guards against turns refused while one node does not know the loans."""
+        cluster = Cluster("a", "b", "c")
+        owner = cluster.find_owner("p")
+        cluster.unready = {owner}
+        for name in "abc":
+            await _run_turn(cluster.make_owners(name), 10)
+        accounts = cluster.nodes.accounts[owner]._accounts
+        assert "p" not in accounts or not accounts["p"].own_drawn
+
+
 class TestBudgetOwners:
     async def test_program_on_many_nodes_costs_one_store_call(self):
         """Guards against a store call for each node that a program visits."""
--- a/tests/gateway/test_budget_writes.py
+++ b/tests/gateway/test_budget_writes.py
@@ -190,7 +190,7 @@
             writer=SimpleNamespace(has_helpers=True),
         )
         register_budget_handlers(
-            server, accounts, node="b", has_read_members=lambda: has_read_members
+            server, accounts, node="b", is_ready=lambda: has_read_members
         )
 
         async def ask(address, message, *, timeout):
--- a/tests/gateway/test_loans.py
+++ b/tests/gateway/test_loans.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import pytest
+
 from fireflyspread.exceptions import PeerError
+from fireflyspread.gateway import _loans
 from fireflyspread.gateway._loans import ReplicatedLoanLog
 from fireflyspread.nodes import ListLoans, LoanNoted, LoansListed
 from tests.routing.virtual_time import run_virtual
@@ -37,13 +40,16 @@
         return {name: name for name in self._names}
 
 
-def _make(servers: _LoanServers, *, max_losses: int = 1) -> ReplicatedLoanLog:
+def _make(
+    servers: _LoanServers, *, max_losses: int = 1, is_first_start: bool = False
+) -> ReplicatedLoanLog:
     return ReplicatedLoanLog(
         servers,
         _Roster(servers.delays),
         node="n",
         incarnation="n-1",
         max_losses=max_losses,
+        is_first_start=is_first_start,
     )
 
 
@@ -140,3 +146,92 @@
             False,
         )
         assert run_virtual(scenario()) == (True, True)
+
+
+class TestKnownLoans:
+    """Loans of lost nodes are known or not, whatever time has passed."""
+
+    def _run(self, loan_log, *steps) -> list[bool]:
+        """Return whether the loans are known 10 s after each step."""
+
+        async def scenario():
+            task = asyncio.create_task(loan_log.run())
+            states = []
+            for step in steps:
+                step()
+                await asyncio.sleep(10.0)
+                states.append(loan_log.is_complete)
+            task.cancel()
+            return states
+
+        return run_virtual(scenario())
+
+    def test_are_unknown_until_enough_servers_answer(self):
+        """Guards against a read that failed and counts as done after a time."""
+        servers = _LoanServers(a=0.002, b=None, c=None)
+        loan_log = _make(servers)
+        states = self._run(
+            loan_log,
+            lambda: None,
+            lambda: None,
+            lambda: servers.delays.update(b=0.002),
+        )
+        assert states == [False, False, True]
+
+    def test_node_is_ready_without_them(self, monkeypatch):
+        """Guards against a node that serves nobody because loan servers are away."""
+        monkeypatch.setattr(_loans, "_START_TIMEOUT", 0.0)
+        loan_log = _make(_LoanServers(a=0.002, b=None, c=None))
+        assert self._run(loan_log, lambda: None) == [False]
+        assert loan_log.is_start_over
+
+    def test_are_known_without_a_lost_server(self):
+        """Guards against draws that wait for a server that is lost with its disk."""
+
+        async def scenario():
+            loan_log = _make(_LoanServers(a=0.002, b=0.002, c=None))
+            task = asyncio.create_task(loan_log.run())
+            _, seconds = await _measure(loan_log.wait_complete())
+            task.cancel()
+            return seconds
+
+        assert run_virtual(scenario()) < 0.01
+
+    def test_are_read_again_after_the_loss_of_a_node(self):
+        """Guards against a read that fails after a loss and is not repeated."""
+        servers = _LoanServers(a=0.002, b=0.002, c=0.002)
+        loan_log = _make(servers)
+
+        def lose_node():
+            servers.delays.update(b=None, c=None)
+            loan_log.refresh()
+
+        states = self._run(
+            loan_log, lambda: None, lose_node, lambda: servers.delays.update(c=0.002)
+        )
+        assert states == [True, False, True]
+
+    def test_are_unknown_until_the_members_are_read(self):
+        """Guards against a list of loan servers that is not read and counts as none."""
+        loan_log = _make(_LoanServers())
+        loan_log._roster.has_read_members = False
+
+        def read():
+            loan_log._roster.has_read_members = True
+
+        assert self._run(loan_log, lambda: None, read) == [False, True]
+
+    def test_are_none_at_the_first_start(self):
+        """Guards against a system that waits at its first start."""
+        loan_log = _make(_LoanServers(a=None, b=None, c=None), is_first_start=True)
+        assert loan_log.is_complete
+        assert loan_log.is_start_over
+
+    @pytest.mark.parametrize(("lost", "is_known"), [(2, True), (3, False)])
+    def test_as_many_servers_may_be_lost_as_disks(self, lost, is_known):
+        """Guards against a bound for three loan servers that is used for all."""
+        delays = {
+            f"s{number}": 0.002 if number >= lost else None for number in range(9)
+        }
+        loan_log = _make(_LoanServers(**delays), max_losses=2)
+        assert self._run(loan_log, lambda: None) == [is_known]
--- a/tests/gateway/test_lost_loans.py
+++ b/tests/gateway/test_lost_loans.py
@@ -8,18 +8,22 @@
 import asyncio
 import json
 import signal
+from base64 import b64decode, b64encode
 from collections.abc import AsyncIterator
 from pathlib import Path
+from typing import Any
 
 import aiohttp
 import pytest
 
 from fireflyspread._ranking import rank_nodes
-from soak.cluster import MAX_OUTPUT_TOKENS, Cluster, make_turn_headers
+from soak.cluster import MAX_OUTPUT_TOKENS, Cluster, Gateway, make_turn_headers
+from soak.proxy import Proxy, ProxyFault
 from standins.platform_replica import TOKENS_PER_EVENT
+from standins.store_view import StoreView
 
 BUDGET = 864
-LENDER = "front-1"
+LENDER, HEIR = "front-1", "front-2"
 # More than the turns that a budget can hold, and the attempts that a turn may need.
 MAX_TURNS = 60
 
@@ -32,13 +36,17 @@
 
     def __init__(self, cluster: Cluster, session: aiohttp.ClientSession) -> None:
         self.cluster = cluster
-        names = [node.name for node in cluster.nodes]
-        ids = (f"{number:x}" for number in range(4096, 8192))
-        owned = (each for each in ids if rank_nodes(names, each)[0] == LENDER)
-        self.tokens = {next(owned): 0 for _ in range(4)}
+        self.tokens = dict.fromkeys(self.choose(4), 0)
         self._session = session
         self._requests = 0
 
+    def choose(self, count: int) -> list[str]:
+        """Return ids of programs whose accounts the lender owns, and the heir next."""
+        names = [node.name for node in self.cluster.nodes]
+        ids = (f"{number:x}" for number in range(4096, 8192))
+        owners = [LENDER, HEIR]
+        return [e for e in ids if rank_nodes(names, e)[:2] == owners][:count]
+
     @property
     def lender(self):
         (lender,) = [node for node in self.cluster.nodes if node.name == LENDER]
@@ -131,6 +139,63 @@
         programs.check()
 
 
+class _LoanServerView(StoreView):
+    """The store as one node sees it: the loan servers lie behind silent proxies."""
+
+    async def _replace_address(self, item: dict[str, Any]) -> None:
+        if not item["key"].startswith("cluster/journals/") or not item.get("value"):
+            return
+        address = b64decode(item["value"]).decode()
+        if address not in self._addresses:
+            proxy = self._proxies[address] = Proxy(address)
+            self._addresses[address] = await proxy.start()
+            proxy.inject(ProxyFault.SILENCE)
+        item["value"] = b64encode(self._addresses[address].encode()).decode()
+
+
+class TestCutNode:
+    async def test_does_not_draw_what_it_cannot_know_to_be_lent(self, programs):
+        """Guards against a read of the loans that failed and counts as done.
+
+        The node that owns the accounts restarts and reaches no loan server. The other
+        nodes do, so its programs are decided there.
+        """
+        await self._cut_off(programs.cluster, programs.lender)
+        await programs.spend_in_outage()
+        # For 5 s after a start, loan servers have to confirm draws.
+        await asyncio.sleep(6.0)
+        assert set(await programs.spend()) == {402}
+        programs.check()
+        # New programs of the node are served by the next one.
+        programs.tokens = dict.fromkeys(programs.choose(8)[4:], 0)
+        assert set(await programs.spend()) == {402}
+        assert min(programs.tokens.values()) > BUDGET - MAX_OUTPUT_TOKENS
+        programs.check()
+
+    async def test_does_not_draw_beside_a_lost_lender(self, programs):
+        """Guards against the same while the loans cannot be written to the store.
+
+        The lender is lost for good, which the others learn when its lease ends, and the
+        next node of the ranking is the one that is cut off.
+        """
+        await programs.spend_in_outage(restart=False)
+        heir = programs.cluster.nodes[2]
+        assert heir.name == HEIR
+        await heir.stop()
+        await self._cut_off(programs.cluster, heir)
+        await heir.start(is_first=False)
+        await asyncio.sleep(6.0)
+        await programs.spend()
+        programs.check()
+
+    async def _cut_off(self, cluster: Cluster, node: Gateway) -> None:
+        """Let a node reach no loan server from its next start on."""
+        view = _LoanServerView(cluster.store.url)
+        await view.start()
+        cluster.views.append(view)
+        node.store = view.address
+
+
 class TestRetirement:
     async def test_of_all_loan_servers_loses_no_loan(self, programs):
         """Guards against a disk that is given away with loans that are nowhere else.
--- a/tests/recovery/test_roster.py
+++ b/tests/recovery/test_roster.py
@@ -8,6 +8,8 @@
 from fireflyspread.clock import ManualClock
 from fireflyspread.exceptions import NoAuthorityError, PeerError, StoreError
 from fireflyspread.recovery import (
+    LOAN_SERVER_LEASES_PREFIX,
+    LOAN_SERVERS_PREFIX,
     ROSTER_PREFIX,
     Change,
     Entry,
@@ -289,6 +291,56 @@
             await member.stop()
 
 
+class TestLoanServers:
+    """Loan servers that are gone for good leave the list, and no others."""
+
+    async def _start(self, store: MemoryStore, names: str) -> Roster:
+        for name in names:
+            self._register(store, name)
+        roster = _make_roster(store, 1)
+        follower = PrefixFollower(
+            store, ROSTER_PREFIX, roster, rng=random.Random(1), wait=1.0
+        )
+        self._tasks = [
+            asyncio.create_task(follower.run()),
+            asyncio.create_task(roster.remove_lost_loan_servers(min_left=3)),
+        ]
+        await asyncio.sleep(0.5)
+        return roster
+
+    def _register(self, store: MemoryStore, name: str) -> None:
+        store.put(LOAN_SERVERS_PREFIX + name, b"10.0.0.9:1")
+        store.put(LOAN_SERVER_LEASES_PREFIX + name, b"")
+
+    def _list_after(self, seconds: float, *, lost: str, back: str = "") -> str:
+        async def scenario() -> str:
+            store = MemoryStore()
+            roster = await self._start(store, "abcde")
+            for name in lost:
+                store.drop(LOAN_SERVER_LEASES_PREFIX + name)
+            await asyncio.sleep(1.0)
+            for name in back:
+                self._register(store, name)
+            await asyncio.sleep(seconds)
+            for task in self._tasks:
+                task.cancel()
+            return "".join(sorted(roster.list_loan_servers()))
+
+        return run_virtual(scenario())
+
+    def test_lost_ones_are_removed(self):
+        """Guards against loans that are never known beside servers that are gone."""
+        assert self._list_after(4.0, lost="ab") == "cde"
+
+    def test_restarted_one_stays(self):
+        """Guards against a list that changes with each restart."""
+        assert self._list_after(4.0, lost="a", back="a") == "abcde"
+
+    def test_last_ones_stay(self):
+        """Guards against an empty list, which tells that there are no loans."""
+        assert self._list_after(20.0, lost="abc") == "abcde"
+
+
 class _RefusingStore(MemoryStore):
     """Refuses calls during an outage, and counts them."""
 
