Tell lost disks of loan servers from disks without loans

Cause: a loan server with an empty disk answers with an empty list, which counted as 'no loans', and nothing copied the loans back.

A loan server now marks its disk as lost before it writes anything, and says so in its answers until it is restored. Such an answer counts as none. Three nodes look at each loan server once a second and have the entries of the others copied to it, if enough others answered that none is missing.

--- a/src/fireflyspread/gateway/_loans.py
+++ b/src/fireflyspread/gateway/_loans.py
@@ -45,6 +45,10 @@
 # Seconds between the attempts to read them; doubled after each up to the maximum.
 _MIN_LIST_INTERVAL = 0.1
 _MAX_LIST_INTERVAL = 0.4
+# Seconds between looks at the disks that this node restores, and nodes that restore the
+# disk of one loan server, so that one of them is there.
+_DISK_CHECK_INTERVAL = 1.0
+_RESTORERS = 3
 # Seconds for which this node keeps its accounts while it reads the loans again.
 _BRIEF_SECONDS = 0.5
 
@@ -96,6 +100,8 @@
         self._unreachable_until: dict[str, float] = {}
         self._pending: set[asyncio.Task[Message | None]] = set()
         self._refresh_requested = asyncio.Event()
+        # Loan servers that have said that they have lost their disk.
+        self._lost_disks: set[str] = set()
         self._complete = asyncio.Event()
         self._incomplete_since = -math.inf
         self.is_start_over = is_first_start
@@ -235,8 +241,12 @@
         answers: list[LoanNoted] = []
         for task in asyncio.as_completed(tasks):
             answer = await task
-            if isinstance(answer, LoanNoted):
+            if not isinstance(answer, LoanNoted):
+                continue
+            if answer.is_intact:
                 answers.append(answer)
+            else:
+                self._note_lost_disk(answer.node)
             # Any two majorities have a server in common, so a majority is enough.
             if len(answers) >= needed:
                 break
@@ -255,9 +265,56 @@
                 await asyncio.sleep(interval)
                 interval = min(2 * interval, _MAX_LIST_INTERVAL)
             self.is_start_over = True
+            await self._restore_disks()
             if not self._refresh_requested.is_set():
                 self._complete.set()
 
+    async def watch_disks(self) -> None:
+        """Look for loan servers that have lost their disk, until cancelled.
+
+        Without this, several of them could lose their disks one after the other while
+        no program needs them, and each would be taken for whole by the next reader.
+        """
+        while True:
+            await asyncio.sleep(_DISK_CHECK_INTERVAL)
+            for name, address in self._roster.list_loan_servers().items():
+                if self._is_restorer(name):
+                    answer = await self._ask(address, ListLoans(), _LIST_TIMEOUT)
+                    if isinstance(answer, LoansListed) and not answer.is_intact:
+                        self._note_lost_disk(name)
+
+    def _is_restorer(self, name: str) -> bool:
+        """Return whether this node is one of those that restore a server's disk."""
+        return self._node in rank_nodes(self._roster.list_names(), name)[:_RESTORERS]
+
+    def _note_lost_disk(self, name: str) -> None:
+        if name not in self._lost_disks and self._is_restorer(name):
+            _LOG.warning("loan server has lost its disk", extra={"node": name})
+            self._lost_disks.add(name)
+            self._refresh_requested.set()
+
+    async def _restore_disks(self) -> None:
+        """Copy the entries of the other loan servers to those that lost their disk."""
+        servers = self._roster.list_loan_servers()
+        lost = sorted(self._lost_disks & servers.keys())
+        self._lost_disks.clear()
+        if not lost:
+            return
+        lists = await self._list_loans(servers, has_draws=True)
+        if len(servers) - len(lists) >= self._count_copies(len(servers)):
+            # ``watch_disks`` finds the server again.
+            return
+        loans = {loan.id: loan for answer in lists for loan in answer.loans}
+        message = CopyLoans(loans=tuple(loans.values()), is_complete=True)
+        for name in lost:
+            answer = await self._ask(servers[name], message, _COPY_TIMEOUT)
+            if isinstance(answer, LoansCopied):
+                _LOG.info(
+                    "loans of a lost disk restored",
+                    extra={"node": name, "count": len(loans)},
+                )
+        self._lost_disks.clear()
+
     async def _read_all(self) -> bool:
         return self._roster.has_read_members and await self._read_loans()
 
@@ -282,14 +339,18 @@
             )
         return is_complete
 
-    async def _list_loans(self, servers: Mapping[str, str]) -> list[LoansListed]:
+    async def _list_loans(
+        self, servers: Mapping[str, str], *, has_draws: bool = False
+    ) -> list[LoansListed]:
         """Return the answers of the servers, without those that are not needed.
 
-        A server that does not answer delays no draw if the others are enough.
+        A server that does not answer delays no draw if the others are enough. One that
+        has lost its disk counts as one that does not answer.
         """
+        message = ListLoans(has_draws=has_draws)
         needed = len(servers) + 1 - self._count_copies(len(servers))
         tasks = [
-            asyncio.create_task(self._ask(each, ListLoans(), _LIST_TIMEOUT))
+            asyncio.create_task(self._ask(each, message, _LIST_TIMEOUT))
             for each in servers.values()
         ]
         self._pending.update(tasks)
@@ -298,8 +359,12 @@
         lists: list[LoansListed] = []
         for done in asyncio.as_completed(tasks):
             answer = await done
-            if isinstance(answer, LoansListed):
+            if not isinstance(answer, LoansListed):
+                continue
+            if answer.is_intact:
                 lists.append(answer)
+            else:
+                self._note_lost_disk(answer.node)
             if len(lists) >= needed:
                 break
         return lists
--- a/src/fireflyspread/gateway/_node.py
+++ b/src/fireflyspread/gateway/_node.py
@@ -624,6 +624,7 @@
         self._spawn(self._exchange.run())
         self._spawn(self._crash_exchange.run())
         self._spawn(self._loan_log.run())
+        self._spawn(self._loan_log.watch_disks())
         self._spawn(self._limiters.run())
         self._spawn(self._leaving_exchange.run())
         self._spawn(self._evacuation_exchange.run())
--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -74,18 +74,29 @@
             node=node,
             others=file.count_lent_by_others(loan),
             drawn=file.get_max_drawn(loan.program),
+            is_intact=file.is_intact,
         )
 
     async def list_loans(message: ListLoans) -> Message:
+        try:
+            if not file.is_open:
+                await asyncio.to_thread(file.open)
+        except OSError as exc:
+            raise PeerError(
+                f"cannot read the loans: {exc.strerror}; ask another loan server"
+            ) from exc
         if message.has_draws:
-            return LoansListed(node=node, loans=tuple(file.list_needed()))
-        loans = tuple(loan for loan in file.list_recent() if loan.tokens)
-        return LoansListed(node=node, loans=loans)
+            loans = file.list_needed()
+        else:
+            loans = [loan for loan in file.list_recent() if loan.tokens]
+        return LoansListed(node=node, loans=tuple(loans), is_intact=file.is_intact)
 
     async def copy_loans(message: CopyLoans) -> Message:
         missing = [loan for loan in message.loans if not file.has(loan)]
         try:
             await asyncio.gather(*(writer.append(loan) for loan in missing))
+            if message.is_complete and file.is_open:
+                file.mark_intact()
         except OSError as exc:
             raise PeerError(
                 f"cannot write the loans to disk: {exc.strerror}; "
@@ -111,14 +122,14 @@
     # As in the gateway, SIGHUP is ignored: a running process keeps its settings.
     loop.add_signal_handler(signal.SIGHUP, lambda: None)
     clock, name = SystemClock(), settings.node.name
-    file = LoanFile(settings.data_folder, clock)
+    file = LoanFile(settings.data_folder, clock, is_first_start=settings.is_first_start)
     turn_file = TurnFile(
         settings.data_folder, clock, is_first_start=settings.is_first_start
     )
     try:
         await asyncio.to_thread(file.open)
     except OSError as exc:
-        # The first loan opens the file again; until then no loans are listed.
+        # The first message that needs the file opens it again.
         _LOG.error("cannot read the loans: %s", exc)
     try:
         await asyncio.to_thread(turn_file.open)
@@ -143,7 +154,9 @@
     _LOG.info("loan server started", extra={"node": name})
     tasks = [asyncio.create_task(part.run()) for part in (turns, streams)]
     registration = asyncio.create_task(
-        Registration(store, node=name, address=str(settings.peers)).run()
+        Registration(
+            store, node=name, address=str(settings.peers), on_new=file.mark_intact
+        ).run()
     )
     await stop.wait()
     _LOG.info("loan server stopped", extra={"node": name})
--- a/src/fireflyspread/loans/_file.py
+++ b/src/fireflyspread/loans/_file.py
@@ -67,10 +67,19 @@
     ----------
     folder : str or Path
         Folder on a durable disk.
+    is_first_start : bool
+        Whether the whole system starts for the first time, so that a missing file has
+        not been lost.
     """
 
-    def __init__(self, folder: str | Path, clock: Clock) -> None:
+    def __init__(
+        self, folder: str | Path, clock: Clock, *, is_first_start: bool = True
+    ) -> None:
         self._path = Path(folder) / _FILE_NAME
+        # Its time of modification is when the disk was found empty.
+        self._loss_path = self._path.with_suffix(".lost")
+        self._is_first_start = is_first_start
+        self._is_intact = False
         self._clock = clock
         self._loans_by_program: dict[str, dict[tuple[str, int], Loan]] = {}
         self._appended_lines = 0
@@ -86,8 +95,43 @@
         """
         if self._path.exists():
             self._add(_parse(self._path.read_bytes()))
+        elif not self._is_first_start:
+            # Before the file exists, so that a restart does not take it for whole.
+            replace_file(self._loss_path, b"%f" % self._clock.read_wall())
+        self._is_intact = not self._loss_path.exists()
         self._compact()
 
+    @property
+    def is_open(self) -> bool:
+        """Whether the file has been read."""
+        return self._file is not None
+
+    @property
+    def is_intact(self) -> bool:
+        """Whether the file has all recent entries that were ever written to it.
+
+        A disk that was lost lists no loans, which does not mean that there are none.
+        """
+        if not self._is_intact and self._file is not None:
+            self._is_intact = self._has_outlived_loss()
+        return self._is_intact
+
+    def _has_outlived_loss(self) -> bool:
+        """Return whether all that was lost is too old to be needed."""
+        try:
+            lost_at = float(self._loss_path.read_bytes())
+        except FileNotFoundError:
+            return True
+        except (OSError, ValueError):
+            return False
+        return self._clock.read_wall() > lost_at + RETENTION_SECONDS
+
+    def mark_intact(self) -> None:
+        """Record that no entry is missing; raises ``OSError``."""
+        if not self._is_intact:
+            self._loss_path.unlink(missing_ok=True)
+            self._is_intact = True
+
     def append(self, loans: Sequence[Loan]) -> None:
         """Write loans to the disk with one sync; raises ``OSError``."""
         if self._file is None:
--- a/src/fireflyspread/loans/_registration.py
+++ b/src/fireflyspread/loans/_registration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from fireflyspread.exceptions import StoreError
 from fireflyspread.recovery import (
@@ -28,9 +29,24 @@
     The address has no lease, so that an outage in which leases end does not empty the
     list of loan servers. Nodes remove an address some time after its lease has ended;
     the loan server then registers again.
+
+    Parameters
+    ----------
+    on_new : callable
+        Called when no loan server was listed under this name at the first
+        registration: nothing was ever written to this one.
     """
 
-    def __init__(self, store: SnapshotStore, *, node: str, address: str) -> None:
+    def __init__(
+        self,
+        store: SnapshotStore,
+        *,
+        node: str,
+        address: str,
+        on_new: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._on_new = on_new
+        self._is_first = True
         self._store = store
         self._node = node
         self._address = address.encode()
@@ -72,6 +88,9 @@
                 ]
             )
             if isinstance(result, int):
+                if self._is_first and not revisions[address]:
+                    self._on_new()
+                self._is_first = False
                 return
             revisions = {address: 0, alive: 0}
             revisions.update((entry.key, entry.revision) for entry in result)
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -333,10 +333,14 @@
         Tokens that other nodes have recently lent to the program.
     drawn : int
         Highest number of tokens drawn for the program that any node has reported.
+    is_intact : bool
+        Whether the receiver has all that was ever written to it. If not, its figures
+        may be too low.
     """
 
     others: int = 0
     drawn: int = 0
+    is_intact: bool = True
 
 
 class ListLoans(Message, frozen=True, kw_only=True):
@@ -353,15 +357,29 @@
 
 
 class LoansListed(Message, frozen=True, kw_only=True):
-    """Answer to ``ListLoans``: the recent loans."""
+    """Answer to ``ListLoans``: the recent loans.
+
+    Attributes
+    ----------
+    is_intact : bool
+        Whether the receiver has all loans that were ever written to it.
+    """
 
     loans: tuple[Loan, ...]
+    is_intact: bool = True
 
 
 class CopyLoans(Message, frozen=True, kw_only=True):
-    """Asks a loan server to write entries of another one to its disk."""
+    """Asks a loan server to write entries of others to its disk.
+
+    Attributes
+    ----------
+    is_complete : bool
+        Whether these are all entries that the receiver may have lost with its disk.
+    """
 
     loans: tuple[Loan, ...]
+    is_complete: bool = False
 
 
 class LoansCopied(Message, frozen=True, kw_only=True):
--- a/tests/gateway/test_loans.py
+++ b/tests/gateway/test_loans.py
@@ -1,21 +1,34 @@
 """Tests of the loan log that is replicated over the loan servers."""
 
 import asyncio
+import time
 
 import pytest
 
 from fireflyspread.exceptions import PeerError
 from fireflyspread.gateway import _loans
 from fireflyspread.gateway._loans import ReplicatedLoanLog
-from fireflyspread.nodes import ListLoans, LoanNoted, LoansListed
+from fireflyspread.loans import Loan
+from fireflyspread.nodes import (
+    CopyLoans,
+    ListLoans,
+    LoanNoted,
+    LoansCopied,
+    LoansListed,
+)
 from tests.routing.virtual_time import run_virtual
 
+LOAN = Loan(program="p", tokens=9, lender="x-1", number=3, at=time.time(), budget=90)
+
 
 class _LoanServers:
     """Client of loan servers that answer after a delay, or never if it is None."""
 
     def __init__(self, **delays: float | None) -> None:
         self.delays = delays
+        # Servers that have lost their disks, and the copies that each one got.
+        self.lost: set[str] = set()
+        self.copies: dict[str, list[int]] = {}
         self.asked: list[str] = []
 
     async def ask(self, address, message, *, timeout):
@@ -26,8 +39,19 @@
             raise PeerError(f"{address} did not answer")
         await asyncio.sleep(delay)
         if isinstance(message, ListLoans):
-            return LoansListed(node=address, loans=())
-        return LoanNoted(node=address, others=5, drawn=7)
+            return LoansListed(
+                node=address,
+                loans=() if address in self.lost else (LOAN,),
+                is_intact=address not in self.lost,
+            )
+        if isinstance(message, CopyLoans):
+            self.copies[address] = [loan.number for loan in message.loans]
+            if message.is_complete:
+                self.lost.discard(address)
+            return LoansCopied(node=address)
+        return LoanNoted(
+            node=address, others=5, drawn=7, is_intact=address not in self.lost
+        )
 
 
 class _Roster:
@@ -36,9 +60,15 @@
     def __init__(self, names) -> None:
         self._names = names
 
+    def list_names(self):
+        return ["n"]
+
     def list_loan_servers(self):
         return {name: name for name in self._names}
 
+    def list_incarnations(self):
+        return set()
+
 
 def _make(
     servers: _LoanServers, *, max_losses: int = 1, is_first_start: bool = False
@@ -235,3 +265,61 @@
         }
         loan_log = _make(_LoanServers(**delays), max_losses=2)
         assert self._run(loan_log, lambda: None) == [is_known]
+
+
+class TestLostDisks:
+    """An empty disk is not the answer that there are no loans."""
+
+    def test_count_as_no_answer(self):
+        """Guards against loans that are missed on disks that were lost."""
+        servers = _LoanServers(a=0.002, b=0.002, c=None)
+        servers.lost = {"a"}
+
+        async def scenario():
+            loan_log = _make(servers)
+            totals = await loan_log.append_draw("p", 9, must_confirm=True)
+            return await loan_log._read_loans(), totals.is_complete
+
+        assert run_virtual(scenario()) == (False, False)
+
+    def test_are_restored(self):
+        """Guards against disks that are lost one after the other."""
+        servers = _LoanServers(a=0.002, b=0.002, c=0.002)
+        servers.lost = {"a"}
+
+        async def scenario():
+            loan_log = _make(servers)
+            tasks = [
+                asyncio.create_task(work())
+                for work in (loan_log.run, loan_log.watch_disks)
+            ]
+            await asyncio.sleep(2.0)
+            for task in tasks:
+                task.cancel()
+            return loan_log.get_lost_loans("p")
+
+        assert run_virtual(scenario()) == {"x-1": 9}
+        assert servers.copies == {"a": [3]}
+        assert servers.lost == set()
+
+    def test_are_not_restored_from_too_few(self):
+        """Guards against a restored disk that lacks loans and counts as whole."""
+        servers = _LoanServers(a=0.002, b=0.002, c=None)
+        servers.lost = {"a"}
+
+        async def scenario():
+            loan_log = _make(servers, is_first_start=True)
+            tasks = [
+                asyncio.create_task(work())
+                for work in (loan_log.run, loan_log.watch_disks)
+            ]
+            await asyncio.sleep(5.0)
+            before = dict(servers.copies)
+            servers.delays["c"] = 0.002
+            await asyncio.sleep(3.0)
+            for task in tasks:
+                task.cancel()
+            return before
+
+        assert run_virtual(scenario()) == {}
+        assert servers.copies == {"a": [3]}
--- a/tests/gateway/test_lost_loans.py
+++ b/tests/gateway/test_lost_loans.py
@@ -54,18 +54,26 @@
 
     async def spend_in_outage(self, *, restart: bool = True) -> None:
         """Spend the budgets while the store is down and their owner is stopped."""
-        await self._wait_for_members()
-        self.cluster.store.faults.status = 503
-        await asyncio.sleep(0.7)
+        await self.begin_outage()
         stop = asyncio.create_task(self.lender.stop())
         await asyncio.sleep(0.3)
         assert set(await self.spend()) == {402}
         assert min(self.tokens.values()) > BUDGET - MAX_OUTPUT_TOKENS
         await stop
-        self.cluster.store.faults.status = 0
+        self.end_outage()
         if restart:
             await self.lender.start(is_first=False)
 
+    async def begin_outage(self) -> None:
+        """Let the store refuse all calls, until all nodes have noticed it."""
+        await self._wait_for_members()
+        self.cluster.store.faults.status = 503
+        await asyncio.sleep(0.7)
+
+    def end_outage(self) -> None:
+        """Let the store answer again."""
+        self.cluster.store.faults.status = 0
+
     async def _wait_for_members(self) -> None:
         for node in self.cluster.nodes:
             for _ in range(200):
@@ -138,6 +146,25 @@
         await programs.spend()
         programs.check()
 
+    async def test_in_the_outage_one_after_the_other_loses_no_loan(self, programs):
+        """Guards against empty disks that count as disks without loans."""
+        await programs.begin_outage()
+        assert set(await programs.spend()) == {402}
+        await programs.lender.stop(signal.SIGKILL)
+        for server in programs.cluster.loan_servers:
+            await server.stop(signal.SIGKILL)
+            server.lose_disk()
+            await server.start(is_first=False)
+            # The disk is restored while the machine still counts as lost (4 s).
+            await asyncio.sleep(4.0)
+        others = [n for n in programs.cluster.nodes if n.name != LENDER]
+        for node in others:
+            await node.stop(signal.SIGKILL)
+        programs.end_outage()
+        await asyncio.gather(*(node.start(is_first=False) for node in others))
+        await programs.spend()
+        programs.check()
+
 
 class _LoanServerView(StoreView):
     """The store as one node sees it: the loan servers lie behind silent proxies."""
--- a/tests/loans/test_file.py
+++ b/tests/loans/test_file.py
@@ -89,3 +89,41 @@
         loan = _make_loan(1, clock.read_wall())
         file.append([*draws, loan])
         assert set(file.list_needed()) == {draws[1], loan}
+
+
+class TestLostDisk:
+    def _open(self, folder, clock, *, is_first_start=False) -> LoanFile:
+        file = LoanFile(folder, clock, is_first_start=is_first_start)
+        file.open()
+        return file
+
+    def test_is_known_until_it_is_restored(self, tmp_path):
+        """Guards against an empty disk that is taken for one without loans."""
+        clock = ManualClock()
+        assert not self._open(tmp_path, clock).is_intact
+        file = self._open(tmp_path, clock)
+        assert not file.is_intact
+        file.append([_make_loan(1, clock.read_wall())])
+        assert not file.is_intact
+        file.mark_intact()
+        assert file.is_intact
+        assert self._open(tmp_path, clock).is_intact
+
+    def test_does_not_matter_when_all_loans_are_old(self, tmp_path):
+        """Guards against a loan server that never counts again."""
+        clock = ManualClock()
+        file = self._open(tmp_path, clock)
+        clock.advance(149.0)
+        assert not file.is_intact
+        clock.advance(2.0)
+        assert file.is_intact
+
+    def test_is_none_at_the_first_start(self, tmp_path):
+        """Guards against a system that waits for loans at its first start."""
+        clock = ManualClock()
+        assert self._open(tmp_path, clock, is_first_start=True).is_intact
+        assert self._open(tmp_path, clock).is_intact
+
+    def test_file_that_is_not_open_is_not_intact(self, tmp_path):
+        """Guards against a file that cannot be read and lists no loans."""
+        assert not LoanFile(tmp_path, ManualClock()).is_intact
