Look for loans of ended nodes every half second, and check disks without lists

Nodes computed the lost loans of all programs ten times a second, and three of them fetched all loans of each server once a second to learn whether its disk is intact. The members' incarnations are now read once for all programs, twice a second, and a check lists nothing.

No measurement of the processor time was made; tests/gateway/test_lost_loans passes as before.

--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -54,6 +54,8 @@
 # Seconds between checks for idle accounts, and between writes of loans to the store.
 _EXPIRE_INTERVAL = 10.0
 _FLUSH_INTERVAL = 0.1
+# The same for loans of lost nodes.
+_LOST_LOANS_INTERVAL = 0.5
 # Seconds after which to retry a turn for which this node must not lend.
 _RETRY_AFTER = 0.3
 # Seconds after an outage, or after the start of the process, for which other nodes may
@@ -539,12 +541,14 @@
 
     async def run(self) -> None:
         """Write loans to the store and drop idle accounts, until cancelled."""
-        expired_at = self._clock.read_monotonic()
+        expired_at = settled_at = self._clock.read_monotonic()
         while True:
             await asyncio.sleep(_FLUSH_INTERVAL)
             try:
                 await self.settle_loans()
-                await self.settle_lost_loans()
+                if self._clock.read_monotonic() > settled_at + _LOST_LOANS_INTERVAL:
+                    settled_at = self._clock.read_monotonic()
+                    await self.settle_lost_loans()
                 if self._clock.read_monotonic() > expired_at + _EXPIRE_INTERVAL:
                     expired_at = self._clock.read_monotonic()
                     await self._expire()
--- a/src/fireflyspread/gateway/_loans.py
+++ b/src/fireflyspread/gateway/_loans.py
@@ -5,7 +5,7 @@
 import math
 import time
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping, Set
 
 from fireflyspread._ranking import rank_nodes
 from fireflyspread.budgets import LoanLog, LoanTotals
@@ -134,23 +134,20 @@
         loans = self._loans.get(program)
         if not loans:
             return {}
-        alive = self._roster.list_incarnations()
-        lost: Counter[str] = Counter()
-        for loan in loans.values():
-            if loan.lender not in alive:
-                lost[loan.lender] += loan.tokens
-        return {lender: tokens for lender, tokens in lost.items() if tokens > 0}
+        return _sum_lost(loans.values(), self._roster.list_incarnations())
 
     def list_lost_programs(self) -> dict[str, int]:
+        if not self._loans:
+            return {}
+        alive = self._roster.list_incarnations()
         return {
-            program: budget
-            for program in self._loans
-            if (budget := self._find_budget(program)) and self.get_lost_loans(program)
+            program: max(loan.budget for loan in loans.values())
+            for program, loans in self._loans.items()
+            # Loans of an earlier release do not tell the budget.
+            if _sum_lost(loans.values(), alive)
+            and any(loan.budget for loan in loans.values())
         }
 
-    def _find_budget(self, program: str) -> int:
-        return max(loan.budget for loan in self._loans[program].values())
-
     async def append_loan(
         self, program: str, tokens: int, *, budget: int = 0
     ) -> LoanTotals | None:
@@ -279,7 +276,8 @@
             await asyncio.sleep(_DISK_CHECK_INTERVAL)
             for name, address in self._roster.list_loan_servers().items():
                 if self._is_restorer(name):
-                    answer = await self._ask(address, ListLoans(), _LIST_TIMEOUT)
+                    message = ListLoans(is_check=True)
+                    answer = await self._ask(address, message, _LIST_TIMEOUT)
                     if isinstance(answer, LoansListed) and not answer.is_intact:
                         self._note_lost_disk(name)
 
@@ -422,3 +420,12 @@
             self._unreachable_until[address] = time.monotonic() + _UNREACHABLE_BACKOFF
             _LOG.info("loan server did not answer: %s", exc)
             return None
+
+
+def _sum_lost(loans: Iterable[Loan], alive: Set[str]) -> dict[str, int]:
+    """Return the tokens that lenders which are not alive have lent, by lender."""
+    lost: Counter[str] = Counter()
+    for loan in loans:
+        if loan.lender not in alive:
+            lost[loan.lender] += loan.tokens
+    return {lender: tokens for lender, tokens in lost.items() if tokens > 0}
--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -85,7 +85,9 @@
             raise PeerError(
                 f"cannot read the loans: {exc.strerror}; ask another loan server"
             ) from exc
-        if message.has_draws:
+        if message.is_check:
+            loans = []
+        elif message.has_draws:
             loans = file.list_needed()
         else:
             loans = [loan for loan in file.list_recent() if loan.tokens]
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -351,9 +351,12 @@
     has_draws : bool
         Whether to list also the draws that another loan server needs to replace this
         one.
+    is_check : bool
+        Whether to list nothing and only tell whether the loans are intact.
     """
 
     has_draws: bool = False
+    is_check: bool = False
 
 
 class LoansListed(Message, frozen=True, kw_only=True):
