Keep accounts while loans are read, and ask those who took tokens over

Cause: nodes left their accounts to the next ones after 0.5 s without the loans, so accounts moved and moved back while the loan servers restarted. Tokens that are handed over stay under the name of the node that drew them in the record; the third owner asked only that one and took the others for empty.

Accounts now stay for 3 s while loans are read. A former owner names the nodes to which it has handed over tokens, and they are asked before a 402.

--- a/src/fireflyspread/budgets/__init__.py
+++ b/src/fireflyspread/budgets/__init__.py
@@ -2,6 +2,7 @@
 
 from fireflyspread.budgets._account import Account, ProgramRecord
 from fireflyspread.budgets._accounts import BudgetAccounts, Grant
+from fireflyspread.budgets._hand_over import HandOver
 from fireflyspread.budgets._loan_log import LoanLog, LoanTotals
 from fireflyspread.budgets._owners import (
     MIN_WAIT,
@@ -21,6 +22,7 @@
     "BudgetPeers",
     "BudgetWriter",
     "Grant",
+    "HandOver",
     "LoanLog",
     "LoanTotals",
     "ProgramRecord",
--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -7,6 +7,7 @@
 
 __all__ = [
     "LOST_NODES",
+    "REQUEST_SEPARATOR",
     "Account",
     "ProgramRecord",
     "Refill",
@@ -20,6 +21,8 @@
 LOST_NODES = "lost"
 _LENDER_SEPARATOR = ":"
 _SEPARATOR = "/"
+# Between the process that asks for tokens and the number of its request.
+REQUEST_SEPARATOR = "#"
 # Requests of other nodes for tokens whose answers an account remembers. Each node has
 # one at a time.
 _MAX_HAND_OVERS = 64
@@ -85,6 +88,9 @@
         Ids of the requests to former owners that have not been answered.
     handed_over : dict of str to int
         Tokens that this account has handed over, by the id of the request.
+    heirs : set of str
+        Nodes to which former owners have handed over tokens. The record does not name
+        them.
     refill : Refill or None
         The draw in progress.
     """
@@ -105,6 +111,7 @@
     emptied_at: dict[str, float] = field(factory=dict)
     hand_over_requests: dict[str, str] = field(factory=dict)
     handed_over: dict[str, int] = field(factory=dict)
+    heirs: set[str] = field(factory=set)
     refill: Refill | None = None
 
     def reserve(self, amount: int) -> bool:
@@ -129,6 +136,15 @@
                 del self.handed_over[next(iter(self.handed_over))]
         return taken
 
+    def list_heirs(self) -> tuple[str, ...]:
+        """Return the nodes to which this account has handed over tokens."""
+        nodes = {
+            find_node(request.rpartition(REQUEST_SEPARATOR)[0])
+            for request, tokens in self.handed_over.items()
+            if tokens
+        }
+        return tuple(sorted(filter(None, nodes)))
+
     def take_available(self) -> int:
         """Take out all available tokens, so that nobody else gets them."""
         taken, self.available = self.available, 0
--- a/src/fireflyspread/budgets/_hand_over.py
+++ b/src/fireflyspread/budgets/_hand_over.py
@@ -5,11 +5,13 @@
 import math
 from collections.abc import Awaitable, Callable
 
-from fireflyspread.budgets._account import Account, find_node
+from attrs import frozen
+
+from fireflyspread.budgets._account import REQUEST_SEPARATOR, Account, find_node
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import OverloadedError, PeerError, PeerGoneError
 
-__all__ = ["HandOvers", "RequestHandOver"]
+__all__ = ["HandOver", "HandOvers", "RequestHandOver"]
 
 _LOG = logging.getLogger(__name__)
 
@@ -21,19 +23,39 @@
 # Seconds after which to retry a turn while not all former owners have answered.
 _RETRY_AFTER = 0.3
 
+
+@frozen
+class HandOver:
+    """Answer of a former owner.
+
+    Attributes
+    ----------
+    tokens : int
+        Tokens that it hands over.
+    heirs : tuple of str
+        Nodes to which it has handed over tokens before.
+    """
+
+    tokens: int
+    heirs: tuple[str, ...] = ()
+
+
 # Requests tokens from a node that has drawn for a program (node, program, tokens,
-# tokens drawn by process, id of the request); returns the tokens that it hands over. A
-# request that is repeated under its id hands over the same tokens.
-RequestHandOver = Callable[[str, str, int, dict[str, int], str], Awaitable[int]]
+# tokens drawn by process, id of the request). A request that is repeated under its id
+# hands over the same tokens.
+RequestHandOver = Callable[[str, str, int, dict[str, int], str], Awaitable[HandOver]]
 
 
 class HandOvers:
     """Asks former owners for all their tokens, a few of them for each turn.
 
     A turn asks only if the store has no tokens left to draw. What it gets is all that
-    the former owner holds, so later turns rarely ask again. A former owner that has not
-    answered may hold tokens: the turn is then refused for a moment, and the budget does
-    not count as spent. It holds none once its process is known to have ended.
+    the former owner holds, so later turns rarely ask again. A former owner also names
+    the nodes that have asked it before, which hold what they got.
+
+    A former owner that has not answered may hold tokens: the turn is then refused for a
+    moment, and the budget does not count as spent. It holds none once its process is
+    known to have ended.
     """
 
     def __init__(self, request: RequestHandOver, *, node: str, clock: Clock) -> None:
@@ -52,8 +74,7 @@
         """
         now = self._clock.read_monotonic()
         drawn = {} if account.record is None else dict(account.record.drawn)
-        nodes = {find_node(process) for process in drawn} - {None, self._node}
-        names = sorted(filter(None, nodes))
+        names = self._list_holders(account, drawn)
         for node in sorted(names, key=lambda each: account.asked_at.get(each, 0.0))[
             :_MAX_ASKED
         ]:
@@ -67,7 +88,7 @@
                 return
         unknown = [
             node
-            for node in names
+            for node in self._list_holders(account, drawn)
             if account.emptied_at.get(node, -math.inf) < now - _EMPTY_SECONDS
         ]
         if unknown:
@@ -77,19 +98,24 @@
                 retry_after=_RETRY_AFTER,
             )
 
+    def _list_holders(self, account: Account, drawn: dict[str, int]) -> list[str]:
+        """Return the nodes that may hold tokens of the program."""
+        nodes = {find_node(process) for process in drawn} | account.heirs
+        return sorted(filter(None, nodes - {self._node}))
+
     async def _ask(
         self, account: Account, node: str, drawn: dict[str, int]
     ) -> int | None:
         """Return the tokens that a node hands over; None if it does not answer."""
         request = account.hand_over_requests.setdefault(
-            node, f"{account.process}#{next(self._numbers)}"
+            node, f"{account.process}{REQUEST_SEPARATOR}{next(self._numbers)}"
         )
         try:
-            tokens = await self._request(
+            answer = await self._request(
                 node, account.program, account.budget, drawn, request
             )
         except PeerGoneError:
-            tokens = 0
+            answer = HandOver(0)
         except PeerError as exc:
             _LOG.warning(
                 "it is not known whether node %s holds tokens: %s",
@@ -99,4 +125,5 @@
             )
             return None
         account.hand_over_requests.pop(node, None)
-        return tokens
+        account.heirs.update(answer.heirs)
+        return answer.tokens
--- a/src/fireflyspread/gateway/_loans.py
+++ b/src/fireflyspread/gateway/_loans.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import math
 import time
 from collections import Counter
 from collections.abc import Iterable, Mapping, Set
@@ -49,8 +48,10 @@
 # disk of one loan server, so that one of them is there.
 _DISK_CHECK_INTERVAL = 1.0
 _RESTORERS = 3
-# Seconds for which this node keeps its accounts while it reads the loans again.
-_BRIEF_SECONDS = 0.5
+# Seconds for which this node keeps its accounts while it reads the loans. Loan servers
+# that restart together with the nodes are back sooner, and accounts that move and move
+# back leave tokens behind.
+_BRIEF_SECONDS = 3.0
 
 
 class ReplicatedLoanLog(LoanLog):
@@ -103,7 +104,7 @@
         # Loan servers that have said that they have lost their disk.
         self._lost_disks: set[str] = set()
         self._complete = asyncio.Event()
-        self._incomplete_since = -math.inf
+        self._incomplete_since = time.monotonic()
         self.is_start_over = is_first_start
         if is_first_start:
             self._complete.set()
--- a/src/fireflyspread/gateway/_peers.py
+++ b/src/fireflyspread/gateway/_peers.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Callable
 
-from fireflyspread.budgets import BudgetAccounts, BudgetPeers, Grant
+from fireflyspread.budgets import BudgetAccounts, BudgetPeers, Grant, HandOver
 from fireflyspread.clock import Clock
 from fireflyspread.exceptions import (
     BudgetExceededError,
@@ -124,14 +124,9 @@
         amount: int,
         drawn: dict[str, int],
         request: str,
-    ) -> int:
+    ) -> HandOver:
         """Take over tokens of a program that ``node`` owned before.
 
-        Returns
-        -------
-        int
-            Number of tokens taken over.
-
         Raises
         ------
         PeerGoneError
@@ -157,7 +152,7 @@
             raise PeerGoneError(f"{node} has lost its lease: {exc.message}") from exc
         if not isinstance(answer, AllowanceTaken):
             raise PeerError(f"{node} answered {type(answer).__name__}")
-        return answer.amount
+        return HandOver(answer.amount, answer.heirs)
 
 
 def register_budget_handlers(
@@ -221,7 +216,9 @@
             "unspent tokens handed over to another node",
             extra={"program": message.program, "node": message.node, "tokens": amount},
         )
-        return AllowanceTaken(node=node, amount=amount)
+        return AllowanceTaken(
+            node=node, amount=amount, heirs=accounts.list_heirs(message.program)
+        )
 
     server.register(ReserveBudget, reserve)
     server.register(ReturnBudget, return_budget)
