Name the nodes that took tokens over recipients, read addresses in one place

Wording and structure only: the field and methods that a newcomer would have had to look up have the usual term, and NodeJoin reads the address of a message in one function.

--- a/src/fireflyspread/budgets/_account.py
+++ b/src/fireflyspread/budgets/_account.py
@@ -88,7 +88,7 @@
         Ids of the requests to former owners that have not been answered.
     handed_over : dict of str to int
         Tokens that this account has handed over, by the id of the request.
-    heirs : set of str
+    recipients : set of str
         Nodes to which former owners have handed over tokens. The record does not name
         them.
     refill : Refill or None
@@ -111,7 +111,7 @@
     emptied_at: dict[str, float] = field(factory=dict)
     hand_over_requests: dict[str, str] = field(factory=dict)
     handed_over: dict[str, int] = field(factory=dict)
-    heirs: set[str] = field(factory=set)
+    recipients: set[str] = field(factory=set)
     refill: Refill | None = None
 
     def reserve(self, amount: int) -> bool:
@@ -136,7 +136,7 @@
                 del self.handed_over[next(iter(self.handed_over))]
         return taken
 
-    def list_heirs(self) -> tuple[str, ...]:
+    def list_recipients(self) -> tuple[str, ...]:
         """Return the nodes to which this account has handed over tokens."""
         nodes = {
             find_node(request.rpartition(REQUEST_SEPARATOR)[0])
--- a/src/fireflyspread/budgets/_accounts.py
+++ b/src/fireflyspread/budgets/_accounts.py
@@ -315,10 +315,10 @@
             )
         return 0 if account.lent else account.hand_over(amount, request)
 
-    def list_heirs(self, program: str) -> tuple[str, ...]:
+    def list_recipients(self, program: str) -> tuple[str, ...]:
         """Return the nodes to which this one has handed over tokens of a program."""
         account = self._accounts.get(program)
-        return () if account is None else account.list_heirs()
+        return () if account is None else account.list_recipients()
 
     async def _refill(
         self, account: Account, max_tokens: int, *, may_lend: bool
--- a/src/fireflyspread/budgets/_hand_over.py
+++ b/src/fireflyspread/budgets/_hand_over.py
@@ -32,12 +32,12 @@
     ----------
     tokens : int
         Tokens that it hands over.
-    heirs : tuple of str
+    recipients : tuple of str
         Nodes to which it has handed over tokens before.
     """
 
     tokens: int
-    heirs: tuple[str, ...] = ()
+    recipients: tuple[str, ...] = ()
 
 
 # Requests tokens from a node that has drawn for a program (node, program, tokens,
@@ -100,7 +100,7 @@
 
     def _list_holders(self, account: Account, drawn: dict[str, int]) -> list[str]:
         """Return the nodes that may hold tokens of the program."""
-        nodes = {find_node(process) for process in drawn} | account.heirs
+        nodes = {find_node(process) for process in drawn} | account.recipients
         return sorted(filter(None, nodes - {self._node}))
 
     async def _ask(
@@ -125,5 +125,5 @@
             )
             return None
         account.hand_over_requests.pop(node, None)
-        account.heirs.update(answer.heirs)
+        account.recipients.update(answer.recipients)
         return answer.tokens
--- a/src/fireflyspread/gateway/_join.py
+++ b/src/fireflyspread/gateway/_join.py
@@ -53,16 +53,7 @@
             if not self._roster.has_read_members:
                 # What this node reads later may be older than the message.
                 raise PeerError("this node has started and does not know the others")
-            self._roster.note_announced(
-                NodeAddress(
-                    name=message.node,
-                    zone=message.zone,
-                    peers=message.peers,
-                    incarnation=message.incarnation,
-                    relay=message.relay,
-                    stage=message.stage,
-                )
-            )
+            self._roster.note_announced(_read_address(message))
             own = self._roster.own
             return NodeNoted(
                 node=own.name,
@@ -132,14 +123,17 @@
             return False
         if not isinstance(answer, NodeNoted) or answer.node != peer.name:
             return False
-        self._roster.note_announced(
-            NodeAddress(
-                name=answer.node,
-                zone=answer.zone,
-                peers=answer.peers,
-                incarnation=answer.incarnation,
-                relay=answer.relay,
-                stage=answer.stage,
-            )
-        )
+        self._roster.note_announced(_read_address(answer))
         return True
+
+
+def _read_address(message: AnnounceNode | NodeNoted) -> NodeAddress:
+    """Return the entry of the node that sent a message."""
+    return NodeAddress(
+        name=message.node,
+        zone=message.zone,
+        peers=message.peers,
+        incarnation=message.incarnation,
+        relay=message.relay,
+        stage=message.stage,
+    )
--- a/src/fireflyspread/gateway/_peers.py
+++ b/src/fireflyspread/gateway/_peers.py
@@ -152,7 +152,7 @@
             raise PeerGoneError(f"{node} has lost its lease: {exc.message}") from exc
         if not isinstance(answer, AllowanceTaken):
             raise PeerError(f"{node} answered {type(answer).__name__}")
-        return HandOver(answer.amount, answer.heirs)
+        return HandOver(answer.amount, answer.recipients)
 
 
 def register_budget_handlers(
@@ -217,7 +217,9 @@
             extra={"program": message.program, "node": message.node, "tokens": amount},
         )
         return AllowanceTaken(
-            node=node, amount=amount, heirs=accounts.list_heirs(message.program)
+            node=node,
+            amount=amount,
+            recipients=accounts.list_recipients(message.program),
         )
 
     server.register(ReserveBudget, reserve)
--- a/src/fireflyspread/nodes/_messages.py
+++ b/src/fireflyspread/nodes/_messages.py
@@ -416,12 +416,12 @@
     ----------
     amount : int
         Tokens handed over to the requesting node.
-    heirs : tuple of str
+    recipients : tuple of str
         Nodes to which tokens of the program were handed over before.
     """
 
     amount: int
-    heirs: tuple[str, ...] = ()
+    recipients: tuple[str, ...] = ()
 
 
 class FetchConfig(Message, frozen=True, kw_only=True):
--- a/tests/budgets/hand_overs.py
+++ b/tests/budgets/hand_overs.py
@@ -16,6 +16,6 @@
     """Return the answer; a refusal is a ``PeerError`` to the other node."""
     try:
         tokens = accounts.hand_over(program, amount, drawn, request)
-        return HandOver(tokens, accounts.list_heirs(program))
+        return HandOver(tokens, accounts.list_recipients(program))
     except OverloadedError as exc:
         raise PeerError(exc.message) from exc
--- a/tests/gateway/test_lost_loans.py
+++ b/tests/gateway/test_lost_loans.py
@@ -23,7 +23,7 @@
 from standins.store_view import StoreView
 
 BUDGET = 864
-LENDER, HEIR = "front-1", "front-2"
+LENDER, NEXT_OWNER = "front-1", "front-2"
 # More than the turns that a budget can hold, and the attempts that a turn may need.
 MAX_TURNS = 60
 
@@ -41,10 +41,10 @@
         self._requests = 0
 
     def choose(self, count: int) -> list[str]:
-        """Return ids of programs whose accounts the lender owns, and the heir next."""
+        """Return ids of programs that the lender owns, and after it the next owner."""
         names = [node.name for node in self.cluster.nodes]
         ids = (f"{number:x}" for number in range(4096, 8192))
-        owners = [LENDER, HEIR]
+        owners = [LENDER, NEXT_OWNER]
         return [e for e in ids if rank_nodes(names, e)[:2] == owners][:count]
 
     @property
@@ -206,11 +206,11 @@
         next node of the ranking is the one that is cut off.
         """
         await programs.spend_in_outage(restart=False)
-        heir = programs.cluster.nodes[2]
-        assert heir.name == HEIR
-        await heir.stop()
-        await self._cut_off(programs.cluster, heir)
-        await heir.start(is_first=False)
+        next_owner = programs.cluster.nodes[2]
+        assert next_owner.name == NEXT_OWNER
+        await next_owner.stop()
+        await self._cut_off(programs.cluster, next_owner)
+        await next_owner.start(is_first=False)
         await asyncio.sleep(6.0)
         await programs.spend()
         programs.check()
