Sync the folder after the mark of a lost disk is removed

Cause: the mark of a disk that had been lost and restored was removed without a sync of its folder, so the power loss brought it back on all three loan servers; none counted as intact and none could restore another one.

The folder is synced after the removal.

--- a/src/fireflyspread/loans/__main__.py
+++ b/src/fireflyspread/loans/__main__.py
@@ -98,7 +98,7 @@
         try:
             await asyncio.gather(*(writer.append(loan) for loan in missing))
             if message.is_complete and file.is_open:
-                file.mark_intact()
+                await asyncio.to_thread(file.mark_intact)
         except OSError as exc:
             raise PeerError(
                 f"cannot write the loans to disk: {exc.strerror}; "
--- a/src/fireflyspread/loans/_durable.py
+++ b/src/fireflyspread/loans/_durable.py
@@ -3,7 +3,7 @@
 import os
 from pathlib import Path
 
-__all__ = ["replace_file", "write_bytes"]
+__all__ = ["remove_file", "replace_file", "write_bytes"]
 
 
 def write_bytes(file: int, data: bytes) -> None:
@@ -28,6 +28,24 @@
     finally:
         os.close(file)
     temporary.rename(path)
+    _sync_folder(path)
+
+
+def remove_file(path: Path) -> None:
+    """Remove a file for good, if it exists.
+
+    Without the sync of its folder, a power loss can bring it back.
+
+    Raises
+    ------
+    OSError
+        The file cannot be removed.
+    """
+    path.unlink(missing_ok=True)
+    _sync_folder(path)
+
+
+def _sync_folder(path: Path) -> None:
     folder = os.open(path.parent, os.O_RDONLY)
     try:
         os.fsync(folder)
--- a/src/fireflyspread/loans/_file.py
+++ b/src/fireflyspread/loans/_file.py
@@ -10,7 +10,7 @@
 
 from fireflyspread._decoding import decode_json
 from fireflyspread.clock import Clock
-from fireflyspread.loans._durable import replace_file, write_bytes
+from fireflyspread.loans._durable import remove_file, replace_file, write_bytes
 
 __all__ = ["RETENTION_SECONDS", "Loan", "LoanFile"]
 
@@ -129,7 +129,7 @@
     def mark_intact(self) -> None:
         """Record that no entry is missing; raises ``OSError``."""
         if not self._is_intact:
-            self._loss_path.unlink(missing_ok=True)
+            remove_file(self._loss_path)
             self._is_intact = True
 
     def append(self, loans: Sequence[Loan]) -> None:
--- a/tests/loans/test_file.py
+++ b/tests/loans/test_file.py
@@ -1,5 +1,7 @@
 """Tests of the loan file."""
 
+import os
+
 import pytest
 
 from fireflyspread.clock import ManualClock
@@ -109,6 +111,22 @@
         assert file.is_intact
         assert self._open(tmp_path, clock).is_intact
 
+    def test_stays_restored_after_a_power_loss(self, tmp_path, monkeypatch):
+        """Guards against a removed mark that comes back on all disks at once.
+
+        A removal lasts only once the folder has been synced after it.
+        """
+        file = self._open(tmp_path, ManualClock())
+        synced = []
+
+        def sync(descriptor: int) -> None:
+            path = os.readlink(f"/proc/self/fd/{descriptor}")
+            synced.append((path, sorted(p.name for p in tmp_path.iterdir())))
+
+        monkeypatch.setattr(os, "fsync", sync)
+        file.mark_intact()
+        assert synced == [(str(tmp_path), ["loans.jsonl"])]
+
     def test_does_not_matter_when_all_loans_are_old(self, tmp_path):
         """Guards against a loan server that never counts again."""
         clock = ManualClock()
