--- a/review/support_3/harness.py
+++ b/review/support_3/harness.py
@@ -58,14 +58,14 @@
     def __init__(self, name, module, settings, folder, record):
         self.name = name
         self._module = module
-        self._settings = settings
+        self.settings = settings
         self._folder = folder
         self._record = record
         self.process = None
 
     async def start(self, *, is_first):
         path = self._folder / f"{self.name}.json"
-        path.write_text(json.dumps({**self._settings, "is_first_start": is_first}))
+        path.write_text(json.dumps({**self.settings, "is_first_start": is_first}))
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 "python3",
@@ -120,7 +120,7 @@
 
     def set_store(self, address):
         """Call the store at another address; before the start."""
-        self._settings["store"]["address"] = address
+        self.settings["store"]["address"] = address
 
     async def is_ready(self):
         with contextlib.suppress(OSError, EOFError, ValueError):
