--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,4 +1,4 @@
-"""Two nodes lend the same tokens of a program's budget in one outage of the store."""
+"""A gateway cut from the loan servers draws a budget that was lent in an outage."""
 
 import asyncio
 import json
@@ -16,12 +16,14 @@
     request,
     run_script,
 )
+from views import Links
 
 CONTACT = 3.0
-# Largest doses of poklopac-prod, in seconds: node_kill and platform_down.
-KILLED = 3.5
+# Largest doses of poklopac-prod, in seconds: platform_down and node_cut.
 STORE_DOWN = 4.5
+CUT = 12.0
 KEY = "key-of-lids"
+PROGRAM = "3fa81c"
 STRIDE, EVENTS = 9, 8
 TURN_TOKENS = STRIDE * EVENTS
 BUDGET = 16 * TURN_TOKENS
@@ -117,7 +119,13 @@
 
 
 async def main(record):
+    links = Links()
     async with Deployment(record, gateways=4) as deployment:
+        by_name = {gateway.name: gateway for gateway in deployment.gateways}
+        nodes = [by_name[name] for name in rank_nodes(by_name, PROGRAM)]
+        await links.attach_to_loan_servers(
+            nodes[1], deployment.loan_servers, deployment.store.url
+        )
         replicas = [
             await Replica(f"i-{n}", record, events=EVENTS, gap=0.005).start()
             for n in range(3)
@@ -128,53 +136,54 @@
         await deployment.start_all()
         await asyncio.sleep(CONTACT + 0.5)
         try:
-            return await play(deployment, record)
+            return await play(deployment, nodes, links, record)
         finally:
+            await links.stop()
             for replica in replicas:
                 replica.stop()
 
 
-async def play(deployment, record):
-    by_name = {gateway.name: gateway for gateway in deployment.gateways}
-    program = Program("3fa81c", record)
-    owner, second, third, fourth = (
-        by_name[name] for name in rank_nodes(by_name, program.name)
-    )
+async def play(deployment, nodes, links, record):
+    program = Program(PROGRAM, record)
+    owner, second, third, _ = nodes
     record.add(f"{owner.name} owns the budget, {second.name} is the second node")
+    turns = BUDGET // TURN_TOKENS
     if has_trouble():
-        owner.send(signal.SIGKILL)
-        await owner.wait()
-        killed_at = record.now()
-    done = await program.run_turns(third, "aa", BUDGET // TURN_TOKENS // 2)
-    if done < BUDGET // TURN_TOKENS // 2:
-        record.add("the first turns were not served")
-        return CANNOT_RUN
-    if has_trouble():
-        await asyncio.sleep(max(0.0, killed_at + KILLED - 1.0 - record.now()))
-        await owner.start(is_first=False)
-        await deployment.wait_complete()
-        record.add(f"{owner.name} is back, {record.now() - killed_at:.1f} s later")
-        await asyncio.sleep(2.0)
+        links.cut()
+        cut_at = record.now()
+        record.add(f"{second.name} is cut from the loan servers")
         deployment.store.faults.down = "refuse"
         down_at = record.now()
         record.add("the store is down: it resets and refuses connections")
-        await asyncio.sleep(0.6)
-    # A sub-agent at another node, and the first line, by turns.
-    quarter = BUDGET // TURN_TOKENS // 4
-    for gateway, session in (fourth, "bb"), (third, "aa"), (fourth, "bb"):
-        await program.run_turns(gateway, session, quarter)
+    owner.send(signal.SIGTERM)
+    record.add(f"{owner.name} is stopped as planned and leaves")
+    await asyncio.sleep(0.6)
+    done = await program.run_turns(third, "aa", turns)
+    if done < turns:
+        record.add("the first turns were not served")
+        return CANNOT_RUN
+    await owner.wait()
+    record.add(f"{owner.name} has ended")
     if has_trouble():
-        await asyncio.sleep(max(0.0, down_at + STORE_DOWN - record.now()))
+        if record.now() > down_at + STORE_DOWN:
+            record.add("it ended after the outage")
+            return CANNOT_RUN
+        await asyncio.sleep(down_at + STORE_DOWN - record.now())
         deployment.store.faults.down = ""
         record.add(f"the store is back, {record.now() - down_at:.1f} s later")
-    await asyncio.sleep(2.0)
-    await program.run_turns(third, "aa", 2)
-    for key, item in deployment.store.items.items():
-        if key.startswith("programs/"):
-            value = json.loads(deployment.store.read(key))
-            record.add(f"record in the store: {value}")
-    for line in deployment.grep_logs("budget lent"):
-        record.add("log of " + line)
+    await asyncio.sleep(1.0)
+    # The program loops: it goes on after it was told that its budget is spent.
+    await program.run_turns(third, "aa", turns + 2)
+    if has_trouble():
+        await asyncio.sleep(max(0.0, cut_at + CUT - record.now()))
+        links.heal()
+        record.add("the cut has ended")
+    for key in [key for key in deployment.store.items if key.startswith("programs/")]:
+        value = json.loads(deployment.store.read(key))
+        record.add(f"record in the store: {value}")
+    for text in "budget lent", "draw recorded":
+        for line in deployment.grep_logs(text)[:6]:
+            record.add("log of " + line[:300])
     allowed = BUDGET + TURN_TOKENS
     record.add(
         f"{program.tokens} tokens were handed to the client; the budget is {BUDGET}, "
--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,161 +1,189 @@
-"""A request whose body arrives while a stopping gateway closes is never answered."""
+"""Two nodes lend the same tokens of a program's budget in one outage of the store."""
 
 import asyncio
+import json
 import signal
 from pathlib import Path
 
+from fireflyspread._ranking import rank_nodes
 from harness import (
     BROKEN,
     CANNOT_RUN,
     HELD,
-    Connection,
     Deployment,
     Replica,
     has_trouble,
-    make_head,
+    request,
     run_script,
 )
 
 CONTACT = 3.0
-# Bounds of bppc-spread-grown, in seconds.
-GRACE = 8.0
-LOSS_SLACK = 0.2
-# Deadline and timeout of deposit-charge, in milliseconds.
-DEADLINE_MS = 6000
-# Seconds after the SIGTERM at which the requests begin, and for which each body takes.
-BEGINS = (0.5, 1.5, 2.3, 2.3)
-UPLOAD = 0.5
-KEY = "key-of-hauliers"
+# Largest doses of poklopac-prod, in seconds: node_kill and platform_down.
+KILLED = 3.5
+STORE_DOWN = 4.5
+KEY = "key-of-lids"
+STRIDE, EVENTS = 9, 8
+TURN_TOKENS = STRIDE * EVENTS
+BUDGET = 16 * TURN_TOKENS
+# A client attempt and its retry, for a turn that is sent at most three times.
+MAX_ATTEMPTS = 6
 CONFIG = {
     "version": 5,
     "routes": [
         {
-            "name": "deposit-charge",
+            "name": "sourcing-run",
             "host": "shop.example",
-            "prefix": "/charge/",
-            "kind": "unsafe",
-            "service": "pool-ledger",
-            "timeoutMs": DEADLINE_MS,
-            "targetLatencyMs": 815,
-            "priority": 2,
+            "prefix": "/turn/",
+            "kind": "streaming",
+            "service": "matchmodels",
+            "timeoutMs": 4000,
+            "targetLatencyMs": 200,
+            "targetGapMs": 200,
+            "priority": 0,
             "maxAttempts": 1,
+            "resumable": True,
+            "sticky": True,
+        }
+    ],
+    "services": [
+        {
+            "name": "matchmodels",
+            "maxConnections": 180,
+            "engine": {"slots": 16, "kvCapacityTokens": 123411, "stride": STRIDE},
         }
     ],
-    "services": [{"name": "pool-ledger", "maxConnections": 672}],
     "limits": {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 4194304,
         "headerTimeoutMs": 3000,
         "idleTimeoutMs": 15000,
     },
-    "tenants": [{"name": "haul", "apiKeys": [KEY], "ratePerS": 50, "burst": 50}],
+    "tenants": [{"name": "lids", "apiKeys": [KEY], "ratePerS": 50, "burst": 50}],
 }
 
 
-def make_headers(number):
-    return {
-        "Fireflyspread-Request-Id": number,
-        "Fireflyspread-Time-Remaining": str(DEADLINE_MS),
-        "Authorization": f"Token {KEY}",
-    }
+class Program:
+    """A program whose lines of turns arrive at different nodes."""
 
+    def __init__(self, name, record):
+        self.name = name
+        self.tokens = 0
+        self.is_spent = False
+        self._record = record
+        self._count = 0
 
-def count_unread(connection):
-    """Return the bytes that the gateway has not read from a connection."""
-    _, port = connection.writer.get_extra_info("sockname")
-    _, gateway_port = connection.writer.get_extra_info("peername")
-    for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-        fields = line.split()
-        local, remote = (int(each.split(":")[1], 16) for each in fields[1:3])
-        if (local, remote) == (gateway_port, port):
-            return int(fields[4].split(":")[1], 16)
-    return None
+    async def run_turns(self, gateway, session, count):
+        """Run turns one after the other; return how many were answered whole."""
+        for done in range(count):
+            if not await self._run_turn(gateway, session):
+                return done
+        return count
+
+    async def _run_turn(self, gateway, session):
+        for _ in range(MAX_ATTEMPTS):
+            self._count += 1
+            answer = await self._attempt(gateway, session)
+            events = answer.body.count(b"id: ")
+            self.tokens += events * STRIDE
+            self._record.add(
+                f"turn {self._count} of line {session} at {gateway.name}: "
+                f"{answer.status} {answer.error}, {events * STRIDE} tokens, "
+                f"{self.tokens} of {BUDGET} in all"
+            )
+            if answer.status == 402:
+                self.is_spent = True
+                return False
+            if answer.status == 200 and answer.is_complete:
+                return True
+            await asyncio.sleep(0.3)
+        return False
+
+    async def _attempt(self, gateway, session):
+        headers = {
+            "Fireflyspread-Request-Id": f"{session}{self._count:06d}",
+            "Fireflyspread-Time-Remaining": "4000",
+            "Fireflyspread-Model": "m",
+            "Fireflyspread-Token-Count": f"1460,{TURN_TOKENS}",
+            "Fireflyspread-Prompt-Prefix": f"5c1e07a2:800,{session}:660",
+            "Fireflyspread-Program-Id": self.name,
+            "Fireflyspread-Session-Id": session,
+            "Fireflyspread-Program-Deadline": "30000",
+            "Fireflyspread-Token-Budget": str(BUDGET),
+            "Authorization": f"Token {KEY}",
+        }
+        return await request(
+            gateway.callers, "POST", "/turn/2f", headers, b"x" * 600, timeout=5.0
+        )
 
 
 async def main(record):
     async with Deployment(record, gateways=4) as deployment:
-        replica = await Replica("i-1", record).start()
+        replicas = [
+            await Replica(f"i-{n}", record, events=EVENTS, gap=0.005).start()
+            for n in range(3)
+        ]
         deployment.put_config(CONFIG)
-        deployment.register(replica, "pool-ledger")
+        for replica in replicas:
+            deployment.register(replica, "matchmodels")
         await deployment.start_all()
         await asyncio.sleep(CONTACT + 0.5)
         try:
-            return await play(deployment, replica, record)
+            return await play(deployment, record)
         finally:
-            replica.stop()
+            for replica in replicas:
+                replica.stop()
 
 
-async def play(deployment, replica, record):
-    gateway = deployment.gateways[0]
-    connections = [await Connection.open(gateway.callers) for _ in BEGINS]
-    for n, connection in enumerate(connections):
-        # The connections are kept ones that have carried a request.
-        await connection.send("POST", "/charge/2f", make_headers(f"kept{n}"), b"{}")
-        answer = await connection.read_answer(timeout=3.0)
-        if answer.status != 200:
-            record.add(f"a request before the SIGTERM got {answer.status}")
-            return CANNOT_RUN
-    if has_trouble():
-        gateway.send(signal.SIGTERM)
-    terminated_at = record.now()
-    results = await asyncio.gather(
-        *(
-            upload(connection, f"slow{n}", begin, terminated_at, record)
-            for n, (connection, begin) in enumerate(
-                zip(connections, BEGINS, strict=True)
-            )
-        )
+async def play(deployment, record):
+    by_name = {gateway.name: gateway for gateway in deployment.gateways}
+    program = Program("3fa81c", record)
+    owner, second, third, fourth = (
+        by_name[name] for name in rank_nodes(by_name, program.name)
     )
-    ran = {run.request for run in replica.arrivals}
-    lost = [number for number, is_lost in results if is_lost]
-    for number in lost:
-        record.add(
-            f"BROKEN: {number} was read whole and never answered "
-            f"(run by the replica: {number in ran})"
-        )
-    for line in deployment.grep_logs("slow"):
-        record.add("log of " + line[:300])
-    return BROKEN if lost else HELD
-
-
-async def upload(connection, number, begin, terminated_at, record):
-    """Send a request in two parts; return its id and whether it was lost."""
-    await asyncio.sleep(max(0.0, terminated_at + begin - record.now()))
-    body = b"x" * 600
-    head = make_head("POST", "/charge/2f", make_headers(number), len(body))
-    began_at = record.now()
-    connection.writer.write(head + body[:300])
-    record.add(f"{number}: head and half of the body sent")
-    await asyncio.sleep(UPLOAD)
-    try:
-        connection.writer.write(body[300:])
-        await connection.writer.drain()
-    except OSError as exc:
-        record.add(f"{number}: the connection is closed: {exc!r}")
-        return number, False
-    sent_at = record.now()
-    record.add(f"{number}: the rest of the body sent")
-    await asyncio.sleep(0.15)
-    unread = count_unread(connection)
-    record.add(f"{number}: bytes that the gateway has not read: {unread}")
-    answer = await connection.read_answer(timeout=DEADLINE_MS / 1000)
-    ended_at = record.now()
+    record.add(f"{owner.name} owns the budget, {second.name} is the second node")
+    if has_trouble():
+        owner.send(signal.SIGKILL)
+        await owner.wait()
+        killed_at = record.now()
+    done = await program.run_turns(third, "aa", BUDGET // TURN_TOKENS // 2)
+    if done < BUDGET // TURN_TOKENS // 2:
+        record.add("the first turns were not served")
+        return CANNOT_RUN
+    if has_trouble():
+        await asyncio.sleep(max(0.0, killed_at + KILLED - 1.0 - record.now()))
+        await owner.start(is_first=False)
+        await deployment.wait_complete()
+        record.add(f"{owner.name} is back, {record.now() - killed_at:.1f} s later")
+        await asyncio.sleep(2.0)
+        deployment.store.faults.down = "refuse"
+        down_at = record.now()
+        record.add("the store is down: it resets and refuses connections")
+        await asyncio.sleep(0.6)
+    # A sub-agent at another node, and the first line, by turns.
+    quarter = BUDGET // TURN_TOKENS // 4
+    for gateway, session in (fourth, "bb"), (third, "aa"), (fourth, "bb"):
+        await program.run_turns(gateway, session, quarter)
+    if has_trouble():
+        await asyncio.sleep(max(0.0, down_at + STORE_DOWN - record.now()))
+        deployment.store.faults.down = ""
+        record.add(f"the store is back, {record.now() - down_at:.1f} s later")
+    await asyncio.sleep(2.0)
+    await program.run_turns(third, "aa", 2)
+    for key, item in deployment.store.items.items():
+        if key.startswith("programs/"):
+            value = json.loads(deployment.store.read(key))
+            record.add(f"record in the store: {value}")
+    for line in deployment.grep_logs("budget lent"):
+        record.add("log of " + line)
+    allowed = BUDGET + TURN_TOKENS
     record.add(
-        f"{number}: {answer.status or 'no answer'} {answer.error}, "
-        f"{ended_at - sent_at:.3f} s after its last byte, "
-        f"{ended_at - terminated_at:.3f} s after the SIGTERM"
-    )
-    connection.close()
-    is_closed = answer.error.startswith("connection")
-    in_time = ended_at < began_at + DEADLINE_MS / 1000
-    is_lost = (
-        is_closed
-        and unread == 0
-        and in_time
-        and ended_at > sent_at + LOSS_SLACK
-        and ended_at < terminated_at + GRACE + 1.0
+        f"{program.tokens} tokens were handed to the client; the budget is {BUDGET}, "
+        f"with the most of one turn {allowed}"
     )
-    return number, is_lost
+    if program.tokens > allowed:
+        record.add("BROKEN: more than the budget and the most of one turn")
+        return BROKEN
+    return HELD
 
 
 run_script(Path(__file__).with_name("record.txt"), main)
--- a/review/support_3/views.py
+++ b/review/support_3/views.py
@@ -1,6 +1,6 @@
-"""Lets a script cut one gateway from the store and from the other gateways.
+"""Lets a script cut one gateway from the store, the other gateways or loan servers.
 
-Gateways learn each other's addresses from the store. Each gets its calls answered by a
+Gateways learn the addresses of the others and of loan servers from the store. Each gets its calls answered by a
 view of the store that names loopback proxies in place of the addresses on the links of
 one gateway, so that these links can be cut.
 """
@@ -13,6 +13,7 @@
 from standins.store_view import StoreView
 
 _MEMBERS_PREFIX = "cluster/members/"
+_LOAN_SERVERS_PREFIX = "cluster/journals/"
 
 
 class _MemberView(StoreView):
@@ -29,7 +30,13 @@
         self._replaced = replaced
 
     async def _replace_address(self, item):
-        if not item["key"].startswith(_MEMBERS_PREFIX) or "value" not in item:
+        if "value" not in item:
+            return
+        if item["key"].startswith(_LOAN_SERVERS_PREFIX):
+            address = b64decode(item["value"]).decode()
+            address = self._replaced.get(address, address)
+            item["value"] = b64encode(address.encode()).decode()
+        if not item["key"].startswith(_MEMBERS_PREFIX):
             return
         member = msgspec.json.decode(b64decode(item["value"]))
         for name in ("peers", "relay"):
@@ -59,6 +66,21 @@
                 address = await self._start_proxy(address)
             gateway.set_store(address)
 
+    async def attach_to_loan_servers(self, cut_off, loan_servers, store):
+        """Put proxies between one gateway and loan servers; before it starts."""
+        view = _MemberView(
+            store,
+            {
+                server.settings["peers"]: await self._start_proxy(
+                    server.settings["peers"]
+                )
+                for server in loan_servers
+            },
+        )
+        await view.start()
+        self._views.append(view)
+        cut_off.set_store(view.address)
+
     async def _make_proxies(self, gateways):
         return {
             address: await self._start_proxy(address)
