--- a/review/13/case.py
+++ b/review/13/case.py
@@ -19,9 +19,11 @@
 from views import Links
 
 CONTACT = 3.0
-# Just below the largest doses of poklopac-prod: platform_down 4.5 s, node_cut 12 s.
+# Just below the doses of poklopac-prod: platform_down 4.5 s, node_cut 5.5 s.
 STORE_DOWN = 4.4
-CUT = 11.9
+CUT = 5.4
+# Seconds of the outage for which the cut has begun.
+OVERLAP = 0.5
 KEY = "key-of-lids"
 PROGRAM = "3fa81c"
 STRIDE, EVENTS = 9, 8
@@ -149,9 +151,6 @@
     record.add(f"{owner.name} owns the budget, {second.name} is the second node")
     turns = BUDGET // TURN_TOKENS
     if has_trouble():
-        links.cut()
-        cut_at = record.now()
-        record.add(f"{second.name} is cut from the loan servers")
         deployment.store.faults.down = "refuse"
         down_at = record.now()
         record.add("the store is down: it resets and refuses connections")
@@ -165,9 +164,13 @@
     await owner.wait()
     record.add(f"{owner.name} has ended")
     if has_trouble():
-        if record.now() > down_at + STORE_DOWN:
-            record.add("it ended after the outage")
+        if record.now() > down_at + STORE_DOWN - OVERLAP:
+            record.add("it ended too late")
             return CANNOT_RUN
+        await asyncio.sleep(down_at + STORE_DOWN - OVERLAP - record.now())
+        links.cut()
+        cut_at = record.now()
+        record.add(f"{second.name} is cut from the loan servers")
         await asyncio.sleep(down_at + STORE_DOWN - record.now())
         deployment.store.faults.down = ""
         record.add(f"the store is back, {record.now() - down_at:.1f} s later")
